node: split control into configuration and membership services

Cause: one class carried configuration and membership, so both subsystems would be changed in one file. Change: config_service and membership_service, joined by two callbacks in node.cpp. Behaviour unchanged. Conclusion: the two subsystems can be developed apart.

--- a/lib/node/admin_service.cpp
+++ b/lib/node/admin_service.cpp
@@ -41,7 +41,7 @@
                                    {"failure_domain", context_.settings.failure_domain},
                                    {"version", snapshot->config.version},
                                    {"digest", snapshot->digest},
-                                   {"rejected", control_.last_rejection()},
+                                   {"rejected", configs_.last_rejection()},
                                    {"members", context_.members.All().size()},
                                    {"platform_calls", context_.store.calls()},
                                    {"control_bytes", control_bytes}});
@@ -72,7 +72,7 @@
 
 net::http_response admin_service::OfferConfig(const net::http_request& request) {
   support::findings problems;
-  control_.Offer(request.body, "operator", problems);
+  configs_.Offer(request.body, "operator", problems);
   if (!problems.empty()) return {kStatusBadRequest, {}, problems.ToText()};
   return {kStatusOk, {}, "ok\n"};
 }
--- a/lib/node/admin_service.h
+++ b/lib/node/admin_service.h
@@ -1,7 +1,7 @@
 #ifndef SISKINRACK_LIB_NODE_ADMIN_SERVICE_H_
 #define SISKINRACK_LIB_NODE_ADMIN_SERVICE_H_
 
-#include "control_service.h"
+#include "config_service.h"
 #include "node_context.h"
 
 namespace siskinrack::node {
@@ -10,8 +10,8 @@
 /// operator program hands over a version that the platform has accepted.
 class admin_service {
  public:
-  admin_service(node_context& context, control_service& control)
-      : context_(context), control_(control) {}
+  admin_service(node_context& context, config_service& configs)
+      : context_(context), configs_(configs) {}
 
   net::http_response Handle(const net::http_request& request);
 
@@ -22,7 +22,7 @@
   net::http_response OfferConfig(const net::http_request& request);
 
   node_context& context_;
-  control_service& control_;
+  config_service& configs_;
 };
 
 }  // namespace siskinrack::node
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -3,8 +3,9 @@
 #include <thread>
 
 #include "admin_service.h"
-#include "control_service.h"
+#include "config_service.h"
 #include "entry_service.h"
+#include "membership_service.h"
 #include "node_context.h"
 #include "serving_service.h"
 #include "siskinrack/net/http_server.h"
@@ -31,8 +32,13 @@
       : context_(std::move(settings)),
         serving_(context_),
         entry_(context_, serving_),
-        control_(context_, serving_),
-        admin_(context_, control_),
+        configs_(context_,
+                 [this](std::uint64_t version) { membership_.PublishServedVersion(version); }),
+        membership_(context_, serving_,
+                    [this](const support::socket_address& peer, std::uint64_t version) {
+                      configs_.OnPeerVersion(peer, version);
+                    }),
+        admin_(context_, configs_),
         caller_server_(context_.runtime, {.address = context_.settings.caller_address},
                        [this](net::http_request request, net::cancellation& cancel) {
                          return entry_.Handle(std::move(request), cancel);
@@ -56,14 +62,15 @@
                                     {"admin_port", admin_server_.port()},
                                     {"peer_port", peer_server_.port()},
                                     {"failure_domain", settings.failure_domain}});
-    control_.Start({settings.peer_address.ip, peer_server_.port()},
-                   {settings.admin_address.ip, admin_server_.port()});
+    configs_.Start();
+    membership_.Start({settings.peer_address.ip, peer_server_.port()},
+                      {settings.admin_address.ip, admin_server_.port()});
   }
 
   void Drain() {
     context_.draining = true;
     context_.log.Info("drain_started", {{"drain_ms", context_.settings.drain_period.count()}});
-    control_.Announce(wire::upstream_state::draining);
+    membership_.Announce(wire::upstream_state::draining);
     std::this_thread::sleep_for(context_.settings.drain_period);
     context_.refusing = true;
     caller_server_.Drain();
@@ -81,13 +88,15 @@
     if (const auto* call = message.message.Ascall_request()) {
       return wire::MakeEnvelope(serving_.Serve(*call, cancel));
     }
-    return control_.Handle(message);
+    if (auto reply = membership_.Handle(message)) return reply;
+    return configs_.Handle(message);
   }
 
   node_context context_;
   serving_service serving_;
   entry_service entry_;
-  control_service control_;
+  config_service configs_;
+  membership_service membership_;
   admin_service admin_;
   net::http_server caller_server_;
   net::http_server admin_server_;
