distribution: failing tests for floor, witnesses, lease, dissemination, removals

Change: interfaces, empty implementations and tests with hand-written fakes (fleet of agents joined by a lossy message bag, lease store with faults).

--- /dev/null
+++ b/include/siskinrack/distribution/config_agent.h
@@ -0,0 +1,114 @@
+#ifndef SISKINRACK_DISTRIBUTION_CONFIG_AGENT_H_
+#define SISKINRACK_DISTRIBUTION_CONFIG_AGENT_H_
+
+#include <deque>
+#include <optional>
+
+#include "siskinrack/distribution/config_history.h"
+#include "siskinrack/distribution/peer_view.h"
+#include "siskinrack/distribution/version_floor.h"
+#include "siskinrack/distribution/witness_round.h"
+#include "siskinrack/distribution/witness_table.h"
+
+namespace siskinrack::distribution {
+
+/// A message for a peer. `to` is a node id, or whatever name the peer was reported under.
+struct outgoing {
+  std::string to;
+  wire::messageUnion body;
+};
+
+/// A version that takes effect now.
+struct activation {
+  config_snapshot_ptr snapshot;
+  std::string source;
+  std::size_t witnesses = 0;
+  std::size_t witnesses_wanted = 0;
+};
+
+/// A configuration that failed its check.
+struct rejection {
+  /// 0 if the version can't be read.
+  std::uint64_t version = 0;
+  std::string digest;
+  std::string source;
+  support::findings problems;
+};
+
+/// Decides for one node which configuration it holds, asks for, announces and serves. Pure: events
+/// come in with their time, messages and activations come out. A version is held as soon as it
+/// passed its check, and is served once the version floor is known and met and witnesses recorded
+/// it.
+class config_agent {
+ public:
+  config_agent(std::string node_id, std::string failure_domain, witness_table& witnesses,
+               time_point start);
+
+  /// A configuration from the platform, the operator program or a peer.
+  void OnConfig(std::string_view json, std::string_view source, support::findings& problems);
+  /// A peer holds `version`; asks it for a delta if that's newer than what is held here.
+  void OnPeerVersion(const std::string& peer, std::uint64_t version, time_point now);
+  void OnUpdate(const std::string& peer, const wire::config_update_t& update, time_point now);
+  void OnPlatformHead(std::uint64_t version) { floor_.OnPlatformHead(version); }
+  void OnFloorReply(const std::string& peer, const wire::floor_reply_t& reply, time_point now);
+  void OnWitnessReply(const std::string& peer, std::uint64_t version, bool recorded) {
+    round_.OnReply(peer, version, recorded);
+  }
+  /// Advances what depends on time and on the members.
+  void Advance(std::span<const peer_view> peers, time_point now, random_engine& random);
+
+  /// Messages and activations decided since the last call.
+  std::vector<outgoing> TakeMessages();
+  std::vector<activation> TakeActivations();
+
+  [[nodiscard]] wire::config_update_t Answer(const wire::config_request_t& request) const {
+    return history_.Answer(request);
+  }
+  /// Records the version if it's held here; else the requester asks again later.
+  wire::witness_reply_t Answer(const wire::witness_request_t& request);
+  /// Nothing as long as the own floor is unknown: an empty memory is no evidence.
+  [[nodiscard]] std::optional<wire::floor_reply_t> Answer(const wire::floor_request_t& request,
+                                                          std::span<const peer_view> peers) const;
+
+  /// True if Advance has work that needs the members.
+  [[nodiscard]] bool pending() const;
+  [[nodiscard]] const config_snapshot_ptr& held() const { return history_.newest(); }
+  [[nodiscard]] std::uint64_t served_version() const { return served_version_; }
+  [[nodiscard]] const version_floor& floor() const { return floor_; }
+  /// The newest rejected configuration, until a newer version takes effect.
+  [[nodiscard]] const std::optional<rejection>& rejected() const { return rejected_; }
+
+ private:
+  struct request_state {
+    std::uint64_t version = 0;
+    time_point sent{};
+  };
+
+  void Hold(config_snapshot_ptr snapshot, std::string_view source);
+  void Reject(std::uint64_t version, std::string digest, std::string_view source,
+              const support::findings& problems);
+  void Request(const std::string& peer, bool full);
+  void AdvanceFloor(std::span<const peer_view> peers, time_point now, random_engine& random);
+  void AdvanceRound(std::span<const peer_view> peers, time_point now, random_engine& random);
+
+  std::string node_id_;
+  std::string failure_domain_;
+  witness_table& witnesses_;
+  config_history history_;
+  version_floor floor_;
+  witness_round round_;
+  /// Snapshot that the round is about; the newest held one may be newer.
+  config_snapshot_ptr staged_;
+  std::string held_source_;
+  std::string staged_source_;
+  std::uint64_t served_version_ = 0;
+  std::uint64_t announced_version_ = 0;
+  request_state requested_;
+  std::optional<rejection> rejected_;
+  std::vector<outgoing> messages_;
+  std::vector<activation> activations_;
+};
+
+}  // namespace siskinrack::distribution
+
+#endif  // SISKINRACK_DISTRIBUTION_CONFIG_AGENT_H_
--- /dev/null
+++ b/include/siskinrack/distribution/peer_view.h
@@ -0,0 +1,40 @@
+#ifndef SISKINRACK_DISTRIBUTION_PEER_VIEW_H_
+#define SISKINRACK_DISTRIBUTION_PEER_VIEW_H_
+
+#include <chrono>
+#include <cstdint>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "siskinrack/wire/siskinrack_generated.h"
+
+namespace siskinrack::distribution {
+
+using time_point = std::chrono::steady_clock::time_point;
+using std::chrono::milliseconds;
+using random_engine = std::mt19937_64;
+
+/// What the decisions of this package need to know of another node.
+struct peer_view {
+  std::string node_id;
+  std::string failure_domain;
+  wire::member_health health = wire::member_health::alive;
+  std::uint64_t served_version = 0;
+
+  [[nodiscard]] bool alive() const { return health == wire::member_health::alive; }
+};
+
+/// Receivers of a version notice: up to 3 random live peers of `own_domain` and 1 of another.
+std::vector<std::string> ChooseNoticePeers(std::span<const peer_view> peers,
+                                           std::string_view own_domain, random_engine& random);
+
+/// Place of `node_id` among `candidates` by rendezvous hash over (`key`, node id); 0 goes first.
+std::size_t RendezvousRank(std::string_view node_id, std::string_view key,
+                           std::span<const std::string> candidates);
+
+}  // namespace siskinrack::distribution
+
+#endif  // SISKINRACK_DISTRIBUTION_PEER_VIEW_H_
--- /dev/null
+++ b/include/siskinrack/distribution/witness_table.h
@@ -0,0 +1,36 @@
+#ifndef SISKINRACK_DISTRIBUTION_WITNESS_TABLE_H_
+#define SISKINRACK_DISTRIBUTION_WITNESS_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace siskinrack::distribution {
+
+/// The highest version that each node was seen or about to serve, over all of its restarts. Unlike
+/// member records, an entry is never replaced by a lower version. Safe for use from several
+/// threads.
+class witness_table {
+ public:
+  /// Bounds the memory; 550 nodes and 35 replacements a day fill it after some three months.
+  static constexpr std::size_t kMaxNodes = 4096;
+
+  void Clear();
+  void Record(std::string_view node_id, std::uint64_t version);
+  [[nodiscard]] std::optional<std::uint64_t> Find(std::string_view node_id) const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, std::uint64_t, std::less<>> versions_;
+  std::deque<std::string> oldest_first_;
+};
+
+}  // namespace siskinrack::distribution
+
+#endif  // SISKINRACK_DISTRIBUTION_WITNESS_TABLE_H_
--- /dev/null
+++ b/unittests/distribution/dissemination_test.cpp
@@ -0,0 +1,125 @@
+#include <gtest/gtest.h>
+
+#include "fleet.h"
+
+namespace siskinrack::distribution::test {
+namespace {
+
+const std::vector<std::string> kNames = {"a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2", "c3"};
+
+void AddNodes(fleet& all) {
+  for (const std::string& name : kNames) all.Add(name, name.substr(0, 1));
+}
+
+/// The platform is up while the nodes start.
+void SettleFloors(fleet& all) {
+  for (auto& [name, item] : all.members()) item.agent->OnPlatformHead(0);
+}
+
+void ExpectAllServe(fleet& all, std::uint64_t version) {
+  for (const auto& [name, item] : all.members()) {
+    EXPECT_EQ(item.active->config.version, version) << name;
+  }
+}
+
+// Guards against a version that only the operator program handed over (platform down, watchers
+// dead) not spreading.
+TEST(Dissemination, VersionPushedToOneNodeReachesAll) {
+  fleet all(3);
+  AddNodes(all);
+  SettleFloors(all);
+  all.Offer("b2", MakeConfig(1));
+  all.Run(milliseconds(1'000));
+  ExpectAllServe(all, 1);
+}
+
+// Guards against full copies where the receiver's base is known.
+TEST(Dissemination, LaterVersionsTravelAsDeltas) {
+  fleet all(4);
+  AddNodes(all);
+  SettleFloors(all);
+  all.Offer("a1", MakeConfig(1));
+  all.Run(milliseconds(1'000));
+  for (auto& [name, item] : all.members()) item.full_copies = 0;
+  for (std::uint64_t version = 2; version <= 5; ++version) {
+    all.Offer("a1", MakeConfig(version));
+    all.Run(milliseconds(1'000));
+  }
+  ExpectAllServe(all, 5);
+  for (const auto& [name, item] : all.members()) EXPECT_EQ(item.full_copies, 0U) << name;
+}
+
+// Guards against a node going back or serving a broken version when messages are lost, repeated and
+// reordered and nodes are killed and restarted with empty memory while the platform is down.
+TEST(Dissemination, HoldsUnderRandomLossRepetitionReorderingAndRestarts) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    fleet all(seed);
+    AddNodes(all);
+    SettleFloors(all);
+    std::uint64_t version = 0;
+    std::size_t killed = 0;
+    for (int step = 0; step < 2'500; ++step) {
+      if (step % 250 == 0) all.Offer(kNames[all.random()() % kNames.size()], MakeConfig(++version));
+      if (step % 400 == 399) {
+        // One node of each third at a time is away, for 4 s of the schedule's time.
+        const std::string& name = kNames[killed % kNames.size()];
+        ++killed;
+        all.Kill(name);
+        all.Start(name);
+      }
+      const auto pick = [&] { return kNames[all.random()() % kNames.size()]; };
+      all.Exchange(pick(), pick());
+      all.Advance(milliseconds(10));
+      for (int i = 0; i < 6; ++i) all.DeliverOne(0.2, 0.2);
+      ExpectInvariants(all);
+      if (testing::Test::HasFailure()) return;
+    }
+    all.Run(milliseconds(8'000));
+    for (const std::string& name : kNames) {
+      for (const std::string& other : kNames) all.Exchange(other, name);
+    }
+    all.Run(milliseconds(3'000));
+    ExpectInvariants(all);
+    ExpectAllServe(all, version);
+    if (testing::Test::HasFailure()) return;
+  }
+}
+
+// Guards against a restarted node that trusts the first peer it reaches, which is behind, while the
+// platform is down.
+TEST(Dissemination, RestartedNodeDoesNotGoBackWhenItsFirstPeerIsBehind) {
+  fleet all(5);
+  AddNodes(all);
+  SettleFloors(all);
+  all.Offer("a1", MakeConfig(1));
+  all.Run(milliseconds(1'000));
+  all.Kill("b1");
+  all.Offer("a1", MakeConfig(2));
+  all.Run(milliseconds(3'000));
+  ASSERT_EQ(all.at("a1").highest_served, 2U);
+  all.at("b1").running = true;  // resumes with version 1
+  all.Kill("a1");
+  all.Start("a1");
+  all.Exchange("b1", "a1");
+  all.Run(milliseconds(4'000));
+  EXPECT_EQ(all.at("a1").active->config.version, 0U) << "served before the floor was known";
+  all.Run(milliseconds(4'000));
+  EXPECT_EQ(all.at("a1").active->config.version, 2U);
+}
+
+// Guards against a node that can't start for the first time while the platform is down.
+TEST(Dissemination, NewNodeStartsFromPeersWhileThePlatformIsDown) {
+  fleet all(6);
+  AddNodes(all);
+  SettleFloors(all);
+  all.Offer("a1", MakeConfig(1));
+  all.Run(milliseconds(1'000));
+  all.Add("d1", "d");
+  all.Exchange("c1", "d1");
+  all.Run(milliseconds(7'000));
+  EXPECT_EQ(all.at("d1").active->config.version, 1U);
+}
+
+}  // namespace
+}  // namespace siskinrack::distribution::test
--- /dev/null
+++ b/unittests/distribution/watcher_lease_test.cpp
@@ -0,0 +1,179 @@
+#include "siskinrack/distribution/watcher_lease.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+
+namespace siskinrack::distribution {
+namespace {
+
+using call_kind = watcher_lease::call_kind;
+const time_point kStart{std::chrono::hours(1)};
+
+/// One lease object with conditional updates, and faults.
+class fake_store {
+ public:
+  enum class fault { kNone, kDown, kLoseAnswer };
+  fault mode = fault::kNone;
+  std::size_t calls = 0;
+
+  void Serve(watcher_lease& lease, const watcher_lease::call& call, time_point now,
+             std::size_t rank) {
+    if (call.kind == call_kind::kNone) return;
+    ++calls;
+    if (mode == fault::kDown) return lease.OnFailure(now, rank);
+    if (call.kind == call_kind::kRead) return lease.OnRead(now, version_, record_);
+    if (call.expected_version != version_) return lease.OnConflict(now);
+    record_ = call.record;
+    ++version_;
+    if (mode == fault::kLoseAnswer) return lease.OnOutcomeUnknown(now);
+    lease.OnWritten(now, version_);
+  }
+
+ private:
+  std::uint64_t version_ = 0;
+  std::optional<lease_record> record_;
+};
+
+/// Candidates of one failure domain on a simulated clock.
+class domain {
+ public:
+  explicit domain(std::size_t nodes) {
+    for (std::size_t i = 0; i < nodes; ++i) {
+      const std::string id = "n" + std::to_string(i);
+      nodes_.push_back({watcher_lease(id, "token-" + id, kStart), false});
+    }
+  }
+
+  void Run(milliseconds duration, bool gossip = true) {
+    constexpr milliseconds kStep{20};
+    const time_point end = now_ + duration;
+    for (; now_ < end; now_ += kStep) {
+      for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (nodes_[i].paused) continue;
+        const auto call = nodes_[i].lease.Next(now_, i, 0.5);
+        store_.Serve(nodes_[i].lease, call, now_, i);
+      }
+      if (gossip && (now_ - kStart) % milliseconds(500) == milliseconds(0)) Exchange();
+    }
+  }
+  std::vector<std::size_t> Holders() const {
+    std::vector<std::size_t> holders;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (!nodes_[i].paused && nodes_[i].lease.IsHolder(now_)) holders.push_back(i);
+    }
+    return holders;
+  }
+  void Pause(std::size_t node) { nodes_[node].paused = true; }
+  void Resume(std::size_t node) { nodes_[node].paused = false; }
+  watcher_lease& lease(std::size_t node) { return nodes_[node].lease; }
+  fake_store& store() { return store_; }
+
+ private:
+  struct item {
+    watcher_lease lease;
+    bool paused;
+  };
+
+  /// Each node tells the next one.
+  void Exchange() {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      item& to = nodes_[(i + 1) % nodes_.size()];
+      if (nodes_[i].paused || to.paused) continue;
+      to.lease.OnPeerReport(now_, nodes_[i].lease.News(now_));
+    }
+  }
+
+  time_point now_ = kStart;
+  std::vector<item> nodes_;
+  fake_store store_;
+};
+
+TEST(WatcherLease, OneNodeTakesAndKeepsTheLease) {
+  domain all(4);
+  all.Run(milliseconds(5'000));
+  ASSERT_EQ(all.Holders().size(), 1U);
+  const auto epoch = all.lease(all.Holders()[0]).epoch();
+  all.Run(milliseconds(60'000));
+  ASSERT_EQ(all.Holders().size(), 1U);
+  EXPECT_EQ(all.lease(all.Holders()[0]).epoch(), epoch) << "the lease changed hands without need";
+}
+
+// Guards against a domain without a watcher after the watching node was killed.
+TEST(WatcherLease, DeadHolderIsReplacedWithinFiveSeconds) {
+  domain all(4);
+  all.Run(milliseconds(8'000));
+  const std::size_t dead = all.Holders().at(0);
+  all.Pause(dead);
+  all.Run(milliseconds(5'000));
+  ASSERT_EQ(all.Holders().size(), 1U);
+  EXPECT_NE(all.Holders()[0], dead);
+}
+
+// Guards against a holder that acts as holder after it was paused past the end of its lease.
+TEST(WatcherLease, PausedHolderIsNotHolderOnResume) {
+  domain all(3);
+  all.Run(milliseconds(8'000));
+  const std::size_t paused = all.Holders().at(0);
+  all.Pause(paused);
+  all.Run(milliseconds(6'000));
+  const std::size_t successor = all.Holders().at(0);
+  all.Resume(paused);
+  ASSERT_EQ(all.Holders(), std::vector<std::size_t>{successor});
+  all.Run(milliseconds(10'000));
+  EXPECT_EQ(all.Holders(), std::vector<std::size_t>{successor});
+}
+
+// Guards against two holders, or none, after the answer to a lease write was lost.
+TEST(WatcherLease, LostAnswerIsResolvedByARead) {
+  domain all(3);
+  all.store().mode = fake_store::fault::kLoseAnswer;
+  all.Run(milliseconds(10'000));
+  ASSERT_EQ(all.Holders().size(), 1U);
+  const std::size_t holder = all.Holders()[0];
+  all.store().mode = fake_store::fault::kNone;
+  all.Run(milliseconds(10'000));
+  EXPECT_EQ(all.Holders(), std::vector<std::size_t>{holder});
+}
+
+// Guards against a lease being taken from a live holder because the news of its renewals is late.
+TEST(WatcherLease, RenewingHolderKeepsItsLeaseWithoutGossip) {
+  domain all(4);
+  all.Run(milliseconds(6'000));
+  const auto holder = all.Holders();
+  const auto epoch = all.lease(holder.at(0)).epoch();
+  all.Run(milliseconds(30'000), /*gossip=*/false);
+  EXPECT_EQ(all.Holders(), holder);
+  EXPECT_EQ(all.lease(holder[0]).epoch(), epoch);
+}
+
+// Guards against platform calls that grow with the number of nodes, above all while the platform is
+// down and every candidate finds the lease expired.
+TEST(WatcherLease, CallsDoNotGrowWithTheNumberOfNodes) {
+  std::map<std::size_t, std::size_t> down;
+  std::map<std::size_t, std::size_t> up;
+  for (const std::size_t nodes : {10U, 100U}) {
+    domain all(nodes);
+    all.Run(milliseconds(60'000));
+    up[nodes] = all.store().calls;
+    all.store().mode = fake_store::fault::kDown;
+    all.store().calls = 0;
+    all.Run(milliseconds(60'000));
+    EXPECT_TRUE(all.Holders().empty());
+    down[nodes] = all.store().calls;
+  }
+  EXPECT_LE(down[100], down[10] + down[10] / 4);
+  EXPECT_LE(up[100], 4 * up[10]);
+  EXPECT_LE(up[100], 6 * 60U) << "six calls a second and domain";
+}
+
+TEST(WatcherLease, RecordSurvivesItsJsonForm) {
+  const lease_record record{"n1", 4, "token", 17};
+  EXPECT_EQ(LeaseFromJson(ToJson(record)), record);
+  EXPECT_FALSE(LeaseFromJson("{\"holder\":1}").has_value());
+  EXPECT_FALSE(LeaseFromJson("x").has_value());
+}
+
+}  // namespace
+}  // namespace siskinrack::distribution
