--- a/include/siskinrack/distribution/config_agent.h
+++ b/include/siskinrack/distribution/config_agent.h
@@ -64,8 +64,9 @@
   [[nodiscard]] wire::config_update_t Answer(const wire::config_request_t& request) const {
     return history_.Answer(request);
   }
-  /// Records the version if it's held here; else the requester asks again later.
-  wire::witness_reply_t Answer(const wire::witness_request_t& request);
+  /// Records the version if it's held here; else fetches it from `peer`, which asks again later.
+  wire::witness_reply_t Answer(const std::string& peer, const wire::witness_request_t& request,
+                               time_point now);
   /// Nothing as long as the own floor is unknown: an empty memory is no evidence.
   [[nodiscard]] std::optional<wire::floor_reply_t> Answer(const wire::floor_request_t& request,
                                                           std::span<const peer_view> peers) const;
--- a/include/siskinrack/distribution/watcher_lease.h
+++ b/include/siskinrack/distribution/watcher_lease.h
@@ -83,7 +83,7 @@
  private:
   call NextAsHolder(time_point now);
   call NextAsCandidate(time_point now, std::size_t rank, double random);
-  call Send(time_point now, call next);
+  call Send(call next);
   call Write(time_point now, std::uint64_t epoch);
   void Accept(time_point now, std::uint64_t version);
   void SeeVersion(time_point now, std::uint64_t version);
@@ -105,6 +105,7 @@
   /// Set after a conflict or a lost answer: only a read tells what happened.
   bool must_read_ = false;
   std::optional<time_point> attempt_at_;
+  bool read_in_attempt_ = false;
   /// The newest record that this node tried to write, and when it was sent first.
   lease_record attempted_;
   time_point attempted_sent_{};
--- a/lib/distribution/peer_view.cpp
+++ b/lib/distribution/peer_view.cpp
@@ -1,15 +1,53 @@
 #include "siskinrack/distribution/peer_view.h"
 
+#include <algorithm>
+
 namespace siskinrack::distribution {
+namespace {
+
+constexpr std::size_t kNoticesInOwnDomain = 3;
+constexpr std::size_t kNoticesElsewhere = 1;
+
+/// FNV-1a with the finalizer of splitmix64: equal on all nodes, unlike std::hash.
+std::uint64_t Hash(std::string_view key, std::string_view node_id) {
+  std::uint64_t hash = 0xcbf29ce484222325ULL;
+  const auto add = [&](std::string_view text) {
+    for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  };
+  add(key);
+  add("/");
+  add(node_id);
+  hash = (hash ^ (hash >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  hash = (hash ^ (hash >> 27U)) * 0x94d049bb133111ebULL;
+  return hash ^ (hash >> 31U);
+}
+
+}  // namespace
 
-std::vector<std::string> ChooseNoticePeers(std::span<const peer_view> /*peers*/,
-                                           std::string_view /*own_domain*/,
-                                           random_engine& /*random*/) {
-  return {};
+std::vector<std::string> ChooseNoticePeers(std::span<const peer_view> peers,
+                                           std::string_view own_domain, random_engine& random) {
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const peer_view& peer : peers) {
+    if (peer.alive()) (peer.failure_domain == own_domain ? near : far).push_back(peer.node_id);
+  }
+  std::shuffle(near.begin(), near.end(), random);
+  std::shuffle(far.begin(), far.end(), random);
+  near.resize(std::min(near.size(), kNoticesInOwnDomain));
+  far.resize(std::min(far.size(), kNoticesElsewhere));
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
 }
-std::size_t RendezvousRank(std::string_view /*node_id*/, std::string_view /*key*/,
-                           std::span<const std::string> /*candidates*/) {
-  return 0;
+
+std::size_t RendezvousRank(std::string_view node_id, std::string_view key,
+                           std::span<const std::string> candidates) {
+  const std::uint64_t own = Hash(key, node_id);
+  std::size_t rank = 0;
+  for (const std::string& other : candidates) {
+    const std::uint64_t hash = Hash(key, other);
+    if (hash > own || (hash == own && other < node_id)) ++rank;
+  }
+  return rank;
 }
 
 }  // namespace siskinrack::distribution
--- a/lib/distribution/watcher_lease.cpp
+++ b/lib/distribution/watcher_lease.cpp
@@ -1,20 +1,156 @@
 #include "siskinrack/distribution/watcher_lease.h"
 
+#include <algorithm>
+#include <boost/json.hpp>
+
 namespace siskinrack::distribution {
+namespace {
+
+namespace json = boost::json;
+
+constexpr milliseconds kDelayPerRank{200};
+constexpr milliseconds kMaxJitter{100};
+constexpr milliseconds kRetryBase{1'000};
+/// Ranks that attempt in steps of kDelayPerRank; further ones double.
+constexpr std::size_t kLinearRanks = 8;
+constexpr std::size_t kMaxDoublings = 10;
+
+}  // namespace
+
+std::string ToJson(const lease_record& record) {
+  return json::serialize(json::object{{"holder", record.holder},
+                                      {"epoch", record.epoch},
+                                      {"token", record.token},
+                                      {"renewal", record.renewal}});
+}
+
+std::optional<lease_record> LeaseFromJson(std::string_view text) {
+  try {
+    const json::value value = json::parse({text.data(), text.size()});
+    return lease_record{json::value_to<std::string>(value.at("holder")),
+                        value.at("epoch").to_number<std::uint64_t>(),
+                        json::value_to<std::string>(value.at("token")),
+                        value.at("renewal").to_number<std::uint64_t>()};
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+milliseconds watcher_lease::AttemptDelay(std::size_t rank) {
+  const std::size_t doublings = rank - std::min(rank, kLinearRanks);
+  return kDelayPerRank * std::min(rank, kLinearRanks) * (1U << std::min(doublings, kMaxDoublings));
+}
+
+milliseconds watcher_lease::RetryDelay(std::size_t rank) {
+  return kRetryBase * (1U << std::min(rank, kMaxDoublings));
+}
+
+watcher_lease::call watcher_lease::Next(time_point now, std::size_t rank, double random) {
+  if (call_pending_ || now < retry_at_) return {};
+  if (must_read_) return Send({call_kind::kRead, 0, {}});
+  return IsHolder(now) ? NextAsHolder(now) : NextAsCandidate(now, rank, random);
+}
+
+watcher_lease::call watcher_lease::NextAsHolder(time_point now) {
+  return now < renew_at_ ? call{} : Write(now, attempted_.epoch);
+}
+
+watcher_lease::call watcher_lease::NextAsCandidate(time_point now, std::size_t rank,
+                                                   double random) {
+  if (now - last_renewal_ < kReadAfter) {
+    attempt_at_.reset();
+    return {};
+  }
+  if (!attempt_at_) {
+    read_in_attempt_ = false;
+    const auto jitter = milliseconds(static_cast<std::int64_t>(random * kMaxJitter.count()));
+    attempt_at_ = now + AttemptDelay(rank) + jitter;
+  }
+  if (now < *attempt_at_) return {};
+  if (!read_in_attempt_) return Send({call_kind::kRead, 0, {}});
+  // Nobody else renews a lease that doesn't exist or names this node.
+  const bool free = *version_ == 0 || own_record_;
+  const bool expired = now - last_renewal_ >= kDuration && now - version_seen_ >= kConfirmTime;
+  return free || expired ? Write(now, seen_epoch_ + 1) : call{};
+}
+
+watcher_lease::call watcher_lease::Write(time_point now, std::uint64_t epoch) {
+  attempted_ = {node_id_, epoch, token_, attempted_.renewal + 1};
+  attempted_sent_ = now;
+  return Send({call_kind::kWrite, *version_, attempted_});
+}
 
-std::string ToJson(const lease_record& /*record*/) { return {}; }
-std::optional<lease_record> LeaseFromJson(std::string_view /*text*/) { return std::nullopt; }
-watcher_lease::call watcher_lease::Next(time_point /*now*/, std::size_t /*rank*/,
-                                        double /*random*/) {
-  return {};
-}
-void watcher_lease::OnRead(time_point /*now*/, std::uint64_t /*version*/,
-                           const std::optional<lease_record>& /*record*/) {}
-void watcher_lease::OnWritten(time_point /*now*/, std::uint64_t /*version*/) {}
-void watcher_lease::OnConflict(time_point /*now*/) {}
-void watcher_lease::OnOutcomeUnknown(time_point /*now*/) {}
-void watcher_lease::OnFailure(time_point /*now*/, std::size_t /*rank*/) {}
-void watcher_lease::OnPeerReport(time_point /*now*/, const holder_news& /*news*/) {}
-watcher_lease::holder_news watcher_lease::News(time_point /*now*/) const { return {}; }
+watcher_lease::call watcher_lease::Send(call next) {
+  call_pending_ = true;
+  return next;
+}
+
+void watcher_lease::SeeVersion(time_point now, std::uint64_t version) {
+  if (version_ != version) version_seen_ = now;
+  version_ = version;
+}
+
+void watcher_lease::Accept(time_point now, std::uint64_t version) {
+  SeeVersion(now, version);
+  own_record_ = true;
+  seen_epoch_ = attempted_.epoch;
+  held_until_ = attempted_sent_ + kDuration;
+  renew_at_ = attempted_sent_ + kRenewInterval;
+  last_renewal_ = std::max(last_renewal_, attempted_sent_);
+  last_holder_ = node_id_;
+  attempt_at_.reset();
+}
+
+void watcher_lease::OnRead(time_point now, std::uint64_t version,
+                           const std::optional<lease_record>& record) {
+  call_pending_ = false;
+  read_in_attempt_ = true;
+  const bool resolves_write = must_read_;
+  must_read_ = false;
+  if (resolves_write && record && *record == attempted_) return Accept(now, version);
+  SeeVersion(now, version);
+  own_record_ = record && record->holder == node_id_;
+  seen_epoch_ = std::max(seen_epoch_, record ? record->epoch : 0);
+  if (own_record_ || !record) return;
+  held_until_ = std::min(held_until_, now);
+  if (!resolves_write) return;
+  // The object changed between the read and the write of this attempt: its holder renews.
+  last_renewal_ = now;
+  last_holder_ = record->holder;
+  attempt_at_.reset();
+}
+
+void watcher_lease::OnWritten(time_point now, std::uint64_t version) {
+  call_pending_ = false;
+  Accept(now, version);
+}
+
+void watcher_lease::OnConflict(time_point /*now*/) {
+  call_pending_ = false;
+  must_read_ = true;
+}
+
+void watcher_lease::OnOutcomeUnknown(time_point /*now*/) {
+  call_pending_ = false;
+  must_read_ = true;
+}
+
+void watcher_lease::OnFailure(time_point now, std::size_t rank) {
+  call_pending_ = false;
+  retry_at_ = now + (IsHolder(now) ? kRetryBase / 2 : RetryDelay(rank));
+}
+
+void watcher_lease::OnPeerReport(time_point now, const holder_news& news) {
+  if (news.holder.empty() || news.holder == node_id_) return;
+  const time_point renewal = now - news.age;
+  if (renewal <= last_renewal_) return;
+  last_renewal_ = renewal;
+  last_holder_ = news.holder;
+}
+
+watcher_lease::holder_news watcher_lease::News(time_point now) const {
+  if (last_holder_.empty()) return {};
+  return {last_holder_, std::chrono::duration_cast<milliseconds>(now - last_renewal_)};
+}
 
 }  // namespace siskinrack::distribution
--- a/lib/distribution/witness_round.cpp
+++ b/lib/distribution/witness_round.cpp
@@ -1,18 +1,60 @@
 #include "siskinrack/distribution/witness_round.h"
 
+#include <algorithm>
+
 namespace siskinrack::distribution {
 
-void witness_round::Begin(std::uint64_t /*version*/, time_point /*now*/) {}
-void witness_round::OnReply(const std::string& /*node_id*/, std::uint64_t /*version*/,
-                            bool /*recorded*/) {}
-std::vector<std::string> witness_round::PeersToAsk(std::span<const peer_view> /*peers*/,
-                                                   std::string_view /*own_domain*/,
-                                                   time_point /*now*/, random_engine& /*random*/) {
-  return {};
+void witness_round::Begin(std::uint64_t version, time_point now) {
+  version_ = version;
+  begun_ = now;
+  next_ask_ = now;
+  recorded_by_.clear();
+}
+
+void witness_round::OnReply(const std::string& node_id, std::uint64_t version, bool recorded) {
+  if (recorded && version == version_) recorded_by_.insert(node_id);
+}
+
+std::vector<std::string> witness_round::PeersToAsk(std::span<const peer_view> peers,
+                                                   std::string_view own_domain, time_point now,
+                                                   random_engine& random) {
+  if (!active() || now < next_ask_) return {};
+  next_ask_ = now + kRetryInterval;
+  std::set<std::string_view> covered_domains;
+  std::vector<const peer_view*> candidates;
+  for (const peer_view& peer : peers) {
+    if (recorded_by_.contains(peer.node_id)) {
+      covered_domains.insert(peer.failure_domain);
+    } else if (peer.alive()) {
+      candidates.push_back(&peer);
+    }
+  }
+  std::shuffle(candidates.begin(), candidates.end(), random);
+  std::stable_partition(candidates.begin(), candidates.end(),
+                        [&](const peer_view* peer) { return peer->failure_domain == own_domain; });
+  std::vector<std::string> chosen;
+  std::vector<std::string> others;
+  for (const peer_view* peer : candidates) {
+    const bool first_of_domain = covered_domains.insert(peer->failure_domain).second;
+    (first_of_domain ? chosen : others).push_back(peer->node_id);
+  }
+  chosen.insert(chosen.end(), others.begin(), others.end());
+  const std::size_t wanted = Wanted(peers);
+  const std::size_t missing = wanted - std::min(wanted, recorded_by_.size());
+  chosen.resize(std::min(chosen.size(), missing));
+  return chosen;
+}
+
+bool witness_round::Complete(std::span<const peer_view> peers, time_point now) const {
+  // A node that knows no live peer may have just started: it waits as long as for silent peers.
+  const std::size_t wanted = std::max<std::size_t>(1, Wanted(peers));
+  return active() && (recorded_by_.size() >= wanted || now - begun_ >= kMaxWait);
 }
-bool witness_round::Complete(std::span<const peer_view> /*peers*/, time_point /*now*/) const {
-  return false;
+
+std::size_t witness_round::Wanted(std::span<const peer_view> peers) {
+  const auto live =
+      std::count_if(peers.begin(), peers.end(), [](const peer_view& peer) { return peer.alive(); });
+  return std::min(kWitnesses, static_cast<std::size_t>(live));
 }
-std::size_t witness_round::Wanted(std::span<const peer_view> /*peers*/) { return 0; }
 
 }  // namespace siskinrack::distribution
--- a/unittests/distribution/fleet.cpp
+++ b/unittests/distribution/fleet.cpp
@@ -47,7 +47,7 @@
         asker.agent->OnUpdate(to, reply, now_);
       });
     } else if (const auto* witness = body->Aswitness_request()) {
-      const bool recorded = item.agent->Answer(*witness).recorded;
+      const bool recorded = item.agent->Answer(from, *witness, now_).recorded;
       Post(from, [to, version = witness->version, recorded](member& asker) {
         asker.agent->OnWitnessReply(to, version, recorded);
       });
@@ -76,12 +76,22 @@
 
 void fleet::Run(milliseconds duration) {
   constexpr milliseconds kStep{50};
+  constexpr milliseconds kExchangeInterval{1'000};
   for (milliseconds passed{0}; passed < duration; passed += kStep) {
     Advance(kStep);
+    if (passed % kExchangeInterval == milliseconds(0)) ExchangeAll();
     for (std::size_t i = bag_.size(); i > 0; --i) DeliverOne(0, 0);
   }
 }
 
+void fleet::ExchangeAll() {
+  for (const auto& [name, item] : members_) {
+    const auto other = std::next(members_.begin(), static_cast<int>(random_() % members_.size()));
+    Exchange(name, other->first);
+    Exchange(other->first, name);
+  }
+}
+
 void ExpectInvariants(fleet& all) {
   for (const auto& [name, item] : all.members()) {
     const config::mesh_resources& resources = item.active->config.resources;
--- a/unittests/distribution/fleet.h
+++ b/unittests/distribution/fleet.h
@@ -74,7 +74,8 @@
   void Advance(milliseconds elapsed);
   /// Delivers, drops or repeats one message chosen at random.
   void DeliverOne(double drop, double repeat);
-  /// Delivers everything, in random order, with time passing, for `duration`.
+  /// Delivers everything, in random order, with time passing and each node exchanging versions with
+  /// a random peer each second, for `duration`.
   void Run(milliseconds duration);
 
  private:
@@ -85,6 +86,7 @@
   };
 
   void Post(const std::string& to, delivery body) { bag_.push_back({to, std::move(body)}); }
+  void ExchangeAll();
   void Collect(const std::string& name);
   void Send(const std::string& from, const outgoing& message);
   std::vector<peer_view> PeersOf(const std::string& name) const;
