test: scenario runner over real processes, with a link relay and standing checks

Cause: the properties must be shown under kills, pauses, cuts and platform faults, and checked all the time, not only at the end. The stand-ins log executions and head writes, because a killed process forgets its counts. Conclusion: subsystems can now prove their properties as scenarios.

--- a/lib/support/settings.cpp
+++ b/lib/support/settings.cpp
@@ -103,7 +103,9 @@
         const std::string_view nearest = NearestName(option.string_key, names);
         problems.Add(option.original_tokens.front(), "unknown setting",
                      nearest.empty() ? "" : "did you mean --" + std::string(nearest) + "?");
-      } else if (!flags.emplace(option.string_key, option.value.empty() ? "" : option.value.front())
+      } else if (!flags
+                      .emplace(option.string_key,
+                               option.value.empty() ? "true" : option.value.front())
                       .second) {
         problems.Add("--" + option.string_key, "given more than once");
       }
--- a/test/caller/main.cpp
+++ b/test/caller/main.cpp
@@ -96,6 +96,9 @@
     const std::string_view outcome = net::FindField(result.response.fields, "x-siskinrack-outcome");
     if (outcome == "not-run") {
       ++totals_.refused;
+      const std::lock_guard lock(output_mutex_);
+      std::cout << "event=refused id=" << id << " reason=\""
+                << net::FindField(result.response.fields, "x-siskinrack-reason") << "\"\n";
     } else if (outcome == "unknown") {
       ++totals_.unknown;
     } else if (IsOwnAnswer(result.response, id, target, body)) {
@@ -128,6 +131,7 @@
   std::size_t workers_;
   std::int64_t deadline_ms_;
   std::atomic<std::size_t> next_ = 0;
+  std::mutex output_mutex_;
   totals totals_;
 };
 
@@ -147,7 +151,7 @@
   caller driver(runtime, values);
   const totals& result = driver.Run();
   const auto requests = static_cast<std::size_t>(values.integer("requests"));
-  std::cout << "requests_sent=" << requests << " answered_own=" << result.answered
+  std::cout << "event=totals requests_sent=" << requests << " answered_own=" << result.answered
             << " refused_not_run=" << result.refused << " unknown=" << result.unknown
             << " wrong_answers=" << result.wrong << std::endl;
   const bool complete = result.answered == requests;
--- a/test/platform_stand_in/main.cpp
+++ b/test/platform_stand_in/main.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <boost/json.hpp>
+#include <iostream>
 #include <mutex>
 
 #include "object_table.h"
@@ -198,9 +199,19 @@
     if (request.body.size() > kMaxValueBytes) return {413, {}, {}};
     const auto version = objects_.Put(name, request.body, ExpectedVersion(request));
     if (!version) return {412, {}, {}};
+    if (name == "config/head") LogHead(request.body);
     return {200, {{"ETag", '"' + std::to_string(*version) + '"'}}, {}};
   }
 
+  /// The scenario runner checks that no node serves a version that was never accepted.
+  static void LogHead(const std::string& value) {
+    json::error_code error;
+    const json::value head = json::parse(value, error);
+    const json::object* members = error ? nullptr : head.if_object();
+    const json::value* version = members == nullptr ? nullptr : members->if_contains("version");
+    if (version != nullptr) std::cout << "event=head_written version=" << *version << std::endl;
+  }
+
   object_table objects_;
   std::mutex mutex_;
   fault_settings faults_;
--- /dev/null
+++ b/test/scenario_runner/fleet.cpp
@@ -0,0 +1,198 @@
+#include "fleet.h"
+
+#include <algorithm>
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+#include "event_lines.h"
+#include "scenario.h"
+
+namespace siskinrack::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStartTimeout{20'000};
+constexpr milliseconds kPoll{10};
+constexpr milliseconds kPageTimeout{2'000};
+/// Nodes that every other node gets as seeds: the first of each domain, at most this many.
+constexpr std::size_t kMaxSeeds = 3;
+
+std::uint16_t ToPort(const std::string& text) {
+  return static_cast<std::uint16_t>(std::stoul(text));
+}
+
+}  // namespace
+
+fleet::fleet(std::filesystem::path binaries, std::filesystem::path work, std::uint64_t seed)
+    : binaries_(std::move(binaries)), work_(std::move(work)), random_(seed) {}
+
+std::string fleet::WaitForField(const std::string& log, const std::string& field,
+                                std::size_t from_line) {
+  const auto end = std::chrono::steady_clock::now() + kStartTimeout;
+  while (std::chrono::steady_clock::now() < end) {
+    const auto lines = ReadLines(log);
+    for (std::size_t i = from_line; i < lines.size(); ++i) {
+      if (!IsEvent(lines[i], "listening")) continue;
+      if (auto value = FieldOf(lines[i], field); !value.empty()) return value;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  throw std::runtime_error("no " + field + " in " + log);
+}
+
+void fleet::StartPlatform() {
+  const std::string log = LogFile("platform");
+  platform_process_ =
+      std::make_unique<child_process>(std::vector<std::string>{Binary("platform_stand_in")}, log);
+  platform_ = {"127.0.0.1", ToPort(WaitForField(log, "port", 0))};
+}
+
+void fleet::StartUpstream(fleet_node& node) {
+  const std::string log = LogFile("upstream-" + node.id);
+  const std::size_t known = ReadLines(log).size();
+  const std::string address = node.upstream.port == 0 ? "127.0.0.1:0" : node.upstream.ToText();
+  node.upstream_process = std::make_unique<child_process>(
+      std::vector<std::string>{Binary("upstream_stand_in"), "--name=" + node.id,
+                               "--address=" + address},
+      log);
+  node.upstream = {"127.0.0.1", ToPort(WaitForField(log, "port", known))};
+}
+
+void fleet::StartNode(fleet_node& node) {
+  const std::string log = LogFile(node.id);
+  const std::size_t known = ReadLines(log).size();
+  std::vector<std::string> command = node.command;
+  if (node.peer_port != 0) {
+    command.push_back("--caller-address=" + node.caller.ToText());
+    command.push_back("--admin-address=" + node.admin.ToText());
+    command.push_back("--peer-address=127.0.0.1:" + std::to_string(node.peer_port));
+  }
+  node.process = std::make_unique<child_process>(command, log);
+  node.stopped = false;
+  node.peer_port = ToPort(WaitForField(log, "peer_port", known));
+  node.caller = {"127.0.0.1", ToPort(WaitForField(log, "caller_port", known))};
+  node.admin = {"127.0.0.1", ToPort(WaitForField(log, "admin_port", known))};
+  relay_->SetTarget(node.relay_port, node.peer_port);
+}
+
+void fleet::StartNodes(const fleet_options& options) {
+  relay_ = std::make_unique<link_relay>(options.quality);
+  for (unsigned i = 0; i < options.domains * options.nodes_per_domain; ++i) {
+    auto node = std::make_unique<fleet_node>();
+    node->domain = i / options.nodes_per_domain + 1;
+    node->id = "d" + std::to_string(node->domain) + "-n" +
+               std::to_string(i % options.nodes_per_domain + 1);
+    node->service = options.services[i % options.services.size()];
+    node->relay_port = relay_->Open(node->domain);
+    nodes_.push_back(std::move(node));
+  }
+  std::string seeds;
+  for (std::size_t i = 0; i < std::min<std::size_t>(kMaxSeeds, options.domains); ++i) {
+    if (i > 0) seeds += ',';
+    seeds += "127.0.0.1:" + std::to_string(nodes_[i * options.nodes_per_domain]->relay_port);
+  }
+  int skew_ms = 0;
+  for (auto& node : nodes_) {
+    StartUpstream(*node);
+    node->command = {Binary("siskinrack-node"),
+                     "--node-id=" + node->id,
+                     "--failure-domain=d" + std::to_string(node->domain),
+                     "--platform-address=" + platform_.ToText(),
+                     "--upstream-address=" + node->upstream.ToText(),
+                     "--service=" + node->service,
+                     "--slots=" + std::to_string(options.slots),
+                     "--advertise-address=127.0.0.1:" + std::to_string(node->relay_port),
+                     "--source-ip=127.0." + std::to_string(node->domain) + ".1",
+                     "--seeds=" + seeds,
+                     "--clock-skew-ms=" + std::to_string(skew_ms)};
+    node->command.insert(node->command.end(), options.node_flags.begin(), options.node_flags.end());
+    StartNode(*node);
+    skew_ms = -skew_ms + (skew_ms > 0 ? 0 : options.skew_step_ms);
+  }
+}
+
+std::vector<fleet_node*> fleet::Live() {
+  std::vector<fleet_node*> list;
+  for (auto& node : nodes_) {
+    if (node->live()) list.push_back(node.get());
+  }
+  return list;
+}
+
+std::vector<fleet_node*> fleet::Select(const std::string& selector) {
+  std::vector<fleet_node*> list;
+  if (selector == "third" || selector == "half") {
+    list = Live();
+    std::shuffle(list.begin(), list.end(), random_);
+    list.resize(std::max<std::size_t>(1, list.size() / (selector == "third" ? 3 : 2)));
+    return list;
+  }
+  for (auto& node : nodes_) {
+    const bool in_domain = selector == "domain=" + std::to_string(node->domain);
+    bool chosen = selector == "all" || selector == node->id || in_domain;
+    if (selector == "watchers" && node->live()) {
+      chosen = Get(node->admin, "/status").find("\"watcher\":true") != std::string::npos;
+    }
+    if (chosen) list.push_back(node.get());
+  }
+  if (list.empty()) throw std::runtime_error("nothing is selected by '" + selector + "'");
+  return list;
+}
+
+void fleet::Kill(fleet_node& node) { node.process.reset(); }
+
+void fleet::KillVm(fleet_node& node) {
+  node.process.reset();
+  node.upstream_process.reset();
+}
+
+void fleet::Stop(fleet_node& node) {
+  node.process->Signal(SIGSTOP);
+  node.stopped = true;
+}
+
+void fleet::Continue(fleet_node& node) {
+  node.process->Signal(SIGCONT);
+  node.stopped = false;
+}
+
+void fleet::Terminate(fleet_node& node) {
+  node.process->Signal(SIGTERM);
+  const int code = node.process->Wait();
+  node.process.reset();
+  if (code != 0) throw std::runtime_error(node.id + " ended with code " + std::to_string(code));
+}
+
+void fleet::Restart(fleet_node& node) {
+  node.process.reset();
+  if (node.upstream_process == nullptr || node.upstream_process->Poll()) StartUpstream(node);
+  StartNode(node);
+}
+
+net::http_result fleet::Send(const support::socket_address& address, net::http_request request,
+                             milliseconds timeout) {
+  net::http_result result;
+  runtime_.Run(0, [&] {
+    result = client_.Send(address, std::move(request), std::chrono::steady_clock::now() + timeout);
+  });
+  return result;
+}
+
+std::string fleet::Get(const support::socket_address& address, const std::string& target) {
+  auto result = Send(address, {"GET", target, {}, {}}, kPageTimeout);
+  if (result.stage != net::exchange_stage::kAnswered || result.response.status != 200) return {};
+  return std::move(result.response.body);
+}
+
+std::string fleet::AdminList() {
+  std::string list;
+  for (const fleet_node* node : Live()) {
+    if (!list.empty()) list += ',';
+    list += node->admin.ToText();
+  }
+  return list;
+}
+
+}  // namespace siskinrack::test
--- /dev/null
+++ b/test/scenario_runner/invariants.cpp
@@ -0,0 +1,75 @@
+#include "invariants.h"
+
+#include "event_lines.h"
+
+namespace siskinrack::test {
+namespace {
+
+template <typename Visit>
+void ForEachLine(const std::filesystem::path& work, std::string_view prefix, Visit visit) {
+  for (const auto& entry : std::filesystem::directory_iterator(work)) {
+    const std::string name = entry.path().filename().string();
+    if (!name.starts_with(prefix) || !name.ends_with(".log")) continue;
+    for (const std::string& line : ReadLines(entry.path().string())) visit(name, line);
+  }
+}
+
+void CheckVersions(const std::filesystem::path& work, support::findings& problems) {
+  std::set<std::uint64_t> written;
+  ForEachLine(work, "platform", [&](const std::string&, const std::string& line) {
+    if (IsEvent(line, "head_written")) written.insert(std::stoul(FieldOf(line, "version")));
+  });
+  std::map<std::string, std::uint64_t> newest;
+  std::map<std::uint64_t, std::string> digests;
+  ForEachLine(work, "d", [&](const std::string& name, const std::string& line) {
+    if (!IsEvent(line, "config_active")) return;
+    const std::uint64_t version = std::stoul(FieldOf(line, "version"));
+    if (version < newest[name]) {
+      problems.Add(name, "moved back from version " + std::to_string(newest[name]) + " to " +
+                             std::to_string(version));
+    }
+    newest[name] = version;
+    const std::string digest = FieldOf(line, "digest");
+    const auto [known, inserted] = digests.emplace(version, digest);
+    if (!inserted && known->second != digest) {
+      problems.Add(name, "version " + std::to_string(version) + " has another digest");
+    }
+    if (!written.contains(version)) {
+      problems.Add(name, "version " + std::to_string(version) + " was never accepted");
+    }
+  });
+}
+
+}  // namespace
+
+observed_history ReadHistory(const std::filesystem::path& work) {
+  observed_history history;
+  ForEachLine(work, "upstream-", [&](const std::string&, const std::string& line) {
+    if (!IsEvent(line, "executed")) return;
+    const std::string key = FieldOf(line, "key");
+    ++history.executions[key];
+    history.target_of_key[key] = FieldOf(line, "target");
+  });
+  ForEachLine(work, "send-", [&](const std::string&, const std::string& line) {
+    if (IsEvent(line, "refused")) history.refused.insert(FieldOf(line, "id"));
+  });
+  return history;
+}
+
+void CheckInvariants(const std::filesystem::path& work,
+                     const std::set<std::string>& non_repeatable_prefixes,
+                     support::findings& problems) {
+  CheckVersions(work, problems);
+  const observed_history history = ReadHistory(work);
+  for (const auto& [key, count] : history.executions) {
+    const std::string& target = history.target_of_key.at(key);
+    for (const std::string& prefix : non_repeatable_prefixes) {
+      if (count > 1 && target.starts_with(prefix)) {
+        problems.Add(key, "was executed " + std::to_string(count) + " times on " + target);
+      }
+    }
+    if (history.refused.contains(key)) problems.Add(key, "was refused as not run and executed");
+  }
+}
+
+}  // namespace siskinrack::test
--- a/test/upstream_stand_in/main.cpp
+++ b/test/upstream_stand_in/main.cpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <boost/json.hpp>
 #include <cstdlib>
+#include <iostream>
 #include <map>
 #include <mutex>
 
@@ -91,7 +92,10 @@
     const std::lock_guard lock(mutex_);
     ++total_;
     const std::string key(net::FindField(request.fields, "idempotency-key"));
-    if (!key.empty()) ++by_key_[key];
+    if (key.empty()) return;
+    ++by_key_[key];
+    // The scenario runner counts these lines, since a killed process forgets its counts.
+    std::cout << "event=executed key=" << key << " target=" << request.target << std::endl;
   }
 
   bool TakeLostAnswer() {
--- a/unittests/support/settings_test.cpp
+++ b/unittests/support/settings_test.cpp
@@ -25,6 +25,16 @@
   EXPECT_EQ(problems.items()[3].place, "--peer-address");
 }
 
+// Guards against a switch without a value being read as an empty text.
+TEST(Settings, SwitchNeedsNoValue) {
+  const std::vector<setting> declared = {{"help", setting_kind::kFlag, "help", "false"}};
+  findings problems;
+  const std::vector<std::string> arguments = {"--help"};
+  const auto values = settings::Parse(declared, arguments, NoEnvironment, problems);
+  EXPECT_TRUE(problems.empty()) << problems;
+  EXPECT_TRUE(values.flag("help"));
+}
+
 TEST(Settings, FlagGoesBeforeEnvironmentBeforeDefault) {
   findings problems;
   const std::vector<std::string> arguments = {"--node-id=n1"};
