--- a/test/scenario_runner/runner.cpp
+++ b/test/scenario_runner/runner.cpp
@@ -87,6 +87,7 @@
   if (step.command == "await") return AwaitBatch(step);
   if (step.command == "expect") return Expect(step);
   if (step.command == "post") return Post(step);
+  if (step.command == "push") return Push(step);
   if (step.command == "chaos") return Chaos(step);
   if (step.command == "sleep") {
     std::this_thread::sleep_for(step.Time("for", milliseconds(0)));
@@ -310,7 +311,38 @@
   }
 }
 
+/// Writes a file over the platform's head, or hands it to a node as the operator program does.
+void runner::Push(const scenario_step& step) {
+  const std::string text = ReadWhole((folder_ / Word(step, 1)).string());
+  net::http_result result;
+  if (Word(step, 0) == "platform") {
+    const std::string target = "/objects/config/head";
+    const auto old = fleet_.Send(fleet_.platform(), {"GET", target, {}, {}}, kControlTimeout);
+    const std::string tag(net::FindField(old.response.fields, "ETag"));
+    result =
+        fleet_.Send(fleet_.platform(), {"PUT", target, {{"If-Match", tag}}, text}, kControlTimeout);
+  } else {
+    const auto nodes = fleet_.Select(Word(step, 0));
+    result = fleet_.Send(nodes.front()->admin, {"PUT", "/config", {}, text}, kControlTimeout);
+  }
+  if (step.Number("status", 200) != static_cast<std::int64_t>(result.response.status)) {
+    Fail("status is " + std::to_string(result.response.status));
+  }
+}
+
+void runner::ExpectObject(const scenario_step& step) {
+  const std::string target = "/objects/" + step.Option("object");
+  const std::string contains = step.Option("contains");
+  const auto found = [&] {
+    return fleet_.Get(fleet_.platform(), target).find(contains) != std::string::npos;
+  };
+  if (!WaitUntil(step.Time("within", milliseconds(0)), found)) {
+    Fail("object is: " + fleet_.Get(fleet_.platform(), target));
+  }
+}
+
 void runner::Expect(const scenario_step& step) {
+  if (step.options.contains("object")) return ExpectObject(step);
   if (step.options.contains("executions")) {
     const observed_history history = ReadHistory(fleet_.work());
     const auto found = history.executions.find(step.Option("key"));
--- a/test/scenario_runner/runner.h
+++ b/test/scenario_runner/runner.h
@@ -38,7 +38,9 @@
   void SendBatch(const scenario_step& step);
   void AwaitBatch(const scenario_step& step);
   void Expect(const scenario_step& step);
+  void ExpectObject(const scenario_step& step);
   void Post(const scenario_step& step);
+  void Push(const scenario_step& step);
   void Chaos(const scenario_step& step);
 
   int RunOperator(const std::vector<std::string>& words, std::string& output);
--- a/test/scenario_runner/scenario.cpp
+++ b/test/scenario_runner/scenario.cpp
@@ -7,10 +7,10 @@
 namespace siskinrack::test {
 namespace {
 
-constexpr std::array<std::string_view, 20> kCommands = {
-    "platform", "fleet",   "apply",  "confirm", "wait",  "kill",     "stop",
-    "continue", "restart", "finish", "faults",  "cut",   "heal",     "send",
-    "await",    "expect",  "post",   "sleep",   "chaos", "terminate"};
+constexpr std::array<std::string_view, 21> kCommands = {
+    "platform", "fleet",   "apply",  "confirm", "wait",  "kill",  "stop",
+    "continue", "restart", "finish", "faults",  "cut",   "heal",  "send",
+    "await",    "expect",  "post",   "push",    "sleep", "chaos", "terminate"};
 
 }  // namespace
 
