node: configuration through the distribution package; watcher lease, floor, removals

Cause: the thin path moved back after a restart beside a peer that was behind, chose the watcher by name alone, and sent full copies. Change: config_service carries out the agent's decisions; watcher_service competes for the lease, watches, publishes members/<domain> and status/<domain> and completes removals; a node without a configuration in force refuses as not run. Membership fills watcher_node and watcher_age_ms and reports them through node_context::watcher.

--- a/include/siskinrack/distribution/version_floor.h
+++ b/include/siskinrack/distribution/version_floor.h
@@ -13,12 +13,16 @@
  public:
   /// A witness record reaches the other nodes with the member records within this time.
   static constexpr milliseconds kMinWait{5'000};
-  /// Peers asked for each failure domain in one round; bounds the messages of a mass restart.
-  static constexpr std::size_t kPeersPerDomain = 3;
+  /// In each round a fifth of the live peers of each failure domain is asked, at least this many,
+  /// so that all were asked once by kMinWait: a record that its owner's restart overtook is known
+  /// to the witnesses only.
+  static constexpr std::size_t kMinPeersPerDomain = 3;
   static constexpr milliseconds kRoundInterval{1'000};
+  /// The platform usually answers within this time, which makes asking peers unnecessary.
+  static constexpr milliseconds kFirstRound{300};
 
   version_floor(std::string_view own_domain, time_point start)
-      : start_(start), known_domains_{std::string(own_domain)} {}
+      : start_(start), next_round_(start + kFirstRound), known_domains_{std::string(own_domain)} {}
 
   /// The platform's head is at `version` (0: no head yet), hence at or past anything ever served.
   void OnPlatformHead(std::uint64_t version);
@@ -37,10 +41,11 @@
 
  private:
   time_point start_;
-  time_point next_round_{};
+  time_point next_round_;
   bool known_ = false;
   bool from_platform_ = false;
   std::uint64_t version_ = 0;
+  std::set<std::string> asked_;
   std::set<std::string> heard_domains_;
   std::set<std::string> known_domains_;
 };
--- a/lib/distribution/version_floor.cpp
+++ b/lib/distribution/version_floor.cpp
@@ -34,12 +34,16 @@
   for (const peer_view& peer : peers) {
     if (peer.alive()) by_domain[peer.failure_domain].push_back(peer.node_id);
   }
+  constexpr std::size_t kRounds = kMinWait / kRoundInterval;
   std::vector<std::string> chosen;
   for (auto& [domain, ids] : by_domain) {
     std::shuffle(ids.begin(), ids.end(), random);
-    ids.resize(std::min(ids.size(), kPeersPerDomain));
+    std::stable_partition(ids.begin(), ids.end(),
+                          [&](const std::string& id) { return !asked_.contains(id); });
+    ids.resize(std::min(ids.size(), std::max(kMinPeersPerDomain, ids.size() / kRounds + 1)));
     chosen.insert(chosen.end(), ids.begin(), ids.end());
   }
+  asked_.insert(chosen.begin(), chosen.end());
   return chosen;
 }
 
--- a/lib/node/admin_service.cpp
+++ b/lib/node/admin_service.cpp
@@ -42,6 +42,7 @@
                                    {"version", snapshot->config.version},
                                    {"digest", snapshot->digest},
                                    {"rejected", configs_.last_rejection()},
+                                   {"watcher", watcher_.IsWatcher()},
                                    {"members", context_.members.All().size()},
                                    {"platform_calls", context_.store.calls()},
                                    {"control_bytes", control_bytes}});
--- a/lib/node/admin_service.h
+++ b/lib/node/admin_service.h
@@ -3,6 +3,7 @@
 
 #include "config_service.h"
 #include "node_context.h"
+#include "watcher_service.h"
 
 namespace siskinrack::node {
 
@@ -10,8 +11,8 @@
 /// operator program hands over a version that the platform has accepted.
 class admin_service {
  public:
-  admin_service(node_context& context, config_service& configs)
-      : context_(context), configs_(configs) {}
+  admin_service(node_context& context, config_service& configs, const watcher_service& watcher)
+      : context_(context), configs_(configs), watcher_(watcher) {}
 
   net::http_response Handle(const net::http_request& request);
 
@@ -23,6 +24,7 @@
 
   node_context& context_;
   config_service& configs_;
+  const watcher_service& watcher_;
 };
 
 }  // namespace siskinrack::node
--- a/lib/node/config_holder.h
+++ b/lib/node/config_holder.h
@@ -2,22 +2,13 @@
 #define SISKINRACK_LIB_NODE_CONFIG_HOLDER_H_
 
 #include <atomic>
-#include <memory>
-#include <string>
-#include <string_view>
 
-#include "siskinrack/config/model.h"
-#include "siskinrack/support/findings.h"
+#include "siskinrack/distribution/config_snapshot.h"
 
 namespace siskinrack::node {
 
-/// An immutable configuration with its digest and canonical text.
-struct config_snapshot {
-  config::mesh_config config;
-  std::string digest;
-  std::string json;
-};
-using config_snapshot_ptr = std::shared_ptr<const config_snapshot>;
+using distribution::config_snapshot;
+using distribution::config_snapshot_ptr;
 
 /// The configuration in force. Readers take one pointer and see one whole version.
 class config_holder {
@@ -26,9 +17,8 @@
 
   [[nodiscard]] config_snapshot_ptr Current() const { return current_.load(); }
 
-  /// Checks a candidate whole and swaps it in if it's newer. Returns the snapshot now in force if
-  /// the candidate took effect, else null; problems of a bad candidate are added to `problems`.
-  config_snapshot_ptr Activate(std::string_view json, support::findings& problems);
+  /// Swaps in a checked snapshot if it's newer than the one in force. Returns whether it did.
+  bool Activate(const config_snapshot_ptr& next);
 
  private:
   std::atomic<config_snapshot_ptr> current_;
--- a/lib/node/config_service.cpp
+++ b/lib/node/config_service.cpp
@@ -3,140 +3,235 @@
 #include <algorithm>
 #include <random>
 
+#include "siskinrack/config/canonical_json.h"
+
 namespace siskinrack::node {
 namespace {
 
-using std::chrono::milliseconds;
+using distribution::milliseconds;
 
+/// Time for a config update; a full copy of 1 MB fits into it.
 constexpr milliseconds kConfigTimeout{2'000};
-constexpr milliseconds kWatchWait{10'000};
-constexpr milliseconds kWatchPause{200};
-constexpr std::size_t kNoticeFanout = 4;
+constexpr milliseconds kShortTimeout{500};
+constexpr milliseconds kTick{20};
+constexpr milliseconds kFloorRetry{1'000};
+/// Between two looks at the served versions in the member records.
+constexpr milliseconds kRecordInterval{500};
 constexpr std::string_view kHeadObject = "config/head";
 
-std::mt19937_64& Random() {
-  thread_local std::mt19937_64 random{std::random_device{}()};
+distribution::random_engine& Random() {
+  thread_local distribution::random_engine random{std::random_device{}()};
   return random;
 }
 
+distribution::time_point Now() { return std::chrono::steady_clock::now(); }
+
 }  // namespace
 
+std::vector<distribution::peer_view> MakePeerViews(
+    std::span<const membership::member_record> members) {
+  std::vector<distribution::peer_view> views;
+  for (const auto& member : members) {
+    const bool left = member.state == wire::upstream_state::left;
+    views.push_back({member.node_id, member.failure_domain,
+                     left ? wire::member_health::dead : member.health, member.served_version});
+  }
+  return views;
+}
+
+config_service::config_service(node_context& context, activation_listener on_active)
+    : context_(context),
+      on_active_(std::move(on_active)),
+      agent_(context.settings.node_id, context.settings.failure_domain, witnesses_, Now()) {}
+
 void config_service::Start() {
-  context_.runtime.Post(0, [this] { WatchLoop(); });
+  context_.runtime.Post(0, [this] { TickLoop(); });
+  context_.runtime.Post(0, [this] { FloorLoop(); });
 }
 
 std::string config_service::last_rejection() const {
   const std::lock_guard lock(mutex_);
-  return last_rejection_;
+  if (!agent_.rejected()) return {};
+  return "version " + std::to_string(agent_.rejected()->version) + ": " +
+         agent_.rejected()->problems.ToText();
 }
 
-bool config_service::IsWatcher() const {
-  for (const auto& member : context_.members.All()) {
-    const bool rival = member.failure_domain == context_.settings.failure_domain &&
-                       member.health == wire::member_health::alive &&
-                       member.state != wire::upstream_state::left;
-    if (rival) return member.node_id == context_.settings.node_id;
-  }
-  return true;
+std::vector<distribution::peer_view> config_service::Peers() const {
+  auto views = MakePeerViews(context_.members.All());
+  std::erase_if(views, [&](const auto& view) { return view.node_id == context_.settings.node_id; });
+  return views;
 }
 
-void config_service::WatchLoop() {
-  std::uint64_t revision = 0;
+void config_service::TickLoop() {
+  auto next_record = Now();
   while (!context_.refusing) {
-    if (!IsWatcher()) {
-      net::SleepFor(kWatchPause);
-      continue;
+    Pump();
+    if (Now() >= next_record) {
+      RecordServedVersions();
+      next_record = Now() + kRecordInterval;
     }
-    const std::uint64_t next = WatchOnce(revision);
-    if (next == revision) net::SleepFor(kWatchPause);
-    revision = next;
+    net::SleepFor(kTick);
   }
 }
 
-std::uint64_t config_service::WatchOnce(std::uint64_t revision) {
-  auto result = context_.store.Watch(kHeadObject, revision, kWatchWait);
-  if (const auto* error = std::get_if<platform::store_error>(&result)) {
-    context_.log.Write(support::log_level::kDebug, "watch_failed",
-                       {{"code", platform::Name(error->code)}, {"message", error->message}});
-    return revision;
+/// Member records are replaced when a node restarts; the witness table keeps what they said.
+void config_service::RecordServedVersions() {
+  for (const auto& member : context_.members.All()) {
+    if (member.served_version > 0) witnesses_.Record(member.node_id, member.served_version);
   }
-  const auto& watched = std::get<platform::watch_result>(result);
-  for (const platform::stored_object& object : watched.changed) {
-    support::findings problems;
-    Offer(object.value, "platform", problems);
+}
+
+/// Reads the head until the floor is known, one read a second at most for a starting node.
+void config_service::FloorLoop() {
+  while (!context_.refusing) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (agent_.floor().known()) return;
+    }
+    auto result = context_.store.Get(kHeadObject);
+    if (const auto* error = std::get_if<platform::store_error>(&result)) {
+      if (error->code == platform::store_errc::kNotFound) {
+        const std::lock_guard lock(mutex_);
+        agent_.OnPlatformHead(0);
+        return;
+      }
+    } else {
+      const std::string& text = std::get<platform::stored_object>(result).value;
+      support::findings problems;
+      Offer(text, "platform", problems);
+      const auto config = config::ConfigFromJson(text, problems);
+      // No node ever served an invalid head, and it can't be met: peers tell the floor then.
+      if (config && problems.empty()) {
+        const std::lock_guard lock(mutex_);
+        agent_.OnPlatformHead(config->version);
+      }
+    }
+    net::SleepFor(kFloorRetry);
   }
-  return watched.revision;
 }
 
 void config_service::Offer(std::string_view config_json, std::string_view source,
                            support::findings& problems) {
-  const config_snapshot_ptr active = context_.config.Activate(config_json, problems);
-  if (!problems.empty()) {
-    context_.log.Warn("config_rejected", {{"source", source}, {"findings", problems.ToText()}});
+  {
     const std::lock_guard lock(mutex_);
-    last_rejection_ = problems.ToText();
-    return;
+    agent_.OnConfig(config_json, source, problems);
   }
-  if (active == nullptr) return;
+  Pump();
+}
+
+void config_service::OnPeerVersion(const support::socket_address& peer, std::uint64_t version) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (version <= agent_.held()->config.version) return;
+    agent_.OnPeerVersion(peer.ToText(), version, Now());
+  }
+  Pump();
+}
+
+void config_service::Pump() {
+  std::vector<distribution::outgoing> messages;
+  {
+    const std::lock_guard lock(mutex_);
+    if (agent_.pending()) agent_.Advance(Peers(), Now(), Random());
+    messages = agent_.TakeMessages();
+    LogFloor();
+    LogRejection();
+    for (const distribution::activation& next : agent_.TakeActivations()) Activate(next);
+  }
+  for (distribution::outgoing& message : messages) Perform(std::move(message));
+}
+
+void config_service::Activate(const distribution::activation& next) {
+  const std::uint64_t version = next.snapshot->config.version;
+  if (next.witnesses < next.witnesses_wanted || next.witnesses == 0) {
+    context_.log.Warn(
+        "witness_shortfall",
+        {{"version", version}, {"witnesses", next.witnesses}, {"wanted", next.witnesses_wanted}});
+  }
+  context_.log.Info("witnessed", {{"version", version}, {"witnesses", next.witnesses}});
+  if (!context_.config.Activate(next.snapshot)) return;
   context_.log.Info(
       "config_active",
-      {{"version", active->config.version}, {"digest", active->digest}, {"source", source}});
-  on_active_(active->config.version);
-  NotifyPeers();
-}
-
-void config_service::NotifyPeers() {
-  const config_snapshot_ptr snapshot = context_.config.Current();
-  auto members = context_.members.All();
-  std::erase_if(members, [&](const auto& member) {
-    return member.node_id == context_.settings.node_id ||
-           member.health != wire::member_health::alive;
-  });
-  std::shuffle(members.begin(), members.end(), Random());
-  if (members.size() > kNoticeFanout) members.resize(kNoticeFanout);
-  for (const auto& member : members) {
-    const auto address = support::ParseSocketAddress(member.peer_address);
-    if (!address) continue;
-    wire::version_notice_t notice;
-    notice.version = snapshot->config.version;
-    notice.digest = snapshot->digest;
-    context_.peers.Send(*address, wire::MakeEnvelope(std::move(notice)));
+      {{"version", version}, {"digest", next.snapshot->digest}, {"source", next.source}});
+  on_active_(version);
+}
+
+void config_service::LogFloor() {
+  if (floor_logged_ || !agent_.floor().known()) return;
+  floor_logged_ = true;
+  context_.log.Info("floor_known",
+                    {{"version", agent_.floor().version()},
+                     {"source", agent_.floor().from_platform() ? "platform" : "peers"}});
+}
+
+void config_service::LogRejection() {
+  const auto& rejected = agent_.rejected();
+  if (!rejected || rejected->digest == logged_rejection_) return;
+  logged_rejection_ = rejected->digest;
+  context_.log.Warn("config_rejected", {{"version", rejected->version},
+                                        {"source", rejected->source},
+                                        {"findings", rejected->problems.ToText()}});
+}
+
+std::optional<support::socket_address> config_service::AddressOf(const std::string& peer) const {
+  const auto member = context_.members.Find(peer);
+  return support::ParseSocketAddress(member ? member->peer_address : peer);
+}
+
+void config_service::Perform(distribution::outgoing message) {
+  const auto address = AddressOf(message.to);
+  if (!address) return;
+  if (message.body.type == wire::message::version_notice) {
+    wire::envelope_t envelope;
+    envelope.message = std::move(message.body);
+    context_.peers.Send(*address, std::move(envelope));
+    return;
   }
+  auto shared = std::make_shared<distribution::outgoing>(std::move(message));
+  net::Spawn([this, address = *address, shared] { SendAndAwait(address, std::move(*shared)); });
 }
 
-void config_service::OnPeerVersion(const support::socket_address& peer, std::uint64_t version) {
-  const config_snapshot_ptr held = context_.config.Current();
-  if (version <= held->config.version) return;
-  wire::config_request_t request;
-  request.have_version = held->config.version;
-  request.have_digest = held->digest;
-  auto result = context_.peers.Request(peer, wire::MakeEnvelope(std::move(request)),
-                                       std::chrono::steady_clock::now() + kConfigTimeout);
-  const auto* update = result.reply == nullptr ? nullptr : result.reply->message.Asconfig_update();
-  if (update == nullptr || !update->full) return;
-  support::findings problems;
-  Offer({reinterpret_cast<const char*>(update->payload.data()), update->payload.size()},
-        result.reply->sender, problems);
+void config_service::SendAndAwait(const support::socket_address& address,
+                                  distribution::outgoing message) {
+  const auto* witness = message.body.Aswitness_request();
+  const std::uint64_t witnessed = witness == nullptr ? 0 : witness->version;
+  const bool config = message.body.type == wire::message::config_request;
+  wire::envelope_t envelope;
+  envelope.message = std::move(message.body);
+  const auto result = context_.peers.Request(address, std::move(envelope),
+                                             Now() + (config ? kConfigTimeout : kShortTimeout));
+  if (result.reply == nullptr) return;
+  {
+    const std::lock_guard lock(mutex_);
+    const wire::messageUnion& reply = result.reply->message;
+    if (const auto* update = reply.Asconfig_update()) {
+      agent_.OnUpdate(message.to, *update, Now());
+    } else if (const auto* recorded = reply.Aswitness_reply()) {
+      agent_.OnWitnessReply(message.to, witnessed, recorded->recorded);
+    } else if (const auto* floor = reply.Asfloor_reply()) {
+      agent_.OnFloorReply(message.to, *floor, Now());
+    }
+  }
+  Pump();
 }
 
 std::optional<wire::envelope_t> config_service::Handle(const wire::envelope_t& message) {
-  if (const auto* notice = message.message.Asversion_notice()) {
-    const auto sender = context_.members.Find(message.sender);
-    if (!sender) return std::nullopt;
-    const auto address = support::ParseSocketAddress(sender->peer_address);
-    if (address) OnPeerVersion(*address, notice->version);
-    return std::nullopt;
-  }
-  if (message.message.Asconfig_request() != nullptr) {
-    const config_snapshot_ptr snapshot = context_.config.Current();
-    wire::config_update_t update;
-    update.version = snapshot->config.version;
-    update.digest = snapshot->digest;
-    update.full = true;
-    update.payload.assign(snapshot->json.begin(), snapshot->json.end());
-    return wire::MakeEnvelope(std::move(update));
+  std::optional<wire::envelope_t> reply;
+  {
+    const std::lock_guard lock(mutex_);
+    if (const auto* notice = message.message.Asversion_notice()) {
+      agent_.OnPeerVersion(message.sender, notice->version, Now());
+    } else if (const auto* request = message.message.Asconfig_request()) {
+      reply = wire::MakeEnvelope(agent_.Answer(*request));
+    } else if (const auto* witness = message.message.Aswitness_request()) {
+      reply = wire::MakeEnvelope(agent_.Answer(message.sender, *witness, Now()));
+    } else if (const auto* floor = message.message.Asfloor_request()) {
+      auto answer = agent_.Answer(*floor, Peers());
+      if (answer) reply = wire::MakeEnvelope(std::move(*answer));
+    }
   }
-  return std::nullopt;
+  Pump();
+  return reply;
 }
 
 }  // namespace siskinrack::node
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -78,6 +78,9 @@
 net::http_response entry_service::Handle(net::http_request request, net::cancellation& cancel) {
   if (context_.refusing) return ToHttp(NotRun(kStatusUnavailable, "node is shutting down"));
   const config_snapshot_ptr snapshot = context_.config.Current();
+  if (snapshot->config.version == 0) {
+    return ToHttp(NotRun(kStatusUnavailable, "no configuration is in force yet"));
+  }
   const config::mesh_resources& resources = snapshot->config.resources;
   const config::route* route = resources.MatchRoute(request.target);
   if (route == nullptr) return ToHttp(NotRun(kStatusNotFound, "no route"));
--- a/lib/node/membership_service.cpp
+++ b/lib/node/membership_service.cpp
@@ -63,7 +63,7 @@
       if (address) ExchangeWith(*address, peer.node_id);
     }
     // Seeds stay in use, so that parts of the fleet that lost each other find together again.
-    const auto& seeds = context_.settings.seeds;
+    const auto seeds = Seeds();
     if (!seeds.empty()) ExchangeWith(seeds[Random()() % seeds.size()], "");
     net::SleepFor(kExchangeInterval);
   }
@@ -75,6 +75,9 @@
   const config_snapshot_ptr snapshot = context_.config.Current();
   exchange.config_version = snapshot->config.version;
   exchange.config_digest = snapshot->digest;
+  const auto watcher = context_.watcher.Current(std::chrono::steady_clock::now());
+  exchange.watcher_node = watcher.holder;
+  exchange.watcher_age_ms = static_cast<std::uint32_t>(watcher.age.count());
   exchange.table_digest = context_.members.Digest();
   for (const auto& member : context_.members.All()) {
     exchange.records.push_back(std::make_unique<wire::member_record_t>(member));
@@ -103,9 +106,18 @@
     failures_.erase(result.reply->sender);
   }
   MergeRecords(reply->records);
+  HearWatcher(result.reply->sender, *reply);
   on_peer_version_(address, reply->config_version);
 }
 
+template <typename Exchange>
+void membership_service::HearWatcher(const std::string& sender, const Exchange& exchange) {
+  const auto member = context_.members.Find(sender);
+  if (!member || member->failure_domain != context_.settings.failure_domain) return;
+  context_.watcher.Hear({exchange.watcher_node, milliseconds(exchange.watcher_age_ms)},
+                        std::chrono::steady_clock::now());
+}
+
 void membership_service::MergeRecords(
     const std::vector<std::unique_ptr<wire::member_record_t>>& records) {
   for (const auto& record : records) {
@@ -128,6 +140,18 @@
   return member ? support::ParseSocketAddress(member->peer_address) : std::nullopt;
 }
 
+void membership_service::AddSeeds(const std::vector<support::socket_address>& seeds) {
+  const std::lock_guard lock(mutex_);
+  added_seeds_ = seeds;
+}
+
+std::vector<support::socket_address> membership_service::Seeds() const {
+  const std::lock_guard lock(mutex_);
+  auto seeds = context_.settings.seeds;
+  seeds.insert(seeds.end(), added_seeds_.begin(), added_seeds_.end());
+  return seeds;
+}
+
 void membership_service::UpstreamLoop() {
   bool serving = false;
   while (!context_.draining) {
@@ -152,6 +176,7 @@
   const auto* exchange = message.message.Asexchange();
   if (exchange == nullptr) return std::nullopt;
   MergeRecords(exchange->records);
+  HearWatcher(message.sender, *exchange);
   if (const auto address = AddressOf(message.sender)) {
     on_peer_version_(*address, exchange->config_version);
   }
--- a/lib/node/membership_service.h
+++ b/lib/node/membership_service.h
@@ -32,6 +32,8 @@
 
   /// Publishes a new state of the upstream of this VM.
   void Announce(wire::upstream_state state);
+  /// Adds addresses to exchange with, for a node whose seeds don't answer.
+  void AddSeeds(const std::vector<support::socket_address>& seeds);
   /// Publishes the configuration version that this node serves.
   void PublishServedVersion(std::uint64_t version);
 
@@ -43,6 +45,9 @@
   [[nodiscard]] std::optional<support::socket_address> AddressOf(const std::string& node_id) const;
   template <typename Exchange>
   Exchange MakeExchange() const;
+  template <typename Exchange>
+  void HearWatcher(const std::string& sender, const Exchange& exchange);
+  [[nodiscard]] std::vector<support::socket_address> Seeds() const;
 
   node_context& context_;
   serving_service& serving_;
@@ -50,6 +55,7 @@
   mutable std::mutex mutex_;
   membership::member_record self_;
   std::map<std::string, unsigned> failures_;
+  std::vector<support::socket_address> added_seeds_;
 };
 
 }  // namespace siskinrack::node
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -9,6 +9,7 @@
 #include "node_context.h"
 #include "serving_service.h"
 #include "siskinrack/net/http_server.h"
+#include "watcher_service.h"
 
 namespace siskinrack::node {
 namespace {
@@ -38,7 +39,11 @@
                     [this](const support::socket_address& peer, std::uint64_t version) {
                       configs_.OnPeerVersion(peer, version);
                     }),
-        admin_(context_, configs_),
+        watcher_(context_, configs_,
+                 [this](const std::vector<support::socket_address>& peers) {
+                   membership_.AddSeeds(peers);
+                 }),
+        admin_(context_, configs_, watcher_),
         caller_server_(context_.runtime, {.address = context_.settings.caller_address},
                        [this](net::http_request request, net::cancellation& cancel) {
                          return entry_.Handle(std::move(request), cancel);
@@ -65,6 +70,7 @@
     configs_.Start();
     membership_.Start({settings.peer_address.ip, peer_server_.port()},
                       {settings.admin_address.ip, admin_server_.port()});
+    watcher_.Start();
   }
 
   void Drain() {
@@ -97,6 +103,7 @@
   entry_service entry_;
   config_service configs_;
   membership_service membership_;
+  watcher_service watcher_;
   admin_service admin_;
   net::http_server caller_server_;
   net::http_server admin_server_;
--- a/lib/node/node_context.h
+++ b/lib/node/node_context.h
@@ -13,6 +13,7 @@
 #include "siskinrack/platform/http_object_store.h"
 #include "siskinrack/support/event_log.h"
 #include "siskinrack/support/hybrid_clock.h"
+#include "watcher_news.h"
 
 namespace siskinrack::node {
 
@@ -39,6 +40,7 @@
   net::peer_pool peers;
   membership::member_table members;
   config_holder config;
+  watcher_news watcher;
   /// Set once the drain period is over: new requests are refused as not run.
   std::atomic<bool> refusing = false;
   std::atomic<bool> draining = false;
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -50,6 +50,9 @@
 wire::call_answer_t serving_service::Serve(const wire::call_request_t& call,
                                            net::cancellation& cancel) {
   if (context_.refusing) return NotRun(kStatusUnavailable, "node is shutting down");
+  if (context_.config.Current()->config.version == 0) {
+    return NotRun(kStatusUnavailable, "no configuration is in force yet");
+  }
   if (!context_.settings.upstream_address || call.service != context_.settings.service) {
     return NotRun(kStatusUnavailable, "service is not served here");
   }
--- /dev/null
+++ b/lib/node/watcher_service.cpp
@@ -0,0 +1,296 @@
+#include "watcher_service.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <random>
+
+#include "siskinrack/config/canonical_json.h"
+
+namespace siskinrack::node {
+namespace {
+
+namespace json = boost::json;
+using distribution::milliseconds;
+using distribution::watcher_lease;
+
+constexpr milliseconds kLeaseTick{50};
+constexpr milliseconds kWatchWait{5'000};
+constexpr milliseconds kWatchPause{200};
+constexpr milliseconds kDutyInterval{1'000};
+constexpr milliseconds kPublishInterval{5'000};
+/// Time for the seeds to answer before the platform is asked for members.
+constexpr milliseconds kSeedWait{3'000};
+constexpr milliseconds kJoinInterval{10'000};
+constexpr std::string_view kHeadObject = "config/head";
+constexpr std::string_view kMembersPrefix = "members/";
+/// Members of each domain given to joining nodes; enough that some of them still live.
+constexpr std::size_t kMaxListedMembers = 16;
+
+distribution::random_engine& Random() {
+  thread_local distribution::random_engine random{std::random_device{}()};
+  return random;
+}
+
+double RandomShare() { return std::uniform_real_distribution<double>(0, 1)(Random()); }
+
+distribution::time_point Now() { return std::chrono::steady_clock::now(); }
+
+bool IsLive(const membership::member_record& member) {
+  return member.health == wire::member_health::alive && member.state != wire::upstream_state::left;
+}
+
+std::vector<support::socket_address> ReadMembers(const std::string& text) {
+  std::vector<support::socket_address> addresses;
+  json::error_code error;
+  const json::value body = json::parse(text, error);
+  const json::object* object = error ? nullptr : body.if_object();
+  const json::value* list = object == nullptr ? nullptr : object->if_contains("addresses");
+  if (list == nullptr || !list->is_array()) return addresses;
+  for (const json::value& item : list->get_array()) {
+    if (!item.is_string()) continue;
+    const auto parsed =
+        support::ParseSocketAddress({item.get_string().data(), item.get_string().size()});
+    if (parsed) addresses.push_back(*parsed);
+  }
+  return addresses;
+}
+
+}  // namespace
+
+watcher_service::watcher_service(node_context& context, config_service& configs,
+                                 join_listener on_join)
+    : context_(context),
+      configs_(configs),
+      on_join_(std::move(on_join)),
+      lease_name_("lease/watcher-" + context.settings.failure_domain),
+      lease_(context.settings.node_id, std::to_string(std::random_device{}()), Now()) {}
+
+void watcher_service::Start() {
+  context_.runtime.Post(0, [this] { LeaseLoop(); });
+  context_.runtime.Post(0, [this] { WatchLoop(); });
+  context_.runtime.Post(0, [this] { DutyLoop(); });
+  context_.runtime.Post(0, [this] { JoinLoop(); });
+}
+
+bool watcher_service::IsWatcher() const {
+  const std::lock_guard lock(mutex_);
+  return lease_.IsHolder(Now());
+}
+
+std::size_t watcher_service::Rank() const {
+  std::vector<std::string> candidates;
+  for (const auto& member : context_.members.All()) {
+    const bool near = member.failure_domain == context_.settings.failure_domain;
+    if (near && IsLive(member)) candidates.push_back(member.node_id);
+  }
+  return distribution::RendezvousRank(context_.settings.node_id, lease_name_, candidates);
+}
+
+void watcher_service::LeaseLoop() {
+  std::size_t rank = 0;
+  auto next_rank = Now();
+  while (!context_.refusing) {
+    if (Now() >= next_rank) {
+      rank = Rank();
+      next_rank = Now() + kDutyInterval;
+    }
+    watcher_lease::call call;
+    {
+      const std::lock_guard lock(mutex_);
+      if (const auto heard = context_.watcher.TakeHeard(Now())) lease_.OnPeerReport(Now(), *heard);
+      call = lease_.Next(Now(), rank, RandomShare());
+    }
+    Call(call);
+    LogTransition();
+    net::SleepFor(kLeaseTick);
+  }
+}
+
+void watcher_service::Call(const watcher_lease::call& call) {
+  if (call.kind == watcher_lease::call_kind::kRead) Read();
+  if (call.kind == watcher_lease::call_kind::kWrite) Write(call);
+}
+
+void watcher_service::Read() {
+  const std::size_t rank = Rank();
+  auto result = context_.store.Get(lease_name_);
+  const std::lock_guard lock(mutex_);
+  if (const auto* object = std::get_if<platform::stored_object>(&result)) {
+    lease_.OnRead(Now(), object->version, distribution::LeaseFromJson(object->value));
+  } else if (std::get<platform::store_error>(result).code == platform::store_errc::kNotFound) {
+    lease_.OnRead(Now(), platform::kMustNotExist, std::nullopt);
+  } else {
+    lease_.OnFailure(Now(), rank);
+  }
+}
+
+void watcher_service::Write(const watcher_lease::call& call) {
+  const std::size_t rank = Rank();
+  const auto result =
+      context_.store.Put(lease_name_, distribution::ToJson(call.record), call.expected_version);
+  const std::lock_guard lock(mutex_);
+  if (const auto* version = std::get_if<std::uint64_t>(&result)) {
+    return lease_.OnWritten(Now(), *version);
+  }
+  switch (std::get<platform::store_error>(result).code) {
+    case platform::store_errc::kConflict:
+      return lease_.OnConflict(Now());
+    case platform::store_errc::kOutcomeUnknown:
+      return lease_.OnOutcomeUnknown(Now());
+    default:
+      return lease_.OnFailure(Now(), rank);
+  }
+}
+
+void watcher_service::LogTransition() {
+  const std::lock_guard lock(mutex_);
+  const auto now = Now();
+  context_.watcher.Publish(lease_.News(now), now);
+  const bool holder = lease_.IsHolder(now);
+  if (holder == was_holder_) return;
+  was_holder_ = holder;
+  context_.log.Info(holder ? "lease_acquired" : "lease_lost",
+                    {{"domain", context_.settings.failure_domain}, {"epoch", lease_.epoch()}});
+}
+
+void watcher_service::WatchLoop() {
+  while (!context_.refusing) {
+    if (IsWatcher()) WatchOnce();
+    net::SleepFor(kWatchPause);
+  }
+}
+
+/// A watch that was pending while the lease ended still only reads; versions never move back.
+void watcher_service::WatchOnce() {
+  auto result = context_.store.Watch(kHeadObject, watch_revision_, kWatchWait);
+  if (const auto* error = std::get_if<platform::store_error>(&result)) {
+    context_.log.Write(support::log_level::kDebug, "watch_failed",
+                       {{"code", platform::Name(error->code)}, {"message", error->message}});
+    return;
+  }
+  const auto& watched = std::get<platform::watch_result>(result);
+  for (const platform::stored_object& object : watched.changed) {
+    if (object.name != kHeadObject) continue;
+    support::findings problems;
+    const auto config = config::ConfigFromJson(object.value, problems);
+    head_object_version_ = object.version;
+    head_config_version_ = config ? config->version : 0;
+    problems = {};
+    configs_.Offer(object.value, "platform", problems);
+  }
+  watch_revision_ = watched.revision;
+}
+
+void watcher_service::DutyLoop() {
+  const std::string& domain = context_.settings.failure_domain;
+  while (!context_.refusing) {
+    net::SleepFor(kDutyInterval);
+    if (!IsWatcher()) {
+      published_.clear();
+      continue;
+    }
+    const auto members = context_.members.All();
+    Publish(std::string(kMembersPrefix) + domain, MembersText(members));
+    Publish("status/" + domain, StatusText(members));
+    CompleteRemoval(members);
+  }
+}
+
+/// Writes a changed object, at most once per kPublishInterval. A write that fails, for whatever
+/// reason, is made up for by a later one with a version that was read anew.
+void watcher_service::Publish(const std::string& name, std::string value) {
+  published_object& object = published_[name];
+  if (object.value == value || Now() - object.written < kPublishInterval) return;
+  object.written = Now();
+  if (!object.version) {
+    const auto read = context_.store.Get(name);
+    if (const auto* found = std::get_if<platform::stored_object>(&read)) {
+      object.version = found->version;
+    } else if (std::get<platform::store_error>(read).code == platform::store_errc::kNotFound) {
+      object.version = platform::kMustNotExist;
+    } else {
+      return;
+    }
+  }
+  if (!IsWatcher()) return;
+  const auto written = context_.store.Put(name, value, *object.version);
+  object.version.reset();
+  if (const auto* version = std::get_if<std::uint64_t>(&written)) {
+    object.version = *version;
+    object.value = std::move(value);
+  }
+}
+
+std::string watcher_service::MembersText(
+    const std::vector<membership::member_record>& members) const {
+  json::array addresses;
+  for (const auto& member : members) {
+    const bool near = member.failure_domain == context_.settings.failure_domain;
+    if (!near || !IsLive(member)) continue;
+    addresses.emplace_back(member.peer_address);
+    if (addresses.size() == kMaxListedMembers) break;
+  }
+  return json::serialize(json::object{{"addresses", std::move(addresses)}});
+}
+
+std::string watcher_service::StatusText(
+    const std::vector<membership::member_record>& members) const {
+  std::uint64_t slowest = context_.config.Current()->config.version;
+  std::uint64_t newest = slowest;
+  std::size_t live = 0;
+  for (const auto& member : members) {
+    const bool near = member.failure_domain == context_.settings.failure_domain;
+    if (!near || !IsLive(member)) continue;
+    ++live;
+    slowest = std::min(slowest, member.served_version);
+    newest = std::max(newest, member.served_version);
+  }
+  return json::serialize(json::object{{"holder", context_.settings.node_id},
+                                      {"live_members", live},
+                                      {"slowest_version", slowest},
+                                      {"newest_version", newest},
+                                      {"rejected", configs_.last_rejection()}});
+}
+
+void watcher_service::CompleteRemoval(const std::vector<membership::member_record>& members) {
+  const auto views = MakePeerViews(members);
+  if (!distribution::IsFirstDomain(context_.settings.failure_domain, views)) return;
+  const config_snapshot_ptr snapshot = context_.config.Current();
+  const auto next = removal_.Next(snapshot->config, views, Now());
+  // The update is conditional on the head object that holds exactly the version in force.
+  if (!next || head_config_version_ != snapshot->config.version || !IsWatcher()) return;
+  const auto written = context_.store.Put(kHeadObject, config::ToJson(*next), head_object_version_);
+  // The watch reports the new head, whoever wrote it and whether or not the answer came.
+  if (std::holds_alternative<std::uint64_t>(written)) {
+    context_.log.Info("removal_completed", {{"version", next->version}});
+  }
+}
+
+bool watcher_service::HasPeers() const {
+  for (const auto& member : context_.members.All()) {
+    if (member.node_id != context_.settings.node_id && IsLive(member)) return true;
+  }
+  return false;
+}
+
+/// Makes calls only while this node knows no live peer, so their number doesn't grow with the
+/// fleet.
+void watcher_service::JoinLoop() {
+  net::SleepFor(kSeedWait);
+  while (!context_.refusing) {
+    if (!HasPeers()) {
+      const auto result = context_.store.List(kMembersPrefix);
+      if (const auto* objects = std::get_if<std::vector<platform::stored_object>>(&result)) {
+        std::vector<support::socket_address> peers;
+        for (const auto& object : *objects) {
+          const auto listed = ReadMembers(object.value);
+          peers.insert(peers.end(), listed.begin(), listed.end());
+        }
+        if (!peers.empty()) on_join_(peers);
+      }
+    }
+    net::SleepFor(kJoinInterval);
+  }
+}
+
+}  // namespace siskinrack::node
