--- a/test/scenario_runner/process.h
+++ b/test/scenario_runner/process.h
@@ -22,6 +22,7 @@
   std::optional<int> Poll();
   /// Waits for the end and returns the exit code.
   int Wait();
+  [[nodiscard]] pid_t pid() const { return pid_; }
   [[nodiscard]] const std::string& log_file() const { return log_file_; }
 
  private:
