membership: shard the member table and add a compact status

Cause: a member record takes about 200 bytes on the wire and the table is one map under one lock that is copied for each request. Change: the table has 16 shards with a digest for each of 64 buckets and a cached endpoint list per service. member_status (32 bytes) carries the changing fields; exchanges carry bucket digests, summaries and wanted ids. Death is final within one incarnation, and members that are gone don't count in digests. The simulated mesh for the protocol tests is added. Conclusion: the protocol can be built on it; the node still sends whole tables.

--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -36,9 +36,9 @@
 struct member_recordBuilder;
 struct member_record_t;
 
-struct bucket_digest;
-struct bucket_digestBuilder;
-struct bucket_digest_t;
+struct member_status;
+
+struct record_summary;
 
 struct exchange;
 struct exchangeBuilder;
@@ -683,6 +683,100 @@
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
 bool VerifymessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<message> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) member_status FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t incarnation_;
+  uint32_t id_;
+  uint32_t sequence_;
+  uint32_t served_version_;
+  uint32_t peer_ip_;
+  uint16_t peer_port_;
+  uint16_t admin_port_;
+  uint16_t fixed_fields_;
+  uint8_t state_;
+  uint8_t health_;
+
+ public:
+  member_status()
+      : incarnation_(0),
+        id_(0),
+        sequence_(0),
+        served_version_(0),
+        peer_ip_(0),
+        peer_port_(0),
+        admin_port_(0),
+        fixed_fields_(0),
+        state_(0),
+        health_(0) {
+  }
+  member_status(uint64_t _incarnation, uint32_t _id, uint32_t _sequence, uint32_t _served_version, uint32_t _peer_ip, uint16_t _peer_port, uint16_t _admin_port, uint16_t _fixed_fields, siskinrack::wire::upstream_state _state, siskinrack::wire::member_health _health)
+      : incarnation_(flatbuffers::EndianScalar(_incarnation)),
+        id_(flatbuffers::EndianScalar(_id)),
+        sequence_(flatbuffers::EndianScalar(_sequence)),
+        served_version_(flatbuffers::EndianScalar(_served_version)),
+        peer_ip_(flatbuffers::EndianScalar(_peer_ip)),
+        peer_port_(flatbuffers::EndianScalar(_peer_port)),
+        admin_port_(flatbuffers::EndianScalar(_admin_port)),
+        fixed_fields_(flatbuffers::EndianScalar(_fixed_fields)),
+        state_(flatbuffers::EndianScalar(static_cast<uint8_t>(_state))),
+        health_(flatbuffers::EndianScalar(static_cast<uint8_t>(_health))) {
+  }
+  uint64_t incarnation() const {
+    return flatbuffers::EndianScalar(incarnation_);
+  }
+  uint32_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint32_t sequence() const {
+    return flatbuffers::EndianScalar(sequence_);
+  }
+  uint32_t served_version() const {
+    return flatbuffers::EndianScalar(served_version_);
+  }
+  uint32_t peer_ip() const {
+    return flatbuffers::EndianScalar(peer_ip_);
+  }
+  uint16_t peer_port() const {
+    return flatbuffers::EndianScalar(peer_port_);
+  }
+  uint16_t admin_port() const {
+    return flatbuffers::EndianScalar(admin_port_);
+  }
+  uint16_t fixed_fields() const {
+    return flatbuffers::EndianScalar(fixed_fields_);
+  }
+  siskinrack::wire::upstream_state state() const {
+    return static_cast<siskinrack::wire::upstream_state>(flatbuffers::EndianScalar(state_));
+  }
+  siskinrack::wire::member_health health() const {
+    return static_cast<siskinrack::wire::member_health>(flatbuffers::EndianScalar(health_));
+  }
+};
+FLATBUFFERS_STRUCT_END(member_status, 32);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) record_summary FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t id_;
+  uint32_t digest_;
+
+ public:
+  record_summary()
+      : id_(0),
+        digest_(0) {
+  }
+  record_summary(uint32_t _id, uint32_t _digest)
+      : id_(flatbuffers::EndianScalar(_id)),
+        digest_(flatbuffers::EndianScalar(_digest)) {
+  }
+  uint32_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint32_t digest() const {
+    return flatbuffers::EndianScalar(digest_);
+  }
+};
+FLATBUFFERS_STRUCT_END(record_summary, 8);
+
 struct header_field_t : public flatbuffers::NativeTable {
   typedef header_field TableType;
   std::string name{};
@@ -1443,69 +1537,6 @@
 
 flatbuffers::Offset<member_record> Createmember_record(flatbuffers::FlatBufferBuilder &_fbb, const member_record_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct bucket_digest_t : public flatbuffers::NativeTable {
-  typedef bucket_digest TableType;
-  uint16_t bucket = 0;
-  uint64_t digest = 0;
-};
-
-struct bucket_digest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef bucket_digest_t NativeTableType;
-  typedef bucket_digestBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BUCKET = 4,
-    VT_DIGEST = 6
-  };
-  uint16_t bucket() const {
-    return GetField<uint16_t>(VT_BUCKET, 0);
-  }
-  uint64_t digest() const {
-    return GetField<uint64_t>(VT_DIGEST, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint16_t>(verifier, VT_BUCKET, 2) &&
-           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
-           verifier.EndTable();
-  }
-  bucket_digest_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(bucket_digest_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<bucket_digest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const bucket_digest_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct bucket_digestBuilder {
-  typedef bucket_digest Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_bucket(uint16_t bucket) {
-    fbb_.AddElement<uint16_t>(bucket_digest::VT_BUCKET, bucket, 0);
-  }
-  void add_digest(uint64_t digest) {
-    fbb_.AddElement<uint64_t>(bucket_digest::VT_DIGEST, digest, 0);
-  }
-  explicit bucket_digestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<bucket_digest> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<bucket_digest>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<bucket_digest> Createbucket_digest(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint16_t bucket = 0,
-    uint64_t digest = 0) {
-  bucket_digestBuilder builder_(_fbb);
-  builder_.add_digest(digest);
-  builder_.add_bucket(bucket);
-  return builder_.Finish();
-}
-
-flatbuffers::Offset<bucket_digest> Createbucket_digest(flatbuffers::FlatBufferBuilder &_fbb, const bucket_digest_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct exchange_t : public flatbuffers::NativeTable {
   typedef exchange TableType;
   uint64_t config_version = 0;
@@ -1513,8 +1544,10 @@
   std::string watcher_node{};
   uint32_t watcher_age_ms = 0;
   uint64_t table_digest = 0;
-  std::vector<std::unique_ptr<siskinrack::wire::bucket_digest_t>> buckets{};
+  std::vector<uint32_t> buckets{};
   std::vector<std::unique_ptr<siskinrack::wire::member_record_t>> records{};
+  std::vector<siskinrack::wire::member_status> statuses{};
+  std::vector<uint32_t> wanted{};
   exchange_t() = default;
   exchange_t(const exchange_t &o);
   exchange_t(exchange_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1531,7 +1564,9 @@
     VT_WATCHER_AGE_MS = 10,
     VT_TABLE_DIGEST = 12,
     VT_BUCKETS = 14,
-    VT_RECORDS = 16
+    VT_RECORDS = 16,
+    VT_STATUSES = 18,
+    VT_WANTED = 20
   };
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
@@ -1548,12 +1583,18 @@
   uint64_t table_digest() const {
     return GetField<uint64_t>(VT_TABLE_DIGEST, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::bucket_digest>> *buckets() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::bucket_digest>> *>(VT_BUCKETS);
+  const flatbuffers::Vector<uint32_t> *buckets() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_BUCKETS);
   }
   const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::member_record>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::member_record>> *>(VT_RECORDS);
   }
+  const flatbuffers::Vector<const siskinrack::wire::member_status *> *statuses() const {
+    return GetPointer<const flatbuffers::Vector<const siskinrack::wire::member_status *> *>(VT_STATUSES);
+  }
+  const flatbuffers::Vector<uint32_t> *wanted() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_WANTED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
@@ -1565,10 +1606,13 @@
            VerifyField<uint64_t>(verifier, VT_TABLE_DIGEST, 8) &&
            VerifyOffset(verifier, VT_BUCKETS) &&
            verifier.VerifyVector(buckets()) &&
-           verifier.VerifyVectorOfTables(buckets()) &&
            VerifyOffset(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
+           VerifyOffset(verifier, VT_STATUSES) &&
+           verifier.VerifyVector(statuses()) &&
+           VerifyOffset(verifier, VT_WANTED) &&
+           verifier.VerifyVector(wanted()) &&
            verifier.EndTable();
   }
   exchange_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1595,12 +1639,18 @@
   void add_table_digest(uint64_t table_digest) {
     fbb_.AddElement<uint64_t>(exchange::VT_TABLE_DIGEST, table_digest, 0);
   }
-  void add_buckets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::bucket_digest>>> buckets) {
+  void add_buckets(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> buckets) {
     fbb_.AddOffset(exchange::VT_BUCKETS, buckets);
   }
   void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::member_record>>> records) {
     fbb_.AddOffset(exchange::VT_RECORDS, records);
   }
+  void add_statuses(flatbuffers::Offset<flatbuffers::Vector<const siskinrack::wire::member_status *>> statuses) {
+    fbb_.AddOffset(exchange::VT_STATUSES, statuses);
+  }
+  void add_wanted(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> wanted) {
+    fbb_.AddOffset(exchange::VT_WANTED, wanted);
+  }
   explicit exchangeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1619,11 +1669,15 @@
     flatbuffers::Offset<flatbuffers::String> watcher_node = 0,
     uint32_t watcher_age_ms = 0,
     uint64_t table_digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::bucket_digest>>> buckets = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::member_record>>> records = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> buckets = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::member_record>>> records = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const siskinrack::wire::member_status *>> statuses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> wanted = 0) {
   exchangeBuilder builder_(_fbb);
   builder_.add_table_digest(table_digest);
   builder_.add_config_version(config_version);
+  builder_.add_wanted(wanted);
+  builder_.add_statuses(statuses);
   builder_.add_records(records);
   builder_.add_buckets(buckets);
   builder_.add_watcher_age_ms(watcher_age_ms);
@@ -1639,12 +1693,16 @@
     const char *watcher_node = nullptr,
     uint32_t watcher_age_ms = 0,
     uint64_t table_digest = 0,
-    const std::vector<flatbuffers::Offset<siskinrack::wire::bucket_digest>> *buckets = nullptr,
-    const std::vector<flatbuffers::Offset<siskinrack::wire::member_record>> *records = nullptr) {
+    const std::vector<uint32_t> *buckets = nullptr,
+    const std::vector<flatbuffers::Offset<siskinrack::wire::member_record>> *records = nullptr,
+    const std::vector<siskinrack::wire::member_status> *statuses = nullptr,
+    const std::vector<uint32_t> *wanted = nullptr) {
   auto config_digest__ = config_digest ? _fbb.CreateString(config_digest) : 0;
   auto watcher_node__ = watcher_node ? _fbb.CreateString(watcher_node) : 0;
-  auto buckets__ = buckets ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::bucket_digest>>(*buckets) : 0;
+  auto buckets__ = buckets ? _fbb.CreateVector<uint32_t>(*buckets) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::member_record>>(*records) : 0;
+  auto statuses__ = statuses ? _fbb.CreateVectorOfStructs<siskinrack::wire::member_status>(*statuses) : 0;
+  auto wanted__ = wanted ? _fbb.CreateVector<uint32_t>(*wanted) : 0;
   return siskinrack::wire::Createexchange(
       _fbb,
       config_version,
@@ -1653,7 +1711,9 @@
       watcher_age_ms,
       table_digest,
       buckets__,
-      records__);
+      records__,
+      statuses__,
+      wanted__);
 }
 
 flatbuffers::Offset<exchange> Createexchange(flatbuffers::FlatBufferBuilder &_fbb, const exchange_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1665,8 +1725,11 @@
   std::string watcher_node{};
   uint32_t watcher_age_ms = 0;
   uint64_t table_digest = 0;
-  std::vector<std::unique_ptr<siskinrack::wire::bucket_digest_t>> buckets{};
+  std::vector<uint8_t> covered{};
+  std::vector<siskinrack::wire::record_summary> summaries{};
   std::vector<std::unique_ptr<siskinrack::wire::member_record_t>> records{};
+  std::vector<siskinrack::wire::member_status> statuses{};
+  std::vector<uint32_t> wanted{};
   exchange_reply_t() = default;
   exchange_reply_t(const exchange_reply_t &o);
   exchange_reply_t(exchange_reply_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1682,8 +1745,11 @@
     VT_WATCHER_NODE = 8,
     VT_WATCHER_AGE_MS = 10,
     VT_TABLE_DIGEST = 12,
-    VT_BUCKETS = 14,
-    VT_RECORDS = 16
+    VT_COVERED = 14,
+    VT_SUMMARIES = 16,
+    VT_RECORDS = 18,
+    VT_STATUSES = 20,
+    VT_WANTED = 22
   };
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
@@ -1700,12 +1766,21 @@
   uint64_t table_digest() const {
     return GetField<uint64_t>(VT_TABLE_DIGEST, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::bucket_digest>> *buckets() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::bucket_digest>> *>(VT_BUCKETS);
+  const flatbuffers::Vector<uint8_t> *covered() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COVERED);
+  }
+  const flatbuffers::Vector<const siskinrack::wire::record_summary *> *summaries() const {
+    return GetPointer<const flatbuffers::Vector<const siskinrack::wire::record_summary *> *>(VT_SUMMARIES);
   }
   const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::member_record>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::member_record>> *>(VT_RECORDS);
   }
+  const flatbuffers::Vector<const siskinrack::wire::member_status *> *statuses() const {
+    return GetPointer<const flatbuffers::Vector<const siskinrack::wire::member_status *> *>(VT_STATUSES);
+  }
+  const flatbuffers::Vector<uint32_t> *wanted() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_WANTED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
@@ -1715,12 +1790,17 @@
            verifier.VerifyString(watcher_node()) &&
            VerifyField<uint32_t>(verifier, VT_WATCHER_AGE_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_TABLE_DIGEST, 8) &&
-           VerifyOffset(verifier, VT_BUCKETS) &&
-           verifier.VerifyVector(buckets()) &&
-           verifier.VerifyVectorOfTables(buckets()) &&
+           VerifyOffset(verifier, VT_COVERED) &&
+           verifier.VerifyVector(covered()) &&
+           VerifyOffset(verifier, VT_SUMMARIES) &&
+           verifier.VerifyVector(summaries()) &&
            VerifyOffset(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
+           VerifyOffset(verifier, VT_STATUSES) &&
+           verifier.VerifyVector(statuses()) &&
+           VerifyOffset(verifier, VT_WANTED) &&
+           verifier.VerifyVector(wanted()) &&
            verifier.EndTable();
   }
   exchange_reply_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1747,12 +1827,21 @@
   void add_table_digest(uint64_t table_digest) {
     fbb_.AddElement<uint64_t>(exchange_reply::VT_TABLE_DIGEST, table_digest, 0);
   }
-  void add_buckets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::bucket_digest>>> buckets) {
-    fbb_.AddOffset(exchange_reply::VT_BUCKETS, buckets);
+  void add_covered(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> covered) {
+    fbb_.AddOffset(exchange_reply::VT_COVERED, covered);
+  }
+  void add_summaries(flatbuffers::Offset<flatbuffers::Vector<const siskinrack::wire::record_summary *>> summaries) {
+    fbb_.AddOffset(exchange_reply::VT_SUMMARIES, summaries);
   }
   void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::member_record>>> records) {
     fbb_.AddOffset(exchange_reply::VT_RECORDS, records);
   }
+  void add_statuses(flatbuffers::Offset<flatbuffers::Vector<const siskinrack::wire::member_status *>> statuses) {
+    fbb_.AddOffset(exchange_reply::VT_STATUSES, statuses);
+  }
+  void add_wanted(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> wanted) {
+    fbb_.AddOffset(exchange_reply::VT_WANTED, wanted);
+  }
   explicit exchange_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1771,13 +1860,19 @@
     flatbuffers::Offset<flatbuffers::String> watcher_node = 0,
     uint32_t watcher_age_ms = 0,
     uint64_t table_digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::bucket_digest>>> buckets = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::member_record>>> records = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> covered = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const siskinrack::wire::record_summary *>> summaries = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::member_record>>> records = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const siskinrack::wire::member_status *>> statuses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> wanted = 0) {
   exchange_replyBuilder builder_(_fbb);
   builder_.add_table_digest(table_digest);
   builder_.add_config_version(config_version);
+  builder_.add_wanted(wanted);
+  builder_.add_statuses(statuses);
   builder_.add_records(records);
-  builder_.add_buckets(buckets);
+  builder_.add_summaries(summaries);
+  builder_.add_covered(covered);
   builder_.add_watcher_age_ms(watcher_age_ms);
   builder_.add_watcher_node(watcher_node);
   builder_.add_config_digest(config_digest);
@@ -1791,12 +1886,18 @@
     const char *watcher_node = nullptr,
     uint32_t watcher_age_ms = 0,
     uint64_t table_digest = 0,
-    const std::vector<flatbuffers::Offset<siskinrack::wire::bucket_digest>> *buckets = nullptr,
-    const std::vector<flatbuffers::Offset<siskinrack::wire::member_record>> *records = nullptr) {
+    const std::vector<uint8_t> *covered = nullptr,
+    const std::vector<siskinrack::wire::record_summary> *summaries = nullptr,
+    const std::vector<flatbuffers::Offset<siskinrack::wire::member_record>> *records = nullptr,
+    const std::vector<siskinrack::wire::member_status> *statuses = nullptr,
+    const std::vector<uint32_t> *wanted = nullptr) {
   auto config_digest__ = config_digest ? _fbb.CreateString(config_digest) : 0;
   auto watcher_node__ = watcher_node ? _fbb.CreateString(watcher_node) : 0;
-  auto buckets__ = buckets ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::bucket_digest>>(*buckets) : 0;
+  auto covered__ = covered ? _fbb.CreateVector<uint8_t>(*covered) : 0;
+  auto summaries__ = summaries ? _fbb.CreateVectorOfStructs<siskinrack::wire::record_summary>(*summaries) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::member_record>>(*records) : 0;
+  auto statuses__ = statuses ? _fbb.CreateVectorOfStructs<siskinrack::wire::member_status>(*statuses) : 0;
+  auto wanted__ = wanted ? _fbb.CreateVector<uint32_t>(*wanted) : 0;
   return siskinrack::wire::Createexchange_reply(
       _fbb,
       config_version,
@@ -1804,8 +1905,11 @@
       watcher_node__,
       watcher_age_ms,
       table_digest,
-      buckets__,
-      records__);
+      covered__,
+      summaries__,
+      records__,
+      statuses__,
+      wanted__);
 }
 
 flatbuffers::Offset<exchange_reply> Createexchange_reply(flatbuffers::FlatBufferBuilder &_fbb, const exchange_reply_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3620,43 +3724,15 @@
       _served_version);
 }
 
-inline bucket_digest_t *bucket_digest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<bucket_digest_t>(new bucket_digest_t());
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void bucket_digest::UnPackTo(bucket_digest_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = bucket(); _o->bucket = _e; }
-  { auto _e = digest(); _o->digest = _e; }
-}
-
-inline flatbuffers::Offset<bucket_digest> bucket_digest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const bucket_digest_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createbucket_digest(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<bucket_digest> Createbucket_digest(flatbuffers::FlatBufferBuilder &_fbb, const bucket_digest_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const bucket_digest_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _bucket = _o->bucket;
-  auto _digest = _o->digest;
-  return siskinrack::wire::Createbucket_digest(
-      _fbb,
-      _bucket,
-      _digest);
-}
-
 inline exchange_t::exchange_t(const exchange_t &o)
       : config_version(o.config_version),
         config_digest(o.config_digest),
         watcher_node(o.watcher_node),
         watcher_age_ms(o.watcher_age_ms),
-        table_digest(o.table_digest) {
-  buckets.reserve(o.buckets.size());
-  for (const auto &buckets_ : o.buckets) { buckets.emplace_back((buckets_) ? new siskinrack::wire::bucket_digest_t(*buckets_) : nullptr); }
+        table_digest(o.table_digest),
+        buckets(o.buckets),
+        statuses(o.statuses),
+        wanted(o.wanted) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new siskinrack::wire::member_record_t(*records_) : nullptr); }
 }
@@ -3669,6 +3745,8 @@
   std::swap(table_digest, o.table_digest);
   std::swap(buckets, o.buckets);
   std::swap(records, o.records);
+  std::swap(statuses, o.statuses);
+  std::swap(wanted, o.wanted);
   return *this;
 }
 
@@ -3686,8 +3764,10 @@
   { auto _e = watcher_node(); if (_e) _o->watcher_node = _e->str(); }
   { auto _e = watcher_age_ms(); _o->watcher_age_ms = _e; }
   { auto _e = table_digest(); _o->table_digest = _e; }
-  { auto _e = buckets(); if (_e) { _o->buckets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->buckets[_i] = std::unique_ptr<siskinrack::wire::bucket_digest_t>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = buckets(); if (_e) { _o->buckets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->buckets[_i] = _e->Get(_i); } } }
   { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<siskinrack::wire::member_record_t>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = statuses(); if (_e) { _o->statuses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->statuses[_i] = *_e->Get(_i); } } }
+  { auto _e = wanted(); if (_e) { _o->wanted.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->wanted[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<exchange> exchange::Pack(flatbuffers::FlatBufferBuilder &_fbb, const exchange_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3703,8 +3783,10 @@
   auto _watcher_node = _o->watcher_node.empty() ? 0 : _fbb.CreateString(_o->watcher_node);
   auto _watcher_age_ms = _o->watcher_age_ms;
   auto _table_digest = _o->table_digest;
-  auto _buckets = _o->buckets.size() ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::bucket_digest>> (_o->buckets.size(), [](size_t i, _VectorArgs *__va) { return Createbucket_digest(*__va->__fbb, __va->__o->buckets[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _buckets = _o->buckets.size() ? _fbb.CreateVector(_o->buckets) : 0;
   auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::member_record>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return Createmember_record(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _statuses = _o->statuses.size() ? _fbb.CreateVectorOfStructs(_o->statuses) : 0;
+  auto _wanted = _o->wanted.size() ? _fbb.CreateVector(_o->wanted) : 0;
   return siskinrack::wire::Createexchange(
       _fbb,
       _config_version,
@@ -3713,7 +3795,9 @@
       _watcher_age_ms,
       _table_digest,
       _buckets,
-      _records);
+      _records,
+      _statuses,
+      _wanted);
 }
 
 inline exchange_reply_t::exchange_reply_t(const exchange_reply_t &o)
@@ -3721,9 +3805,11 @@
         config_digest(o.config_digest),
         watcher_node(o.watcher_node),
         watcher_age_ms(o.watcher_age_ms),
-        table_digest(o.table_digest) {
-  buckets.reserve(o.buckets.size());
-  for (const auto &buckets_ : o.buckets) { buckets.emplace_back((buckets_) ? new siskinrack::wire::bucket_digest_t(*buckets_) : nullptr); }
+        table_digest(o.table_digest),
+        covered(o.covered),
+        summaries(o.summaries),
+        statuses(o.statuses),
+        wanted(o.wanted) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new siskinrack::wire::member_record_t(*records_) : nullptr); }
 }
@@ -3734,8 +3820,11 @@
   std::swap(watcher_node, o.watcher_node);
   std::swap(watcher_age_ms, o.watcher_age_ms);
   std::swap(table_digest, o.table_digest);
-  std::swap(buckets, o.buckets);
+  std::swap(covered, o.covered);
+  std::swap(summaries, o.summaries);
   std::swap(records, o.records);
+  std::swap(statuses, o.statuses);
+  std::swap(wanted, o.wanted);
   return *this;
 }
 
@@ -3753,8 +3842,11 @@
   { auto _e = watcher_node(); if (_e) _o->watcher_node = _e->str(); }
   { auto _e = watcher_age_ms(); _o->watcher_age_ms = _e; }
   { auto _e = table_digest(); _o->table_digest = _e; }
-  { auto _e = buckets(); if (_e) { _o->buckets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->buckets[_i] = std::unique_ptr<siskinrack::wire::bucket_digest_t>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = covered(); if (_e) { _o->covered.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->covered.begin()); } }
+  { auto _e = summaries(); if (_e) { _o->summaries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->summaries[_i] = *_e->Get(_i); } } }
   { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<siskinrack::wire::member_record_t>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = statuses(); if (_e) { _o->statuses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->statuses[_i] = *_e->Get(_i); } } }
+  { auto _e = wanted(); if (_e) { _o->wanted.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->wanted[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<exchange_reply> exchange_reply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const exchange_reply_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3770,8 +3862,11 @@
   auto _watcher_node = _o->watcher_node.empty() ? 0 : _fbb.CreateString(_o->watcher_node);
   auto _watcher_age_ms = _o->watcher_age_ms;
   auto _table_digest = _o->table_digest;
-  auto _buckets = _o->buckets.size() ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::bucket_digest>> (_o->buckets.size(), [](size_t i, _VectorArgs *__va) { return Createbucket_digest(*__va->__fbb, __va->__o->buckets[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _covered = _o->covered.size() ? _fbb.CreateVector(_o->covered) : 0;
+  auto _summaries = _o->summaries.size() ? _fbb.CreateVectorOfStructs(_o->summaries) : 0;
   auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::member_record>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return Createmember_record(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _statuses = _o->statuses.size() ? _fbb.CreateVectorOfStructs(_o->statuses) : 0;
+  auto _wanted = _o->wanted.size() ? _fbb.CreateVector(_o->wanted) : 0;
   return siskinrack::wire::Createexchange_reply(
       _fbb,
       _config_version,
@@ -3779,8 +3874,11 @@
       _watcher_node,
       _watcher_age_ms,
       _table_digest,
-      _buckets,
-      _records);
+      _covered,
+      _summaries,
+      _records,
+      _statuses,
+      _wanted);
 }
 
 inline probe_request_t *probe_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/lib/membership/member_table.cpp
+++ b/lib/membership/member_table.cpp
@@ -1,77 +1,153 @@
 #include "siskinrack/membership/member_table.h"
 
-#include <tuple>
+#include <algorithm>
 
 namespace siskinrack::membership {
-namespace {
-
-std::uint64_t Mix(std::uint64_t value) {
-  // Finalizer of splitmix64.
-  value ^= value >> 30U;
-  value *= 0xbf58476d1ce4e5b9ULL;
-  value ^= value >> 27U;
-  value *= 0x94d049bb133111ebULL;
-  return value ^ (value >> 31U);
-}
-
-std::uint64_t RecordDigest(const member_record& record) {
-  const std::uint64_t id = std::hash<std::string>{}(record.node_id);
-  return Mix(id ^ Mix(record.incarnation ^ Mix(record.sequence + 1) ^
-                      static_cast<std::uint64_t>(record.health)));
-}
-
-}  // namespace
 
-bool Supersedes(const member_record& a, const member_record& b) {
-  return std::tie(a.incarnation, a.sequence, a.health) >
-         std::tie(b.incarnation, b.sequence, b.health);
+void member_table::Toggle(shard& part, const member_record& record) {
+  if (IsGone(record)) return;
+  const std::size_t bucket = BucketOf(IdHash(record.node_id));
+  part.digests[bucket % kBucketsPerShard] ^= StateDigest(record);
 }
 
 bool member_table::Merge(const member_record& record) {
-  const std::lock_guard lock(mutex_);
-  const auto [found, inserted] = records_.try_emplace(record.node_id, record);
-  if (inserted) return true;
-  if (!Supersedes(record, found->second)) return false;
-  found->second = record;
+  const std::uint32_t id_hash = IdHash(record.node_id);
+  std::string former_service;
+  {
+    shard& part = ShardOf(id_hash);
+    const std::lock_guard lock(part.mutex);
+    const auto [found, inserted] = part.records.try_emplace(id_hash, record);
+    if (!inserted) {
+      member_record& known = found->second;
+      // Two node ids with the same hash: the first one known stays.
+      if (known.node_id != record.node_id || !Supersedes(record, known)) return false;
+      Toggle(part, known);
+      const bool same_life = known.incarnation == record.incarnation;
+      const std::uint64_t served = same_life ? known.served_version : 0;
+      former_service = known.service;
+      known = record;
+      known.served_version = std::max(served, record.served_version);
+    }
+    Toggle(part, found->second);
+  }
+  if (former_service != record.service) Invalidate(former_service);
+  Invalidate(record.service);
   return true;
 }
 
 void member_table::Remove(std::string_view node_id) {
-  const std::lock_guard lock(mutex_);
-  const auto found = records_.find(node_id);
-  if (found != records_.end()) records_.erase(found);
+  const std::uint32_t id_hash = IdHash(node_id);
+  std::string service;
+  {
+    shard& part = ShardOf(id_hash);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.records.find(id_hash);
+    if (found == part.records.end() || found->second.node_id != node_id) return;
+    Toggle(part, found->second);
+    service = found->second.service;
+    part.records.erase(found);
+  }
+  Invalidate(service);
 }
 
 std::optional<member_record> member_table::Find(std::string_view node_id) const {
-  const std::lock_guard lock(mutex_);
-  const auto found = records_.find(node_id);
-  if (found == records_.end()) return std::nullopt;
+  auto record = FindByHash(IdHash(node_id));
+  if (!record || record->node_id != node_id) return std::nullopt;
+  return record;
+}
+
+std::optional<member_record> member_table::FindByHash(std::uint32_t id_hash) const {
+  const shard& part = ShardOf(id_hash);
+  const std::lock_guard lock(part.mutex);
+  const auto found = part.records.find(id_hash);
+  if (found == part.records.end()) return std::nullopt;
   return found->second;
 }
 
 std::vector<member_record> member_table::All() const {
-  const std::lock_guard lock(mutex_);
   std::vector<member_record> list;
-  for (const auto& [id, record] : records_) list.push_back(record);
+  for (const shard& part : shards_) {
+    const std::lock_guard lock(part.mutex);
+    for (const auto& [id_hash, record] : part.records) list.push_back(record);
+  }
+  // Callers compare or print by node id.
+  std::sort(list.begin(), list.end(),
+            [](const auto& a, const auto& b) { return a.node_id < b.node_id; });
   return list;
 }
 
-std::vector<member_record> member_table::Endpoints(std::string_view service) const {
-  const std::lock_guard lock(mutex_);
+std::vector<member_record> member_table::InBucket(std::size_t bucket) const {
   std::vector<member_record> list;
-  for (const auto& [id, record] : records_) {
-    const bool live = record.health == wire::member_health::alive &&
-                      (record.state == wire::upstream_state::serving ||
-                       record.state == wire::upstream_state::starting);
-    if (live && record.service == service) list.push_back(record);
+  const shard& part = shards_.at(bucket / kBucketsPerShard);
+  const std::lock_guard lock(part.mutex);
+  for (const auto& [id_hash, record] : part.records) {
+    if (BucketOf(id_hash) == bucket) list.push_back(record);
   }
   return list;
 }
 
+std::size_t member_table::size() const {
+  std::size_t count = 0;
+  for (const shard& part : shards_) {
+    const std::lock_guard lock(part.mutex);
+    count += part.records.size();
+  }
+  return count;
+}
+
+void member_table::Invalidate(std::string_view service) {
+  if (service.empty()) return;
+  const std::lock_guard lock(cache_mutex_);
+  const auto found = cache_.find(service);
+  if (found == cache_.end()) return;
+  ++found->second.generation;
+  found->second.list = nullptr;
+}
+
+endpoint_list member_table::CollectEndpoints(std::string_view service) const {
+  auto list = std::make_shared<std::vector<member_record>>();
+  for (const shard& part : shards_) {
+    const std::lock_guard lock(part.mutex);
+    for (const auto& [id_hash, record] : part.records) {
+      if (record.service == service && IsEndpoint(record)) list->push_back(record);
+    }
+  }
+  return list;
+}
+
+endpoint_list member_table::Endpoints(std::string_view service) const {
+  std::uint64_t generation = 0;
+  {
+    const std::lock_guard lock(cache_mutex_);
+    auto found = cache_.find(service);
+    // Callers can't grow the cache: they ask for services of the configuration only.
+    if (found == cache_.end())
+      found = cache_.emplace(std::string(service), cached_endpoints{}).first;
+    if (found->second.list != nullptr) return found->second.list;
+    generation = found->second.generation;
+  }
+  auto list = CollectEndpoints(service);
+  const std::lock_guard lock(cache_mutex_);
+  cached_endpoints& cached = cache_.find(service)->second;
+  // A change during the collection may be missing in the list; the next call collects again.
+  if (cached.generation == generation) cached.list = list;
+  return list;
+}
+
+bucket_digests member_table::Buckets() const {
+  bucket_digests digests{};
+  for (std::size_t i = 0; i < kShards; ++i) {
+    const std::lock_guard lock(shards_[i].mutex);
+    std::copy(shards_[i].digests.begin(), shards_[i].digests.end(),
+              digests.begin() + static_cast<std::ptrdiff_t>(i * kBucketsPerShard));
+  }
+  return digests;
+}
+
 std::uint64_t member_table::Digest() const {
-  const std::lock_guard lock(mutex_);
+  constexpr std::uint64_t kPrime = 0x100000001b3ULL;
   std::uint64_t digest = 0;
-  for (const auto& [id, record] : records_) digest ^= RecordDigest(record);
+  for (const std::uint32_t bucket : Buckets()) digest = (digest ^ bucket) * kPrime;
   return digest;
 }
 
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -91,8 +91,8 @@
 
 wire::call_answer_t entry_service::Forward(wire::call_request_t call, net::cancellation& cancel) {
   const auto endpoints = context_.members.Endpoints(call.service);
-  if (endpoints.empty()) return NotRun(kStatusUnavailable, "no upstream");
-  return ForwardTo(endpoints[next_endpoint_++ % endpoints.size()], call, cancel);
+  if (endpoints->empty()) return NotRun(kStatusUnavailable, "no upstream");
+  return ForwardTo((*endpoints)[next_endpoint_++ % endpoints->size()], call, cancel);
 }
 
 wire::call_answer_t entry_service::ForwardTo(const membership::member_record& endpoint,
--- /dev/null
+++ b/test/membership_simulation/simulated_mesh.h
@@ -0,0 +1,127 @@
+#ifndef SISKINRACK_TEST_MEMBERSHIP_SIMULATION_SIMULATED_MESH_H_
+#define SISKINRACK_TEST_MEMBERSHIP_SIMULATION_SIMULATED_MESH_H_
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "siskinrack/membership/gossip.h"
+
+namespace siskinrack::test {
+
+using membership::time_ms;
+
+/// Faults of the simulated links; probabilities per message.
+struct link_faults {
+  double loss = 0;
+  double duplication = 0;
+  /// Extra random delay, which reorders messages.
+  time_ms jitter{0};
+};
+
+struct mesh_options {
+  std::size_t members = 10;
+  std::size_t failure_domains = 2;
+  std::uint64_t seed = 1;
+  /// One-way delays within a failure domain and between two.
+  time_ms near_delay{1};
+  time_ms far_delay{4};
+  link_faults near;
+  link_faults far;
+};
+
+/// Bytes and state of one simulated member.
+struct simulated_member {
+  std::string node_id;
+  std::string address;
+  std::size_t domain = 0;
+  unsigned life = 0;
+  bool running = false;
+  bool paused = false;
+  std::uint64_t bytes = 0;
+  std::unique_ptr<membership::member_table> table;
+  std::unique_ptr<membership::gossip> gossip;
+  std::map<std::size_t, time_ms> links;
+  std::vector<std::function<void()>> held;
+};
+
+/// Membership protocols of many members in one thread with virtual time. Every message passes
+/// through the real frame codec and is counted at both ends.
+class simulated_mesh {
+ public:
+  explicit simulated_mesh(mesh_options options);
+
+  /// Starts every member; the first member is the seed of all.
+  void StartAll();
+  /// Runs the events of the next `duration`.
+  void Run(time_ms duration);
+  /// Runs until `condition` holds, checked every `step`; returns the time passed or `limit`.
+  time_ms RunUntil(const std::function<bool()>& condition, time_ms limit,
+                   time_ms step = time_ms(10));
+
+  void Start(std::size_t index, std::uint64_t incarnation);
+  void Kill(std::size_t index);
+  void Pause(std::size_t index);
+  void Resume(std::size_t index);
+  void SetState(std::size_t index, wire::upstream_state state);
+  /// Messages between members for which `cut` holds are dropped; null removes the cut.
+  void Cut(std::function<bool(std::size_t, std::size_t)> cut) { cut_ = std::move(cut); }
+  void SetFaults(link_faults near, link_faults far);
+
+  [[nodiscard]] time_ms now() const { return now_; }
+  [[nodiscard]] std::size_t size() const { return members_.size(); }
+  simulated_member& at(std::size_t index) { return members_.at(index); }
+  [[nodiscard]] const simulated_member& at(std::size_t index) const { return members_.at(index); }
+  std::mt19937_64& random() { return random_; }
+  /// True if all running members have equal tables with exactly the running members alive.
+  [[nodiscard]] bool Agrees() const;
+  /// Most bytes of records seen in one message.
+  [[nodiscard]] std::size_t max_record_bytes() const { return max_record_bytes_; }
+  [[nodiscard]] std::size_t EventCount(membership::member_change change) const {
+    return event_counts_.at(static_cast<std::size_t>(change));
+  }
+
+ private:
+  struct event {
+    time_ms time;
+    std::uint64_t order;
+    std::function<void()> action;
+    bool operator<(const event& other) const {
+      return std::tie(other.time, other.order) < std::tie(time, order);
+    }
+  };
+  struct request;
+
+  void At(time_ms time, std::function<void()> action);
+  /// Runs `action` at the member unless it has died; a paused member does so when it resumes.
+  void AtMember(std::size_t index, time_ms delay, std::function<void()> action);
+  void TickLoop(std::size_t index);
+  void Perform(std::size_t index, membership::gossip_step step);
+  void Send(std::size_t index, membership::outgoing message,
+            std::function<void(const wire::envelope_t*)> on_result);
+  void Receive(std::size_t to, const std::string& frame, const std::shared_ptr<request>& pending);
+  void Reply(std::size_t from, const std::shared_ptr<request>& pending, wire::envelope_t reply);
+  /// Encodes, counts and carries a frame; `deliver` runs at the receiver.
+  void Carry(std::size_t from, std::size_t to, wire::envelope_t message,
+             std::function<void(const std::string&)> deliver);
+  void MeasureRecords(const wire::envelope_t& message);
+  [[nodiscard]] time_ms Delay(std::size_t from, std::size_t to);
+
+  mesh_options options_;
+  std::mt19937_64 random_;
+  time_ms now_{0};
+  std::uint64_t next_order_ = 0;
+  std::priority_queue<event> events_;
+  std::vector<simulated_member> members_;
+  std::map<std::string, std::size_t> by_address_;
+  std::function<bool(std::size_t, std::size_t)> cut_;
+  std::array<std::size_t, 4> event_counts_{};
+  std::size_t max_record_bytes_ = 0;
+};
+
+}  // namespace siskinrack::test
+
+#endif  // SISKINRACK_TEST_MEMBERSHIP_SIMULATION_SIMULATED_MESH_H_
