node: run the designed membership protocol

Cause: the node sent its whole table to a random peer every 500 ms and declared a member dead after three failed exchanges; links stayed open for ever, and the accept limit counted each thread. Change: membership_service drives the protocol core. The peer pool closes links that are idle for 60 s and reports broken ones, which starts a probe. A node announces that it left after its drain. The accept limit is split over threads.

--- a/include/siskinrack/net/peer.h
+++ b/include/siskinrack/net/peer.h
@@ -39,16 +39,25 @@
 using peer_handler = std::function<std::optional<wire::envelope_t>(const wire::envelope_t& request,
                                                                    cancellation& cancel)>;
 
-/// Outgoing links, at most one per address and thread, dialled on first use. Failed addresses are
-/// dialled again after a full-jitter backoff. Use it from fibers of the runtime.
+struct peer_pool_options {
+  /// Links without a frame for this long are closed. Longer than the longest deadline of a request.
+  std::chrono::milliseconds idle_timeout{60'000};
+};
+
+/// Outgoing links, at most one per address and thread, dialled on first use and closed
+/// when idle, so that a node of a large mesh keeps the links in use only. Failed addresses
+/// are dialled again after a full-jitter backoff. Use it from fibers of the runtime.
 class peer_pool {
  public:
-  peer_pool(fiber_runtime& runtime, peer_context& context);
+  peer_pool(fiber_runtime& runtime, peer_context& context, peer_pool_options options = {});
   ~peer_pool();
 
   /// Sends `message` and waits for the reply.
   peer_result Request(const support::socket_address& address, wire::envelope_t message,
                       steady_time deadline, cancellation* cancel = nullptr);
+  /// `listener` runs in a fiber of the link's thread when an established link to the address
+  /// breaks, other than by being idle. To be set before the first use of the pool.
+  void OnLinkBroken(std::function<void(const support::socket_address& address)> listener);
   /// Sends `message` without waiting for a reply; dials in the background if there's no link.
   void Send(const support::socket_address& address, wire::envelope_t message);
 
@@ -62,7 +71,7 @@
 
 struct peer_server_options {
   support::socket_address address;
-  /// Bounds the work of a reconnect storm: new links a second on each thread.
+  /// Bounds the work of a reconnect storm: new links a second, split evenly over the threads.
   double accepts_per_second = 50;
 };
 
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -23,7 +23,8 @@
     : socket_(std::move(socket)),
       context_(context),
       on_request_(std::move(on_request)),
-      last_used_(std::chrono::steady_clock::now()) {}
+      last_used_(std::chrono::steady_clock::now()),
+      idle_timer_(CurrentContext()) {}
 
 void peer_link::ReadLoop() {
   const auto self = shared_from_this();
@@ -83,6 +84,7 @@
 
 void peer_link::Enqueue(std::string frame, std::uint64_t correlation_id) {
   if (closed_) return;
+  last_used_ = std::chrono::steady_clock::now();
   if (queue_.size() >= kMaxQueuedFrames) return Close();
   queue_.push_back({std::move(frame), correlation_id});
   if (!write_active_) StartWrite();
@@ -150,9 +152,24 @@
   Send(std::move(message));
 }
 
+void peer_link::CloseWhenIdle(std::chrono::milliseconds timeout) {
+  const auto now = std::chrono::steady_clock::now();
+  const bool busy = write_active_ || !waiters_.empty();
+  if (!busy && now >= last_used_ + timeout) {
+    closed_as_idle_ = true;
+    return Close();
+  }
+  idle_timer_.expires_at(busy ? now + timeout : last_used_ + timeout);
+  idle_timer_.async_wait(
+      [self = shared_from_this(), timeout](const boost::system::error_code& error) {
+        if (!error && !self->closed_) self->CloseWhenIdle(timeout);
+      });
+}
+
 void peer_link::Close() {
   if (closed_) return;
   closed_ = true;
+  idle_timer_.cancel();
   CloseQuietly(socket_);
   for (auto& [id, pending] : waiters_) pending->timer.cancel();
 }
--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -33,6 +33,9 @@
   /// connection.
   peer_result Request(wire::envelope_t message, steady_time deadline, cancellation* cancel);
   void Close();
+  /// Closes the connection once no frame passed for `timeout` and no request waits for its reply.
+  void CloseWhenIdle(std::chrono::milliseconds timeout);
+  [[nodiscard]] bool closed_as_idle() const { return closed_as_idle_; }
   [[nodiscard]] bool closed() const { return closed_; }
   [[nodiscard]] steady_time last_used() const { return last_used_; }
 
@@ -57,7 +60,9 @@
   peer_context& context_;
   frame_handler on_request_;
   bool closed_ = false;
+  bool closed_as_idle_ = false;
   steady_time last_used_;
+  boost::asio::steady_timer idle_timer_;
   std::uint64_t next_correlation_id_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters_;
   std::deque<queued_frame> queue_;
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::milliseconds kBackoffMax{10'000};
 constexpr std::chrono::milliseconds kDialTimeout{1'000};
 constexpr unsigned kMaxBackoffDoublings = 7;
+constexpr std::chrono::seconds kForgetInterval{5};
 
 /// Full-jitter exponential backoff: uniform between 0 and the exponential bound.
 std::chrono::milliseconds Backoff(unsigned failures) {
@@ -35,8 +36,8 @@
 
 class peer_pool::impl {
  public:
-  impl(fiber_runtime& runtime, peer_context& context)
-      : runtime_(runtime), context_(context), shards_(runtime.thread_count()) {}
+  impl(fiber_runtime& runtime, peer_context& context, peer_pool_options options)
+      : runtime_(runtime), context_(context), options_(options), shards_(runtime.thread_count()) {}
 
   peer_result Request(const support::socket_address& address, wire::envelope_t message,
                       steady_time deadline, cancellation* cancel) {
@@ -53,6 +54,10 @@
     });
   }
 
+  void OnLinkBroken(std::function<void(const support::socket_address&)> listener) {
+    on_link_broken_ = std::move(listener);
+  }
+
   void Stop() {
     for (std::size_t i = 0; i < shards_.size(); ++i) {
       runtime_.Run(i, [this, i] {
@@ -71,17 +76,21 @@
     bool dialling = false;
     unsigned failures = 0;
     steady_time retry_at{};
+    steady_time last_request{};
     boost::fibers::condition_variable_any dialled;
   };
   /// Links of one thread, used on that thread only.
   struct shard {
     std::map<support::socket_address, entry> entries;
     bool stopping = false;
+    steady_time next_forget{};
   };
 
   std::shared_ptr<peer_link> Acquire(const support::socket_address& address, steady_time deadline) {
     shard& own = shards_[fiber_runtime::CurrentThread()];
+    ForgetUnused(own);
     entry& item = own.entries[address];
+    item.last_request = std::chrono::steady_clock::now();
     boost::fibers::mutex mutex;
     while (item.dialling) {
       std::unique_lock lock(mutex);
@@ -122,17 +131,39 @@
     socket->set_option(tcp::no_delay(true), error);
     auto link =
         std::make_shared<peer_link>(std::move(*socket), context_, [](const auto&, const auto&) {});
-    Spawn([link] { link->ReadLoop(); });
+    link->CloseWhenIdle(options_.idle_timeout);
+    Spawn([this, link, address] {
+      link->ReadLoop();
+      if (!link->closed_as_idle() && !shards_[fiber_runtime::CurrentThread()].stopping &&
+          on_link_broken_) {
+        on_link_broken_(address);
+      }
+    });
     return link;
   }
 
+  /// Drops the state of addresses that were not used for the idle time.
+  void ForgetUnused(shard& own) const {
+    const auto now = std::chrono::steady_clock::now();
+    if (now < own.next_forget) return;
+    own.next_forget = now + kForgetInterval;
+    std::erase_if(own.entries, [&](const auto& pair) {
+      const entry& item = pair.second;
+      const bool open = item.link != nullptr && !item.link->closed();
+      // A fiber that waits for a dial used the entry within the longest deadline of a request.
+      return !open && !item.dialling && now >= item.last_request + options_.idle_timeout;
+    });
+  }
+
   fiber_runtime& runtime_;
   peer_context& context_;
+  peer_pool_options options_;
   std::vector<shard> shards_;
+  std::function<void(const support::socket_address&)> on_link_broken_;
 };
 
-peer_pool::peer_pool(fiber_runtime& runtime, peer_context& context)
-    : impl_(std::make_unique<impl>(runtime, context)) {}
+peer_pool::peer_pool(fiber_runtime& runtime, peer_context& context, peer_pool_options options)
+    : impl_(std::make_unique<impl>(runtime, context, options)) {}
 
 peer_pool::~peer_pool() = default;
 
@@ -141,6 +172,10 @@
   return impl_->Request(address, std::move(message), deadline, cancel);
 }
 
+void peer_pool::OnLinkBroken(std::function<void(const support::socket_address&)> listener) {
+  impl_->OnLinkBroken(std::move(listener));
+}
+
 void peer_pool::Send(const support::socket_address& address, wire::envelope_t message) {
   impl_->Send(address, std::move(message));
 }
--- a/lib/net/peer_server.cpp
+++ b/lib/net/peer_server.cpp
@@ -20,7 +20,8 @@
         listener_(runtime,
                   [this](boost::asio::ip::tcp::socket socket) { Serve(std::move(socket)); }),
         links_(runtime.thread_count()) {
-    listener_.LimitAcceptRate(options_.accepts_per_second);
+    listener_.LimitAcceptRate(options_.accepts_per_second /
+                              static_cast<double>(runtime.thread_count()));
   }
 
   std::string Start() { return listener_.Start(options_.address); }
--- a/lib/node/membership_service.cpp
+++ b/lib/node/membership_service.cpp
@@ -1,161 +1,205 @@
 #include "membership_service.h"
 
-#include <algorithm>
 #include <random>
 
 namespace siskinrack::node {
 namespace {
 
+using membership::member_change;
+using membership::message_purpose;
+using membership::outgoing;
+using membership::time_ms;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kExchangeInterval{500};
-constexpr milliseconds kExchangeTimeout{500};
+/// Finer than the shortest period of the protocol, the spread of probes after a broken link.
+constexpr milliseconds kTickInterval{100};
 constexpr milliseconds kProbeInterval{1'000};
 constexpr milliseconds kStartProbeInterval{50};
-constexpr unsigned kFailuresUntilDead = 3;
 
 std::mt19937_64& Random() {
   thread_local std::mt19937_64 random{std::random_device{}()};
   return random;
 }
 
-std::uint64_t StartTimeMs() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
+time_ms Now() {
+  return std::chrono::duration_cast<time_ms>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+std::uint64_t StartTimeMs(milliseconds clock_skew) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch() + clock_skew;
   return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
 }
 
+std::string_view EventName(member_change change) {
+  switch (change) {
+    case member_change::kAlive:
+      return "member_alive";
+    case member_change::kSuspect:
+      return "member_suspect";
+    case member_change::kDead:
+      return "member_dead";
+    case member_change::kDraining:
+      break;
+  }
+  return "member_draining";
+}
+
+std::vector<std::string> SeedTexts(const node_settings& settings) {
+  std::vector<std::string> seeds;
+  for (const auto& seed : settings.seeds) seeds.push_back(seed.ToText());
+  return seeds;
+}
+
 }  // namespace
 
+membership_service::membership_service(node_context& context, serving_service& serving,
+                                       peer_version_listener on_peer_version)
+    : context_(context),
+      serving_(serving),
+      on_peer_version_(std::move(on_peer_version)),
+      gossip_(context.members, SeedTexts(context.settings)) {}
+
 void membership_service::Start(const support::socket_address& peer_address,
                                const support::socket_address& admin_address) {
   const node_settings& settings = context_.settings;
-  self_.node_id = settings.node_id;
-  self_.failure_domain = settings.failure_domain;
-  self_.region = settings.region;
-  self_.peer_address = settings.advertise_address.value_or(peer_address).ToText();
-  self_.admin_address = admin_address.ToText();
-  self_.service = settings.service;
-  self_.slots = settings.slots;
-  self_.incarnation = StartTimeMs();
-  Announce(settings.upstream_address ? wire::upstream_state::starting : wire::upstream_state::none);
-  context_.runtime.Post(0, [this] { ExchangeLoop(); });
+  membership::member_record self;
+  self.node_id = settings.node_id;
+  self.failure_domain = settings.failure_domain;
+  self.region = settings.region;
+  self.peer_address = settings.advertise_address.value_or(peer_address).ToText();
+  self.admin_address = admin_address.ToText();
+  self.service = settings.service;
+  self.slots = settings.slots;
+  self.incarnation = StartTimeMs(settings.clock_skew);
+  self.served_version = context_.config.Current()->config.version;
+  self.state =
+      settings.upstream_address ? wire::upstream_state::starting : wire::upstream_state::none;
+  Perform(gossip_.Start(std::move(self), Now(), Random()));
+  context_.peers.OnLinkBroken(
+      [this](const support::socket_address& address) { OnLinkBroken(address); });
+  context_.runtime.Post(0, [this] { TickLoop(); });
   if (settings.upstream_address) context_.runtime.Post(0, [this] { UpstreamLoop(); });
 }
 
 void membership_service::Announce(wire::upstream_state state) {
-  const std::lock_guard lock(mutex_);
-  self_.state = state;
-  self_.served_version = context_.config.Current()->config.version;
-  ++self_.sequence;
-  context_.members.Merge(self_);
-}
-
-void membership_service::ExchangeLoop() {
-  while (!context_.refusing) {
-    auto members = context_.members.All();
-    std::erase_if(members, [&](const auto& member) {
-      return member.node_id == context_.settings.node_id ||
-             member.health == wire::member_health::dead;
-    });
-    if (!members.empty()) {
-      const auto& peer = members[Random()() % members.size()];
-      const auto address = support::ParseSocketAddress(peer.peer_address);
-      if (address) ExchangeWith(*address, peer.node_id);
-    }
-    // Seeds stay in use, so that parts of the fleet that lost each other find together again.
-    const auto& seeds = context_.settings.seeds;
-    if (!seeds.empty()) ExchangeWith(seeds[Random()() % seeds.size()], "");
-    net::SleepFor(kExchangeInterval);
-  }
+  // Runs in a fiber, because callers may be outside the runtime.
+  context_.runtime.Post(0, [this, state] { Perform(gossip_.SetState(state, Now(), Random())); });
 }
 
-template <typename Exchange>
-Exchange membership_service::MakeExchange() const {
-  Exchange exchange;
-  const config_snapshot_ptr snapshot = context_.config.Current();
-  exchange.config_version = snapshot->config.version;
-  exchange.config_digest = snapshot->digest;
-  exchange.table_digest = context_.members.Digest();
-  for (const auto& member : context_.members.All()) {
-    exchange.records.push_back(std::make_unique<wire::member_record_t>(member));
-  }
-  return exchange;
-}
-
-void membership_service::ExchangeWith(const support::socket_address& address,
-                                      const std::string& node_id) {
-  auto result =
-      context_.peers.Request(address, wire::MakeEnvelope(MakeExchange<wire::exchange_t>()),
-                             std::chrono::steady_clock::now() + kExchangeTimeout);
-  const auto* reply = result.reply == nullptr ? nullptr : result.reply->message.Asexchange_reply();
-  if (reply == nullptr) {
-    const std::lock_guard lock(mutex_);
-    if (node_id.empty() || ++failures_[node_id] < kFailuresUntilDead) return;
-    auto record = context_.members.Find(node_id);
-    if (!record || record->health == wire::member_health::dead) return;
-    record->health = wire::member_health::dead;
-    context_.members.Merge(*record);
-    context_.log.Info("member_dead", {{"member", node_id}});
-    return;
-  }
-  {
-    const std::lock_guard lock(mutex_);
-    failures_.erase(result.reply->sender);
+void membership_service::PublishServedVersion(std::uint64_t version) {
+  gossip_.SetServedVersion(version);
+}
+
+void membership_service::TickLoop() {
+  // A node that refuses new work still takes part until it exits, so that peers learn of its state
+  // and don't suspect it while it completes requests.
+  while (true) {
+    Perform(gossip_.Tick(Now(), Random()));
+    net::SleepFor(kTickInterval);
   }
-  MergeRecords(reply->records);
-  on_peer_version_(address, reply->config_version);
 }
 
-void membership_service::MergeRecords(
-    const std::vector<std::unique_ptr<wire::member_record_t>>& records) {
-  for (const auto& record : records) {
-    if (record->node_id != context_.settings.node_id) {
-      context_.members.Merge(*record);
+void membership_service::Perform(membership::gossip_step step) {
+  for (const auto& event : step.events) {
+    context_.log.Info(EventName(event.change), {{"member", event.node_id}});
+  }
+  for (outgoing& message : step.messages) {
+    const auto address = support::ParseSocketAddress(message.address);
+    if (!address) continue;
+    if (message.purpose == message_purpose::kPush) {
+      context_.peers.Send(*address, std::move(message.message));
       continue;
     }
-    const std::lock_guard lock(mutex_);
-    if (!membership::Supersedes(*record, self_)) continue;
-    // Someone suspects this node, or remembers an earlier life of it: refute with a higher number.
-    self_.incarnation = std::max(self_.incarnation, record->incarnation) + 1;
-    self_.sequence = 1;
-    context_.members.Merge(self_);
+    FillConfigFields(message.message.message.Asexchange());
+    auto shared = std::make_shared<outgoing>(std::move(message));
+    net::Spawn([this, shared] { SendAndAwait(std::move(*shared)); });
   }
 }
 
-std::optional<support::socket_address> membership_service::AddressOf(
-    const std::string& node_id) const {
-  const auto member = context_.members.Find(node_id);
-  return member ? support::ParseSocketAddress(member->peer_address) : std::nullopt;
+void membership_service::SendAndAwait(outgoing message) {
+  const auto address = support::ParseSocketAddress(message.address);
+  if (!address) return;
+  const auto deadline = std::chrono::steady_clock::now() + message.timeout;
+  const auto result = context_.peers.Request(*address, message.message, deadline);
+  if (result.reply == nullptr) {
+    Perform(gossip_.OnNoReply(message, Now(), Random()));
+    return;
+  }
+  Perform(gossip_.OnReply(message, *result.reply, Now(), Random()));
+  ReportPeerVersion(*result.reply, message.address);
+}
+
+void membership_service::ReportPeerVersion(const wire::envelope_t& message,
+                                           const std::string& address) {
+  const auto* exchange = message.message.Asexchange();
+  const auto* reply = message.message.Asexchange_reply();
+  if (exchange == nullptr && reply == nullptr) return;
+  const std::uint64_t version =
+      exchange != nullptr ? exchange->config_version : reply->config_version;
+  if (const auto peer = support::ParseSocketAddress(address)) on_peer_version_(*peer, version);
+}
+
+template <typename Exchange>
+void membership_service::FillConfigFields(Exchange* exchange) const {
+  if (exchange == nullptr) return;
+  const config_snapshot_ptr snapshot = context_.config.Current();
+  exchange->config_version = snapshot->config.version;
+  exchange->config_digest = snapshot->digest;
+}
+
+bool membership_service::Reaches(const std::string& address) {
+  const auto target = support::ParseSocketAddress(address);
+  if (!target) return false;
+  const auto deadline = std::chrono::steady_clock::now() + membership::kAnswerTimeout;
+  return context_.peers.Request(*target, wire::MakeEnvelope(wire::probe_request_t{}), deadline)
+             .reply != nullptr;
+}
+
+void membership_service::OnLinkBroken(const support::socket_address& address) {
+  const std::string text = address.ToText();
+  for (const auto& member : context_.members.All()) {
+    if (member.peer_address == text) gossip_.OnLinkBroken(member.node_id, Now(), Random());
+  }
 }
 
 void membership_service::UpstreamLoop() {
   bool serving = false;
   while (!context_.draining) {
     const bool healthy = serving_.ProbeUpstream();
-    if (healthy && !serving) {
+    if (healthy && !serving && !context_.draining) {
       serving = true;
-      Announce(wire::upstream_state::serving);
+      Perform(gossip_.SetState(wire::upstream_state::serving, Now(), Random()));
       context_.log.Info("upstream_serving", {{"service", context_.settings.service}});
     }
     net::SleepFor(serving ? kProbeInterval : kStartProbeInterval);
   }
 }
 
-void membership_service::PublishServedVersion(std::uint64_t version) {
-  const std::lock_guard lock(mutex_);
-  self_.served_version = version;
-  ++self_.sequence;
-  context_.members.Merge(self_);
-}
-
 std::optional<wire::envelope_t> membership_service::Handle(const wire::envelope_t& message) {
-  const auto* exchange = message.message.Asexchange();
-  if (exchange == nullptr) return std::nullopt;
-  MergeRecords(exchange->records);
-  if (const auto address = AddressOf(message.sender)) {
-    on_peer_version_(*address, exchange->config_version);
+  if (message.message.Asexchange() == nullptr && message.message.Asprobe_request() == nullptr) {
+    return std::nullopt;
+  }
+  const bool wants_reply = message.correlation_id != 0;
+  auto step = gossip_.OnRequest(message.sender, message.message, wants_reply, Now(), Random());
+  auto reply = std::move(step.reply);
+  const auto probe_address = std::move(step.probe_address);
+  Perform(std::move(step));
+  // A push carries no version.
+  const auto sender = wants_reply ? context_.members.Find(message.sender) : std::nullopt;
+  if (sender) {
+    // In a fiber of its own: the listener may fetch a configuration, which takes longer than the
+    // peer waits for this reply.
+    net::Spawn(
+        [this, address = sender->peer_address, copy = std::make_shared<wire::envelope_t>(message)] {
+          ReportPeerVersion(*copy, address);
+        });
+  }
+  if (!reply) return std::nullopt;
+  FillConfigFields(reply->message.Asexchange_reply());
+  if (auto* probe = reply->message.Asprobe_reply(); probe != nullptr && probe_address) {
+    probe->reachable = Reaches(*probe_address);
   }
-  return wire::MakeEnvelope(MakeExchange<wire::exchange_reply_t>());
+  return reply;
 }
 
 }  // namespace siskinrack::node
--- a/lib/node/membership_service.h
+++ b/lib/node/membership_service.h
@@ -2,17 +2,17 @@
 #define SISKINRACK_LIB_NODE_MEMBERSHIP_SERVICE_H_
 
 #include <functional>
-#include <map>
-#include <mutex>
+#include <memory>
 #include <optional>
 #include <string>
 
 #include "node_context.h"
 #include "serving_service.h"
+#include "siskinrack/membership/gossip.h"
 
 namespace siskinrack::node {
 
-/// Announces the upstream of this VM and exchanges member records with peers.
+/// Announces the upstream of this VM and runs the membership protocol with peers.
 class membership_service {
  public:
   /// Runs when a peer says which configuration version it holds.
@@ -20,8 +20,7 @@
       std::function<void(const support::socket_address& peer, std::uint64_t version)>;
 
   membership_service(node_context& context, serving_service& serving,
-                     peer_version_listener on_peer_version)
-      : context_(context), serving_(serving), on_peer_version_(std::move(on_peer_version)) {}
+                     peer_version_listener on_peer_version);
 
   /// Starts the loops on the first runtime thread. `peer_address` is where other nodes dial.
   void Start(const support::socket_address& peer_address,
@@ -30,26 +29,29 @@
   /// Handles the membership messages of peers; returns the reply if the message has one.
   std::optional<wire::envelope_t> Handle(const wire::envelope_t& message);
 
-  /// Publishes a new state of the upstream of this VM.
+  /// Publishes a new state of the upstream of this VM; may be called from any thread. A drain or a
+  /// departure is sent to peers at once.
   void Announce(wire::upstream_state state);
   /// Publishes the configuration version that this node serves.
   void PublishServedVersion(std::uint64_t version);
 
  private:
-  void ExchangeLoop();
+  void TickLoop();
   void UpstreamLoop();
-  void ExchangeWith(const support::socket_address& address, const std::string& node_id);
-  void MergeRecords(const std::vector<std::unique_ptr<wire::member_record_t>>& records);
-  [[nodiscard]] std::optional<support::socket_address> AddressOf(const std::string& node_id) const;
+  /// Logs the events and sends each message in a fiber of its own.
+  void Perform(membership::gossip_step step);
+  void SendAndAwait(membership::outgoing message);
+  void ReportPeerVersion(const wire::envelope_t& message, const std::string& address);
+  /// Fills the configuration fields of an exchange or its reply.
   template <typename Exchange>
-  Exchange MakeExchange() const;
+  void FillConfigFields(Exchange* exchange) const;
+  [[nodiscard]] bool Reaches(const std::string& address);
+  void OnLinkBroken(const support::socket_address& address);
 
   node_context& context_;
   serving_service& serving_;
   peer_version_listener on_peer_version_;
-  mutable std::mutex mutex_;
-  membership::member_record self_;
-  std::map<std::string, unsigned> failures_;
+  membership::gossip gossip_;
 };
 
 }  // namespace siskinrack::node
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -18,6 +18,8 @@
 /// Equal to the largest deadline of a request, so that the bound cuts no request off.
 constexpr milliseconds kMaxDrainWait{30'000};
 constexpr milliseconds kDrainPoll{10};
+/// Time for the announcement of the departure to be sent.
+constexpr milliseconds kLeaveWait{100};
 
 void ReportListenError(std::string_view setting, const std::string& error,
                        support::findings& problems) {
@@ -79,6 +81,8 @@
            std::chrono::steady_clock::now() < end) {
       std::this_thread::sleep_for(kDrainPoll);
     }
+    membership_.Announce(wire::upstream_state::left);
+    std::this_thread::sleep_for(kLeaveWait);
     context_.log.Info("drain_finished", {{"in_flight", serving_.in_flight()}});
   }
 
