admission, balancing: interfaces and failing tests

Cause: the entry node takes upstreams in turn and the serving node forwards without a limit, so a flood of any rank takes all slots.

--- /dev/null
+++ b/lib/admission/caller_queue.cpp
@@ -0,0 +1,75 @@
+#include "siskinrack/admission/caller_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace siskinrack::admission {
+
+void caller_queue::Push(queued_call call) {
+  ++size_;
+  for (lane& item : lanes_) {
+    if (item.front().caller != call.caller) continue;
+    item.push_back(std::move(call));
+    return;
+  }
+  lanes_.emplace_back().push_back(std::move(call));
+}
+
+queued_call caller_queue::Pop() {
+  assert(!empty() && "nothing waits");
+  lane& first = lanes_.front();
+  queued_call call = std::move(first.front());
+  first.pop_front();
+  --size_;
+  if (first.empty()) {
+    lanes_.pop_front();
+  } else {
+    lanes_.splice(lanes_.end(), lanes_, lanes_.begin());
+  }
+  return call;
+}
+
+queued_call caller_queue::PopFromLongest() {
+  assert(!empty() && "nothing waits");
+  const auto longest =
+      std::max_element(lanes_.begin(), lanes_.end(),
+                       [](const lane& a, const lane& b) { return a.size() < b.size(); });
+  queued_call call = std::move(longest->back());
+  longest->pop_back();
+  --size_;
+  if (longest->empty()) lanes_.erase(longest);
+  return call;
+}
+
+bool caller_queue::Erase(std::uint64_t ticket) {
+  bool found = false;
+  EraseIf([ticket](const queued_call& call) { return call.ticket == ticket; },
+          [&](const queued_call&) { found = true; });
+  return found;
+}
+
+void caller_queue::EraseIf(const std::function<bool(const queued_call&)>& predicate,
+                           const std::function<void(const queued_call&)>& removed) {
+  for (auto item = lanes_.begin(); item != lanes_.end();) {
+    size_ -= std::erase_if(*item, [&](const queued_call& call) {
+      if (!predicate(call)) return false;
+      removed(call);
+      return true;
+    });
+    item = item->empty() ? lanes_.erase(item) : std::next(item);
+  }
+}
+
+std::size_t caller_queue::CallsAhead(std::string_view caller) const {
+  std::size_t own = 0;
+  for (const lane& item : lanes_) {
+    if (item.front().caller == caller) own = item.size();
+  }
+  std::size_t ahead = own;
+  for (const lane& item : lanes_) {
+    if (item.front().caller != caller) ahead += std::min(item.size(), own + 1);
+  }
+  return ahead;
+}
+
+}  // namespace siskinrack::admission
--- /dev/null
+++ b/unittests/admission/controller_test.cpp
@@ -0,0 +1,240 @@
+#include "siskinrack/admission/controller.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+
+namespace siskinrack::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::vector<config::rank_policy> kRanks = {
+    {"background", 5000, 1, 10}, {"normal", 1000, 20, 20}, {"urgent", 200, 100, 40}};
+
+time_point At(std::int64_t ms) { return time_point() + std::chrono::hours(1) + milliseconds(ms); }
+
+bool Runs(const decisions& list, std::uint64_t ticket) {
+  return std::any_of(list.begin(), list.end(),
+                     [&](const decision& item) { return item.ticket == ticket && item.run; });
+}
+
+const decision* Refused(const decisions& list, std::uint64_t ticket) {
+  for (const decision& item : list) {
+    if (item.ticket == ticket && !item.run) return &item;
+  }
+  return nullptr;
+}
+
+arrival Call(std::uint64_t ticket, std::string_view rank, std::int64_t deadline_ms,
+             std::string_view caller = "a") {
+  return {ticket, rank, caller, At(deadline_ms)};
+}
+
+/// Runs one call so that the controller knows the rank's service time.
+void Teach(controller& subject, std::string_view rank, std::int64_t service_ms) {
+  subject.Offer(Call(9'000'000, rank, 100'000), At(0));
+  subject.Finish(9'000'000, call_result::kAnswered, At(service_ms));
+}
+
+/// Constant arrivals per rank against one upstream. Its service time is constant up to its number
+/// of slots and grows with the calls beyond them.
+class load_run {
+ public:
+  struct stream {
+    std::string rank;
+    double per_second;
+    std::string caller = "a";
+  };
+
+  load_run(std::uint32_t slots, std::int64_t service_ms)
+      : subject_({slots, milliseconds(0)}, kRanks), slots_(slots), service_(service_ms) {}
+
+  void Run(const std::vector<stream>& streams, std::int64_t duration_ms) {
+    std::vector<double> due(streams.size(), 0);
+    for (std::int64_t ms = 0; ms < duration_ms; ++ms) {
+      Complete(At(ms));
+      for (std::size_t i = 0; i < streams.size(); ++i) {
+        for (due[i] += streams[i].per_second / 1000; due[i] >= 1; due[i] -= 1) {
+          const std::uint64_t ticket = ++next_;
+          names_[ticket] = streams[i].rank + '/' + streams[i].caller;
+          ++offered_[names_[ticket]];
+          end_by_[ticket] = At(ms + Target(streams[i].rank));
+          Apply(
+              subject_.Offer({ticket, streams[i].rank, streams[i].caller, At(ms + 10'000)}, At(ms)),
+              At(ms));
+        }
+      }
+    }
+  }
+
+  /// Share of the calls of a rank and caller that were answered within the rank's target.
+  double Answered(const std::string& name) { return double(answered_[name]) / offered_[name]; }
+  std::size_t answered_count(const std::string& name) { return answered_[name]; }
+
+ private:
+  void Apply(const decisions& list, time_point now) {
+    for (const decision& item : list) {
+      if (!item.run) continue;
+      const std::size_t over = std::max<std::size_t>(1, (ends_.size() + 1) / slots_);
+      ends_.emplace(now + service_ * over, item.ticket);
+    }
+  }
+  void Complete(time_point now) {
+    while (!ends_.empty() && ends_.begin()->first <= now) {
+      const std::uint64_t ticket = ends_.begin()->second;
+      ends_.erase(ends_.begin());
+      if (now <= end_by_[ticket]) ++answered_[names_[ticket]];
+      Apply(subject_.Finish(ticket, call_result::kAnswered, now), now);
+    }
+  }
+
+  static std::int64_t Target(std::string_view rank) {
+    for (const auto& policy : kRanks) {
+      if (policy.name == rank) return policy.target_ms;
+    }
+    return 0;
+  }
+
+  controller subject_;
+  std::size_t slots_;
+  milliseconds service_;
+  std::uint64_t next_ = 0;
+  std::map<std::uint64_t, std::string> names_;
+  std::map<std::uint64_t, time_point> end_by_;
+  std::map<std::string, std::size_t> offered_, answered_;
+  std::set<std::pair<time_point, std::uint64_t>> ends_;
+};
+
+// Guards against more calls on an upstream than it has slots.
+TEST(AdmissionController, CallsBeyondTheSlotsWait) {
+  controller subject({2, milliseconds(0)}, kRanks);
+  EXPECT_TRUE(Runs(subject.Offer(Call(1, "normal", 900), At(0)), 1));
+  EXPECT_TRUE(Runs(subject.Offer(Call(2, "normal", 900), At(0)), 2));
+  EXPECT_TRUE(subject.Offer(Call(3, "normal", 900), At(0)).empty());
+  EXPECT_EQ(subject.Load(At(0)).queued, 1U);
+  EXPECT_TRUE(Runs(subject.Finish(1, call_result::kAnswered, At(10)), 3));
+}
+
+// Guards against a flood of the most urgent rank that takes all slots: 20x of what fits.
+TEST(AdmissionController, UrgentFloodLeavesTheFloorsOfOthers) {
+  load_run run(6, 20);  // 300 calls/s fit
+  run.Run({{"urgent", 6000}, {"normal", 55}, {"background", 27}}, 20'000);
+  EXPECT_GT(run.Answered("normal/a"), 0.95);
+  EXPECT_GT(run.Answered("background/a"), 0.95);
+  EXPECT_GT(run.answered_count("urgent/a"), 20 * 300 * 0.65);
+}
+
+// Guards against background work that delays urgent work.
+TEST(AdmissionController, BackgroundFloodLeavesUrgentUntouched) {
+  load_run run(6, 20);
+  run.Run({{"background", 3000}, {"urgent", 200}, {"normal", 50}}, 20'000);
+  EXPECT_GT(run.Answered("urgent/a"), 0.995);
+  EXPECT_GT(run.Answered("normal/a"), 0.97);
+}
+
+// Guards against one caller that takes the place of the others of its rank.
+TEST(AdmissionController, CallersOfARankShareIt) {
+  load_run run(6, 20);
+  run.Run({{"normal", 3000, "greedy"}, {"normal", 100, "modest"}}, 10'000);
+  EXPECT_GT(run.Answered("normal/modest"), 0.95);
+}
+
+// Guards against queueing work that can't be done in time.
+TEST(AdmissionController, CallThatCannotMakeItsDeadlineIsRefusedAtOnce) {
+  controller subject({1, milliseconds(0)}, kRanks);
+  Teach(subject, "normal", 100);
+  subject.Offer(Call(1, "normal", 5000), At(100));
+  const auto by_deadline = subject.Offer(Call(2, "normal", 250), At(100));
+  ASSERT_NE(Refused(by_deadline, 2), nullptr);
+  EXPECT_EQ(Refused(by_deadline, 2)->reason, refusal::kDeadline);
+  for (std::uint64_t i = 3; i < 20; ++i) subject.Offer(Call(i, "normal", 5000), At(100));
+  const auto by_target = subject.Offer(Call(20, "normal", 5000), At(100));
+  ASSERT_NE(Refused(by_target, 20), nullptr);
+  EXPECT_EQ(Refused(by_target, 20)->reason, refusal::kRankTarget);
+}
+
+// Guards against a slow spell after which everything is refused, because no call teaches the
+// controller that the upstream is fast again.
+TEST(AdmissionController, SlowSpellIsForgotten) {
+  controller subject({1, milliseconds(0)}, kRanks);
+  Teach(subject, "urgent", 4000);
+  EXPECT_EQ(subject.Offer(Call(1, "urgent", 30'000), At(4000)).front().run, false);
+  EXPECT_EQ(subject.Offer(Call(2, "urgent", 40'000), At(12'000)).front().run, true);
+}
+
+// Guards against a full queue that keeps background work and turns urgent work away.
+TEST(AdmissionController, FullQueueShedsItsLeastWorthyEntry) {
+  controller subject({1, milliseconds(0)}, kRanks);
+  std::uint64_t ticket = 0;
+  decisions list;
+  while (list.empty() || list.front().run) {
+    list = subject.Offer(Call(++ticket, "background", 60'000), At(0));
+    ASSERT_LT(ticket, 1000U);
+  }
+  EXPECT_EQ(list.front().reason, refusal::kQueueFull);
+  list = subject.Offer(Call(5000, "urgent", 60'000), At(0));
+  ASSERT_EQ(list.size(), 1U);
+  EXPECT_NE(list.front().ticket, 5000U);
+  EXPECT_FALSE(list.front().run);
+  EXPECT_TRUE(Runs(subject.Finish(1, call_result::kAnswered, At(1)), 5000));
+}
+
+// Guards against a starting upstream that gets its full load at once.
+TEST(AdmissionController, SlotsGrowDuringTheRamp) {
+  controller subject({6, milliseconds(2000)}, kRanks);
+  subject.StartRamp(At(0));
+  EXPECT_EQ(subject.Load(At(0)).limit, 1U);
+  EXPECT_EQ(subject.Load(At(1000)).limit, 3U);
+  EXPECT_EQ(subject.Load(At(2000)).limit, 6U);
+}
+
+// Guards against a Retry-After that is cut short and a limit that stays as it was.
+TEST(AdmissionController, SheddingUpstreamIsLeftAloneAndGetsHalf) {
+  controller subject({8, milliseconds(0)}, kRanks);
+  subject.Offer(Call(1, "normal", 5000), At(0));
+  subject.Finish(1, call_result::kShed, At(1), milliseconds(600));
+  EXPECT_EQ(subject.Load(At(1)).limit, 4U);
+  const auto urgent = subject.Offer(Call(2, "urgent", 5000), At(2));
+  ASSERT_NE(Refused(urgent, 2), nullptr);
+  EXPECT_EQ(Refused(urgent, 2)->reason, refusal::kUpstreamPause);
+  EXPECT_EQ(Refused(urgent, 2)->retry_after, milliseconds(599));
+  EXPECT_TRUE(subject.Offer(Call(3, "normal", 5000), At(2)).empty());
+  EXPECT_TRUE(subject.Advance(At(600)).empty());
+  EXPECT_TRUE(Runs(subject.Advance(At(601)), 3));
+  EXPECT_TRUE(Runs(subject.Offer(Call(4, "normal", 5000), At(601)), 4));
+  for (std::uint64_t i = 3; i < 100; ++i) {
+    subject.Offer(Call(i + 100, "normal", 50'000), At(700));
+    subject.Finish(i + 100, call_result::kAnswered, At(701));
+  }
+  EXPECT_EQ(subject.Load(At(701)).limit, 8U);
+}
+
+// Guards against a cancelled call that keeps its place or its slot.
+TEST(AdmissionController, CancelledCallLeavesQueueAndSlot) {
+  controller subject({1, milliseconds(0)}, kRanks);
+  subject.Offer(Call(1, "normal", 900), At(0));
+  subject.Offer(Call(2, "normal", 900), At(0));
+  subject.Offer(Call(3, "normal", 900), At(0));
+  EXPECT_TRUE(subject.Withdraw(2));
+  EXPECT_FALSE(subject.Withdraw(2));
+  EXPECT_TRUE(Runs(subject.Finish(1, call_result::kAbandoned, At(5)), 3));
+}
+
+// Guards against lost calls and slots when a new configuration arrives.
+TEST(AdmissionController, NewConfigurationKeepsWaitingCalls) {
+  controller subject({1, milliseconds(0)}, kRanks);
+  subject.Offer(Call(1, "urgent", 900), At(0));
+  subject.Offer(Call(2, "background", 900), At(0));
+  subject.Configure({2, milliseconds(0)}, std::vector{kRanks[1], kRanks[2]});
+  EXPECT_TRUE(Runs(subject.Advance(At(1)), 2));
+  subject.Finish(1, call_result::kAnswered, At(2));
+  subject.Finish(2, call_result::kAnswered, At(2));
+  EXPECT_EQ(subject.Load(At(2)).in_flight, 0U);
+}
+
+}  // namespace
+}  // namespace siskinrack::admission
