--- a/lib/balancing/retry_budget.cpp
+++ b/lib/balancing/retry_budget.cpp
@@ -1,13 +1,30 @@
 #include "siskinrack/balancing/retry_budget.h"
 
 namespace siskinrack::balancing {
+namespace {
 
-void retry_budget::AddRequest() {}
+constexpr std::int64_t kTenthsPerRetry = 10;
+/// Credit of 200 requests, so that a quiet day doesn't pay for a storm.
+constexpr std::int64_t kMaxTenths = 20 * kTenthsPerRetry;
 
-bool retry_budget::TakeRetry() { return true; }
+}  // namespace
+
+void retry_budget::AddRequest() {
+  if (tenths_.load(std::memory_order_relaxed) >= kMaxTenths) return;
+  tenths_.fetch_add(1, std::memory_order_relaxed);
+}
+
+bool retry_budget::TakeRetry() {
+  std::int64_t held = tenths_.load(std::memory_order_relaxed);
+  while (held >= kTenthsPerRetry) {
+    if (tenths_.compare_exchange_weak(held, held - kTenthsPerRetry)) return true;
+  }
+  return false;
+}
 
 bool MayRetry(const attempt_result& result) {
-  return result.refused_not_run || result.outcome_unknown;
+  if (result.attempt > 0) return false;
+  return result.refused_not_run || (result.outcome_unknown && result.repeatable);
 }
 
 }  // namespace siskinrack::balancing
--- a/unittests/admission/controller_test.cpp
+++ b/unittests/admission/controller_test.cpp
@@ -72,7 +72,9 @@
   }
 
   /// Share of the calls of a rank and caller that were answered within the rank's target.
-  double Answered(const std::string& name) { return double(answered_[name]) / offered_[name]; }
+  double Answered(const std::string& name) {
+    return static_cast<double>(answered_[name]) / static_cast<double>(offered_[name]);
+  }
   std::size_t answered_count(const std::string& name) { return answered_[name]; }
 
  private:
