node: failing tests of the request path

Cause: the entry and serving services use neither admission nor balancing, take malformed headers as other values and pass the caller's deadline on unchanged.

--- /dev/null
+++ b/unittests/node/request_path_fixture.h
@@ -0,0 +1,120 @@
+#ifndef SISKINRACK_UNITTESTS_NODE_REQUEST_PATH_FIXTURE_H_
+#define SISKINRACK_UNITTESTS_NODE_REQUEST_PATH_FIXTURE_H_
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+#include "entry_service.h"
+#include "node_context.h"
+#include "serving_service.h"
+#include "siskinrack/config/canonical_json.h"
+#include "siskinrack/net/http_server.h"
+
+namespace siskinrack::node {
+
+/// Configuration with the service "counter" (2 slots), three ranks and two routes.
+inline config::mesh_config TestConfig() {
+  config::mesh_config config;
+  config.version = 1;
+  config.plan_id = "plan";
+  config.resources.services = {{.name = "counter", .slots = 2}};
+  config.resources.ranks = {{"background", 5000, 1, 10}, {"urgent", 300, 100, 40}};
+  config.resources.routes = {
+      {.name = "order",
+       .prefix = "/order",
+       .service = "counter",
+       .rank = "urgent",
+       .non_repeatable = true},
+      {.name = "tray", .prefix = "/tray", .service = "counter", .rank = "urgent"}};
+  return config;
+}
+
+/// An upstream in this process with a handler of the test's own, and the node beside it.
+class test_node {
+ public:
+  test_node(const std::string& id, net::http_handler handler)
+      : upstream_(upstream_runtime_, {.address = {"127.0.0.1", 0}}, std::move(handler)),
+        context_(Settings(id, upstream_)),
+        serving_(context_),
+        entry_(context_, serving_),
+        peer_server_(context_.runtime, context_.peer, {.address = {"127.0.0.1", 0}},
+                     [this](const wire::envelope_t& message, net::cancellation& cancel) {
+                       return std::optional(wire::MakeEnvelope(
+                           serving_.Serve(*message.message.Ascall_request(), cancel)));
+                     }) {
+    EXPECT_EQ(peer_server_.Start(), "");
+    support::findings problems;
+    context_.config.Activate(config::ToJson(TestConfig()), problems);
+    EXPECT_TRUE(problems.empty());
+  }
+
+  ~test_node() {
+    context_.peers.Stop();
+    peer_server_.Stop();
+    for (std::size_t i = 0; i < context_.runtime.thread_count(); ++i) {
+      context_.runtime.Run(i, [&] { context_.upstream_client.CloseIdle(); });
+    }
+    upstream_.Stop();
+  }
+  test_node(const test_node&) = delete;
+  test_node& operator=(const test_node&) = delete;
+
+  membership::member_record Record() const {
+    membership::member_record record;
+    record.node_id = context_.settings.node_id;
+    record.failure_domain = "domain";
+    record.peer_address = support::socket_address{"127.0.0.1", peer_server_.port()}.ToText();
+    record.service = "counter";
+    record.state = wire::upstream_state::serving;
+    record.slots = 2;
+    record.incarnation = 1;
+    return record;
+  }
+
+  node_context& context() { return context_; }
+  serving_service& serving() { return serving_; }
+
+  /// Sends a caller's request on runtime thread `index` and waits for the response.
+  net::http_response Send(net::http_request request, std::size_t index = 0) {
+    net::http_response response;
+    net::cancellation cancel;
+    context_.runtime.Run(index, [&] { response = entry_.Handle(std::move(request), cancel); });
+    return response;
+  }
+  net::http_response Send(net::http_request request, net::cancellation& cancel) {
+    net::http_response response;
+    context_.runtime.Run(0, [&] { response = entry_.Handle(std::move(request), cancel); });
+    return response;
+  }
+
+ private:
+  static node_settings Settings(const std::string& id, net::http_server& upstream) {
+    EXPECT_EQ(upstream.Start(), "");
+    node_settings settings;
+    settings.node_id = id;
+    settings.failure_domain = "domain";
+    settings.upstream_address = support::socket_address{"127.0.0.1", upstream.port()};
+    settings.service = "counter";
+    settings.slots = 2;
+    settings.log_level = support::log_level::kError;
+    return settings;
+  }
+
+  net::fiber_runtime upstream_runtime_{1};
+  net::http_server upstream_;
+  node_context context_;
+  serving_service serving_;
+  entry_service entry_;
+  net::peer_server peer_server_;
+};
+
+inline std::string Outcome(const net::http_response& response) {
+  return std::string(net::FindField(response.fields, "x-siskinrack-outcome"));
+}
+
+}  // namespace siskinrack::node
+
+#endif  // SISKINRACK_UNITTESTS_NODE_REQUEST_PATH_FIXTURE_H_
--- /dev/null
+++ b/unittests/node/request_path_test.cpp
@@ -0,0 +1,195 @@
+#include <thread>
+
+#include "request_path_fixture.h"
+
+namespace siskinrack::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+net::http_request Get(std::string target, std::vector<net::http_field> fields = {}) {
+  return {"GET", std::move(target), std::move(fields), {}};
+}
+
+/// Takes the request and never answers, until the connection is closed.
+net::http_response Freeze(net::cancellation& cancel) {
+  while (!cancel.cancelled()) net::SleepFor(milliseconds(2));
+  return {};
+}
+
+// Guards against a malformed header that is silently taken as another value.
+TEST(RequestPath, MalformedHeadersGet400NotRun) {
+  std::atomic<int> runs = 0;
+  test_node subject("a", [&](const net::http_request&, net::cancellation&) {
+    ++runs;
+    return net::http_response{};
+  });
+  subject.context().members.Merge(subject.Record());
+  const std::vector<net::http_field> malformed = {
+      {"x-siskinrack-deadline-ms", "12x"},
+      {"x-siskinrack-deadline-ms", ""},
+      {"x-siskinrack-deadline-ms", "-1"},
+      {"x-siskinrack-deadline-ms", "99999999999999999999"},
+      {"x-siskinrack-attempt", "one"},
+      {"x-siskinrack-attempt", "256"},
+      {"x-siskinrack-rank", "no-such"},
+      {"x-siskinrack-rank", ""},
+      {"X-Siskinrack-Caller", std::string(200, 'x')}};
+  for (const net::http_field& field : malformed) {
+    const auto response = subject.Send(Get("/tray", {field}));
+    EXPECT_EQ(response.status, 400U) << field.name << ": " << field.value;
+    EXPECT_EQ(Outcome(response), "not-run") << field.name << ": " << field.value;
+  }
+  EXPECT_EQ(subject.Send(Get("/order")).status, 400U) << "no idempotency key";
+  EXPECT_EQ(runs, 0);
+}
+
+// Guards against an upstream that works on calls whose caller no longer waits.
+TEST(RequestPath, UpstreamGetsTheRemainingTime) {
+  std::string seen;
+  test_node subject("a", [&](const net::http_request& request, net::cancellation&) {
+    for (const auto& field : request.fields) {
+      if (field.name == "x-siskinrack-deadline-ms") seen += field.value + ';';
+    }
+    if (request.target == "/tray/slow") net::SleepFor(milliseconds(100));
+    return net::http_response{};
+  });
+  subject.context().members.Merge(subject.Record());
+  std::vector<std::thread> busy;
+  busy.reserve(2);
+  for (int i = 0; i < 2; ++i) busy.emplace_back([&] { subject.Send(Get("/tray/slow")); });
+  std::this_thread::sleep_for(milliseconds(30));
+  seen.clear();
+  subject.Send(Get("/tray/b", {{"x-siskinrack-deadline-ms", "290"}}));
+  for (auto& thread : busy) thread.join();
+  ASSERT_FALSE(seen.empty());
+  EXPECT_EQ(std::count(seen.begin(), seen.end(), ';'), 1) << seen;
+  EXPECT_LE(std::stoi(seen), 260) << "70 ms of waiting for a slot";
+  EXPECT_GT(std::stoi(seen), 100);
+}
+
+// Guards against more calls on an upstream than its slots, and against lost wake-ups between the
+// threads of the runtime.
+TEST(RequestPath, UpstreamNeverGetsMoreThanItsSlots) {
+  std::atomic<int> running = 0, most = 0;
+  test_node subject("a", [&](const net::http_request&, net::cancellation&) {
+    most = std::max<int>(most, ++running);
+    net::SleepFor(milliseconds(5));
+    --running;
+    return net::http_response{};
+  });
+  subject.context().members.Merge(subject.Record());
+  std::atomic<int> answered = 0;
+  std::vector<std::thread> callers;
+  callers.reserve(8);
+  for (std::size_t i = 0; i < 8; ++i) {
+    callers.emplace_back([&, i] {
+      for (int n = 0; n < 20; ++n) {
+        const auto response = subject.Send(Get("/tray"), i % 2);
+        if (Outcome(response) == "answered") ++answered;
+      }
+    });
+  }
+  for (auto& thread : callers) thread.join();
+  EXPECT_LE(most, 2);
+  EXPECT_EQ(answered, 160);
+}
+
+// Guards against a slot or a queue place that stays taken after the caller hung up.
+TEST(RequestPath, CancelledCallsFreeSlotAndQueuePlace) {
+  test_node subject("a", [&](const net::http_request& request, net::cancellation& cancel) {
+    return request.target == "/tray/frozen" ? Freeze(cancel) : net::http_response{};
+  });
+  subject.context().members.Merge(subject.Record());
+  net::cancellation cancels[6];
+  std::vector<std::thread> callers;
+  callers.reserve(8);
+  for (auto& cancel : cancels) {
+    callers.emplace_back([&] {
+      subject.Send(Get("/tray/frozen", {{"x-siskinrack-rank", "background"}}), cancel);
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(50));
+  for (auto& cancel : cancels) cancel.Cancel();
+  for (auto& thread : callers) thread.join();
+  EXPECT_EQ(subject.serving().in_flight(), 0U);
+  EXPECT_EQ(Outcome(subject.Send(Get("/tray/b"))), "answered");
+}
+
+class retry_test : public testing::Test {
+ protected:
+  /// Frozen upstreams let the call time out after it was sent, so that its outcome is unknown.
+  net::http_response Answer(const net::http_request& request, net::cancellation& cancel) {
+    const int run = ++runs_;
+    last_attempt_ = net::FindField(request.fields, "x-siskinrack-attempt");
+    if (run == 1 && first_ == "frozen") {
+      net::SleepFor(milliseconds(150));
+      return Freeze(cancel);
+    }
+    if (run == 1 && first_ == "sheds") {
+      return {503, {{"x-siskinrack-outcome", "not-run"}, {"Retry-After", "1"}}, {}};
+    }
+    if (run == 2 && second_ == "sheds") {
+      return {503, {{"x-siskinrack-outcome", "not-run"}}, {}};
+    }
+    return {200, {}, "done"};
+  }
+  net::http_handler Handler() {
+    return [this](const net::http_request& request, net::cancellation& cancel) {
+      return Answer(request, cancel);
+    };
+  }
+  void SetUp() override {
+    for (test_node* target : {&a_, &b_}) {
+      a_.context().members.Merge(target->Record());
+    }
+  }
+
+  std::string first_, second_, last_attempt_;
+  std::atomic<int> runs_ = 0;
+  test_node a_{"a", Handler()};
+  test_node b_{"b", Handler()};
+};
+
+TEST_F(retry_test, RefusedCallRunsAtAnotherUpstream) {
+  first_ = "sheds";
+  const auto response = a_.Send(Get("/order", {{"idempotency-key", "k"}}));
+  EXPECT_EQ(Outcome(response), "answered");
+  EXPECT_EQ(response.body, "done");
+  EXPECT_EQ(last_attempt_, "1");
+}
+
+// Guards against retries that multiply over a chain of calls.
+TEST_F(retry_test, NestedCallOfARetriedAttemptIsNotRetried) {
+  first_ = "sheds";
+  const auto response = a_.Send(Get("/tray", {{"x-siskinrack-attempt", "1"}}));
+  EXPECT_EQ(Outcome(response), "not-run");
+  EXPECT_EQ(net::FindField(response.fields, "retry-after"), "1");
+  EXPECT_EQ(runs_, 1);
+}
+
+// Guards against a second run of an order, and against calling a sent call not run.
+TEST_F(retry_test, NonRepeatableCallWithUnknownOutcomeIsNotSentAgain) {
+  first_ = "frozen";
+  const auto response =
+      a_.Send(Get("/order", {{"idempotency-key", "k"}, {"x-siskinrack-deadline-ms", "100"}}));
+  EXPECT_EQ(Outcome(response), "unknown");
+  EXPECT_EQ(response.status, 504U);
+  EXPECT_EQ(runs_, 1);
+}
+
+// Guards against an upstream that claims the outcome field of the system for itself.
+TEST_F(retry_test, OutcomeOfAnAnswerIsTheSystemsOwn) {
+  test_node subject("c", [&](const net::http_request&, net::cancellation&) {
+    return net::http_response{200, {{"X-Siskinrack-Outcome", "unknown"}}, "x"};
+  });
+  subject.context().members.Merge(subject.Record());
+  const auto response = subject.Send(Get("/tray"));
+  EXPECT_EQ(Outcome(response), "answered");
+  EXPECT_EQ(std::count_if(response.fields.begin(), response.fields.end(),
+                          [](const auto& field) { return field.name.size() == 20; }),
+            1);
+}
+
+}  // namespace
+}  // namespace siskinrack::node
