node: admission at the serving node, balancing and retries at the entry node

Change: a gate around the admission controller suspends waiting calls and wakes them across threads; the entry node chooses by cost over a cached endpoint list, retries once within the budget and keeps the outcome of the first attempt if that may have run; headers are read strictly; Retry-After is understood as seconds and as a date. The controller takes a hung upstream as an expected wait; a timeout closes an endpoint only if it was long.

--- a/include/siskinrack/admission/controller.h
+++ b/include/siskinrack/admission/controller.h
@@ -141,6 +141,8 @@
   bool ramping_ = false;
   double shed_limit_;
   time_point last_cut_;
+  /// When a call last started or ended.
+  time_point last_progress_;
   time_point paused_until_;
 };
 
--- a/include/siskinrack/balancing/endpoint_state.h
+++ b/include/siskinrack/balancing/endpoint_state.h
@@ -15,8 +15,11 @@
 enum class call_outcome {
   /// Answered by the upstream without an error of its own.
   kAnswered,
-  /// Broken, timed out, unreachable or answered with a server error.
+  /// Broken, unreachable or answered with a server error.
   kFailed,
+  /// No answer until the deadline. It counts as a failure only if an answer was due by then, so
+  /// that a caller with a very short deadline doesn't close an endpoint.
+  kTimedOut,
   /// Refused as not run.
   kRefused,
   /// The caller went away; says nothing about the endpoint.
--- a/lib/admission/controller.cpp
+++ b/lib/admission/controller.cpp
@@ -201,7 +201,8 @@
   double slot_times =
       std::max(ahead / available, (ahead + static_cast<double>(more_worthy)) / limit);
   if (floor > 0) slot_times = std::min(slot_times, ahead / floor);
-  return Scaled(Service(rank, now), slot_times);
+  // While no slot becomes free, the wait is expected to last as long again as it has lasted.
+  return std::max(Scaled(Service(rank, now), slot_times), now - last_progress_);
 }
 
 std::size_t controller::QueueCapacity() const {
@@ -273,6 +274,7 @@
   rank.use = SmoothedUse(rank, now);
   rank.use_at = now;
   rank.in_flight = count;
+  last_progress_ = now;
 }
 
 void controller::Learn(rank_state& rank, nanoseconds took, time_point now) {
--- a/lib/balancing/endpoint_state.cpp
+++ b/lib/balancing/endpoint_state.cpp
@@ -16,6 +16,9 @@
 constexpr double kFailurePenaltyMs = 1000;
 /// A refusal costs the caller a retry or the answer, but the upstream works.
 constexpr double kRefusalPenaltyMs = 50;
+/// A timeout is a failure if it took longer than this many usual latencies and the margin.
+constexpr double kTimeoutFactor = 4;
+constexpr double kTimeoutMarginMs = 100;
 /// A smaller rest would still decide between two idle endpoints of equal latency.
 constexpr double kNegligiblePenaltyMs = 0.1;
 constexpr nanoseconds kPenaltyWindow = milliseconds(2000);
@@ -75,6 +78,9 @@
     case call_outcome::kFailed:
       OnFailure(now);
       break;
+    case call_outcome::kTimedOut:
+      if (Ms(report.latency) > kTimeoutFactor * latency_ms_ + kTimeoutMarginMs) OnFailure(now);
+      break;
     case call_outcome::kRefused:
       // The serving node answers, so the endpoint isn't broken.
       failures_ = 0;
--- /dev/null
+++ b/lib/node/endpoint_cache.h
@@ -0,0 +1,52 @@
+#ifndef SISKINRACK_LIB_NODE_ENDPOINT_CACHE_H_
+#define SISKINRACK_LIB_NODE_ENDPOINT_CACHE_H_
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "node_context.h"
+#include "siskinrack/balancing/endpoint_tracker.h"
+#include "siskinrack/balancing/selection.h"
+
+namespace siskinrack::node {
+
+struct endpoint {
+  std::string node_id;
+  support::socket_address address;
+};
+
+/// Endpoints of one service; `candidates` has the same order.
+struct endpoint_list {
+  std::vector<endpoint> endpoints;
+  std::vector<balancing::candidate> candidates;
+};
+
+/// Endpoint lists by service, so that a request copies no member records. A list is read again from
+/// the member table after 10 ms, far below the time in which members learn of a change.
+class endpoint_cache {
+ public:
+  explicit endpoint_cache(node_context& context) : context_(context) {}
+
+  std::shared_ptr<const endpoint_list> Find(std::string_view service);
+
+ private:
+  struct cached_list {
+    std::mutex mutex;
+    std::shared_ptr<const endpoint_list> list;
+    net::steady_time read_at;
+  };
+
+  std::shared_ptr<const endpoint_list> Read(std::string_view service);
+
+  node_context& context_;
+  balancing::endpoint_tracker tracker_;
+  balancing::sharded_registry<cached_list> lists_;
+  std::atomic<std::uint64_t> reads_ = 0;
+};
+
+}  // namespace siskinrack::node
+
+#endif  // SISKINRACK_LIB_NODE_ENDPOINT_CACHE_H_
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -1,17 +1,25 @@
 #include "entry_service.h"
 
-#include <charconv>
+#include <boost/beast/core/string.hpp>
+#include <random>
 
 #include "outcome.h"
+#include "request_headers.h"
 
 namespace siskinrack::node {
 namespace {
 
+using balancing::call_outcome;
 using std::chrono::milliseconds;
+using std::chrono::steady_clock;
 
-constexpr std::uint32_t kMaxDeadlineMs = 30'000;
 /// Time for the answer to travel back after the upstream's deadline.
 constexpr milliseconds kAnswerMargin{20};
+constexpr unsigned kFirstServerError = 500;
+
+bool IsField(std::string_view name, std::string_view expected) {
+  return name.size() == expected.size() && boost::beast::iequals(name, expected);
+}
 
 std::string_view OutcomeText(wire::outcome_kind outcome) {
   switch (outcome) {
@@ -25,45 +33,58 @@
   return kUnknownText;
 }
 
+/// Whole seconds, rounded up, so that the pause is kept whole; at least one second, so that a
+/// refused caller doesn't come back at once.
+std::string RetryAfterText(const wire::call_answer_t& answer) {
+  const auto pause = std::chrono::ceil<std::chrono::seconds>(milliseconds(answer.retry_after_ms));
+  return std::to_string(std::max<std::int64_t>(1, pause.count()));
+}
+
 net::http_response ToHttp(wire::call_answer_t answer) {
   net::http_response response;
   response.status = answer.status;
+  response.fields.reserve(answer.headers.size() + 3);
   for (auto& field : answer.headers) {
-    if (field->name == kOutcomeField || field->name == kReasonField) continue;
+    if (IsField(field->name, kOutcomeField) || IsField(field->name, kReasonField)) continue;
     response.fields.push_back({std::move(field->name), std::move(field->value)});
   }
   response.fields.push_back({std::string(kOutcomeField), std::string(OutcomeText(answer.outcome))});
   if (!answer.reason.empty()) {
     response.fields.push_back({std::string(kReasonField), answer.reason});
   }
+  const bool may_come_back =
+      answer.outcome == wire::outcome_kind::not_run &&
+      (answer.status == kStatusUnavailable || answer.status == kStatusTooManyRequests);
+  if (may_come_back && net::FindField(response.fields, kRetryAfterField).empty()) {
+    response.fields.push_back({std::string(kRetryAfterField), RetryAfterText(answer)});
+  }
   response.body.assign(answer.body.begin(), answer.body.end());
   if (response.body.empty() && !answer.reason.empty()) response.body = answer.reason + '\n';
   return response;
 }
 
-/// Remaining time that the caller gives, else the rank's target.
-std::uint32_t DeadlineMs(const net::http_request& request, const config::rank_policy& rank) {
-  const std::string_view text = net::FindField(request.fields, kDeadlineField);
-  std::uint32_t deadline_ms = rank.target_ms;
-  std::from_chars(text.data(), text.data() + text.size(), deadline_ms);
-  return std::min(deadline_ms, kMaxDeadlineMs);
+/// Fields that travel in members of the call of their own.
+bool IsTyped(std::string_view name) {
+  return IsField(name, kDeadlineField) || IsField(name, kAttemptField);
 }
 
-wire::call_request_t MakeCall(net::http_request request, const config::route& route,
-                              const config::rank_policy& rank, std::uint64_t config_version) {
+wire::call_request_t MakeCall(net::http_request request, const request_headers& headers,
+                              const config::route& route, const config::rank_policy& rank,
+                              std::uint64_t config_version) {
   wire::call_request_t call;
   call.service = route.service;
   call.rank = rank.name;
-  call.caller = net::FindField(request.fields, kCallerField);
-  call.request_id = net::FindField(request.fields, kRequestIdField);
-  if (route.non_repeatable) {
-    call.idempotency_key = net::FindField(request.fields, kIdempotencyKeyField);
-  }
-  call.deadline_ms = DeadlineMs(request, rank);
+  call.caller = headers.caller;
+  call.request_id = headers.request_id;
+  if (route.non_repeatable) call.idempotency_key = headers.idempotency_key;
+  call.deadline_ms = std::min(headers.deadline_ms.value_or(rank.target_ms), kMaxDeadlineMs);
+  call.attempt = headers.attempt;
   call.config_version = config_version;
   call.method = std::move(request.method);
   call.target = std::move(request.target);
+  call.headers.reserve(request.fields.size());
   for (net::http_field& field : request.fields) {
+    if (IsTyped(field.name)) continue;
     auto copy = std::make_unique<wire::header_field_t>();
     copy->name = std::move(field.name);
     copy->value = std::move(field.value);
@@ -73,37 +94,118 @@
   return call;
 }
 
+std::uint64_t Random() {
+  thread_local std::mt19937_64 random{std::random_device{}()};
+  return random();
+}
+
+call_outcome OutcomeFor(const wire::call_answer_t& answer, bool cancelled) {
+  if (cancelled) return call_outcome::kAbandoned;
+  switch (answer.outcome) {
+    case wire::outcome_kind::answered:
+      // A 503 with Retry-After sheds load; its pause keeps work away.
+      if (answer.retry_after_ms > 0) return call_outcome::kRefused;
+      return answer.status >= kFirstServerError ? call_outcome::kFailed : call_outcome::kAnswered;
+    case wire::outcome_kind::unknown:
+      return answer.status == kStatusGatewayTimeout ? call_outcome::kTimedOut
+                                                    : call_outcome::kFailed;
+    case wire::outcome_kind::not_run:
+      break;
+  }
+  // A deadline that can't be met says more about the caller than about the endpoint.
+  if (answer.status == kStatusGatewayTimeout) return call_outcome::kAbandoned;
+  // A refusal without a load report comes from a node that doesn't serve the service (any more).
+  const bool serves = answer.slots > 0 && answer.reason != kUnreachableReason;
+  return serves ? call_outcome::kRefused : call_outcome::kFailed;
+}
+
+balancing::call_report ReportFor(const wire::call_answer_t& answer, bool cancelled,
+                                 steady_clock::duration latency) {
+  balancing::call_report report{
+      OutcomeFor(answer, cancelled), latency, {}, milliseconds(answer.retry_after_ms)};
+  if (answer.slots > 0) {
+    report.load = balancing::reported_load{answer.in_flight, answer.queued, answer.slots};
+  }
+  return report;
+}
+
+wire::call_answer_t PausedAnswer(std::chrono::nanoseconds retry_after) {
+  auto answer = NotRun(kStatusUnavailable, "all upstreams asked for a pause");
+  answer.retry_after_ms =
+      static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(retry_after).count());
+  return answer;
+}
+
 }  // namespace
 
 net::http_response entry_service::Handle(net::http_request request, net::cancellation& cancel) {
   if (context_.refusing) return ToHttp(NotRun(kStatusUnavailable, "node is shutting down"));
+  std::string problem;
+  const request_headers headers = ReadRequestHeaders(request, problem);
+  if (!problem.empty()) return ToHttp(NotRun(kStatusBadRequest, problem));
   const config_snapshot_ptr snapshot = context_.config.Current();
   const config::mesh_resources& resources = snapshot->config.resources;
   const config::route* route = resources.MatchRoute(request.target);
   if (route == nullptr) return ToHttp(NotRun(kStatusNotFound, "no route"));
-  const std::string_view named_rank = net::FindField(request.fields, kRankField);
   const config::rank_policy* rank =
-      resources.FindRank(named_rank.empty() ? std::string_view(route->rank) : named_rank);
+      resources.FindRank(headers.rank.empty() ? std::string_view(route->rank) : headers.rank);
   if (rank == nullptr) return ToHttp(NotRun(kStatusBadRequest, "unknown rank"));
-  return ToHttp(
-      Forward(MakeCall(std::move(request), *route, *rank, snapshot->config.version), cancel));
+  if (route->non_repeatable && headers.idempotency_key.empty()) {
+    return ToHttp(NotRun(kStatusBadRequest, "route needs an idempotency key"));
+  }
+  // The views of `headers` point into the fields, which MakeCall moves only after it read them.
+  return ToHttp(Forward(
+      MakeCall(std::move(request), headers, *route, *rank, snapshot->config.version), cancel));
 }
 
 wire::call_answer_t entry_service::Forward(wire::call_request_t call, net::cancellation& cancel) {
-  const auto endpoints = context_.members.Endpoints(call.service);
-  if (endpoints.empty()) return NotRun(kStatusUnavailable, "no upstream");
-  return ForwardTo(endpoints[next_endpoint_++ % endpoints.size()], call, cancel);
+  const auto deadline = steady_clock::now() + milliseconds(call.deadline_ms);
+  const auto list = endpoints_.Find(call.service);
+  if (list->endpoints.empty()) return NotRun(kStatusUnavailable, "no upstream");
+  const auto budget = retry_budgets_.Get(call.service);
+  budget->AddRequest();
+  const auto first = balancing::Choose(list->candidates, steady_clock::now(), Random());
+  if (!first.index) return PausedAnswer(first.retry_after);
+  wire::call_answer_t answer = Attempt(*list, *first.index, call, deadline, cancel);
+
+  const bool not_run = answer.outcome == wire::outcome_kind::not_run;
+  const bool retry = balancing::MayRetry({call.attempt, call.idempotency_key.empty(), not_run,
+                                          answer.outcome == wire::outcome_kind::unknown});
+  if (!retry || cancel.cancelled() || list->endpoints.size() < 2 ||
+      steady_clock::now() >= deadline) {
+    return answer;
+  }
+  const auto second =
+      balancing::Choose(list->candidates, steady_clock::now(), Random(), first.index);
+  if (!second.index || !budget->TakeRetry()) return answer;
+  ++call.attempt;
+  wire::call_answer_t retried = Attempt(*list, *second.index, call, deadline, cancel);
+  // The first attempt may have run, whatever the second one says.
+  if (!not_run && retried.outcome == wire::outcome_kind::not_run) return answer;
+  return retried;
+}
+
+wire::call_answer_t entry_service::Attempt(const endpoint_list& list, std::size_t index,
+                                           wire::call_request_t& call, net::steady_time deadline,
+                                           net::cancellation& cancel) {
+  const auto start = steady_clock::now();
+  const auto remaining = std::chrono::ceil<milliseconds>(deadline - start).count();
+  if (remaining <= 0) return NotRun(kStatusGatewayTimeout, "deadline has passed");
+  call.deadline_ms = static_cast<std::uint32_t>(remaining);
+  balancing::endpoint_state& state = *list.candidates[index].state;
+  state.Start(start);
+  wire::call_answer_t answer = ForwardTo(list.endpoints[index], call, cancel);
+  const auto end = steady_clock::now();
+  state.Finish(ReportFor(answer, cancel.cancelled(), end - start), end);
+  return answer;
 }
 
-wire::call_answer_t entry_service::ForwardTo(const membership::member_record& endpoint,
+wire::call_answer_t entry_service::ForwardTo(const endpoint& target,
                                              const wire::call_request_t& call,
                                              net::cancellation& cancel) {
-  if (endpoint.node_id == context_.settings.node_id) return serving_.Serve(call, cancel);
-  const auto address = support::ParseSocketAddress(endpoint.peer_address);
-  if (!address) return NotRun(kStatusUnavailable, "upstream has no address");
-  const auto deadline =
-      std::chrono::steady_clock::now() + milliseconds(call.deadline_ms) + kAnswerMargin;
-  auto result = context_.peers.Request(*address, wire::MakeEnvelope(call), deadline, &cancel);
+  if (target.node_id == context_.settings.node_id) return serving_.Serve(call, cancel);
+  const auto deadline = steady_clock::now() + milliseconds(call.deadline_ms) + kAnswerMargin;
+  auto result = context_.peers.Request(target.address, wire::MakeEnvelope(call), deadline, &cancel);
   if (result.stage == net::exchange_stage::kNotSent) {
     return NotRun(kStatusUnavailable, "serving node is unreachable");
   }
--- a/lib/node/entry_service.h
+++ b/lib/node/entry_service.h
@@ -1,8 +1,7 @@
 #ifndef SISKINRACK_LIB_NODE_ENTRY_SERVICE_H_
 #define SISKINRACK_LIB_NODE_ENTRY_SERVICE_H_
 
-#include <atomic>
-
+#include "endpoint_cache.h"
 #include "node_context.h"
 #include "serving_service.h"
 
@@ -12,19 +11,25 @@
 class entry_service {
  public:
   entry_service(node_context& context, serving_service& serving)
-      : context_(context), serving_(serving) {}
+      : context_(context), serving_(serving), endpoints_(context) {}
 
   /// Answers one request of a caller. Runs in a fiber and may suspend.
   net::http_response Handle(net::http_request request, net::cancellation& cancel);
 
  private:
+  /// Forwards to the chosen upstream and, where it's safe, once more to another one. A call with
+  /// an idempotency key is not repeatable.
   wire::call_answer_t Forward(wire::call_request_t call, net::cancellation& cancel);
-  wire::call_answer_t ForwardTo(const membership::member_record& endpoint,
-                                const wire::call_request_t& call, net::cancellation& cancel);
+  wire::call_answer_t Attempt(const endpoint_list& list, std::size_t index,
+                              wire::call_request_t& call, net::steady_time deadline,
+                              net::cancellation& cancel);
+  wire::call_answer_t ForwardTo(const endpoint& target, const wire::call_request_t& call,
+                                net::cancellation& cancel);
 
   node_context& context_;
   serving_service& serving_;
-  std::atomic<std::uint64_t> next_endpoint_ = 0;
+  endpoint_cache endpoints_;
+  balancing::retry_budgets retry_budgets_;
 };
 
 }  // namespace siskinrack::node
--- a/lib/node/outcome.h
+++ b/lib/node/outcome.h
@@ -15,6 +15,11 @@
 inline constexpr std::string_view kRequestIdField = "x-request-id";
 inline constexpr std::string_view kIdempotencyKeyField = "idempotency-key";
 
+inline constexpr std::string_view kRetryAfterField = "retry-after";
+
+/// Reason of a call that didn't reach its upstream; load balancing counts it as a failure.
+inline constexpr std::string_view kUnreachableReason = "upstream is unreachable";
+
 inline constexpr std::string_view kAnsweredText = "answered";
 inline constexpr std::string_view kNotRunText = "not-run";
 inline constexpr std::string_view kUnknownText = "unknown";
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -1,8 +1,7 @@
 #include "serving_service.h"
 
-#include <charconv>
-
 #include "outcome.h"
+#include "request_headers.h"
 
 namespace siskinrack::node {
 namespace {
@@ -11,24 +10,73 @@
 
 constexpr milliseconds kProbeTimeout{500};
 
-net::http_request ToHttp(const wire::call_request_t& call) {
+/// The upstream's request carries the time that is left and the number of retries before it.
+net::http_request ToHttp(const wire::call_request_t& call, milliseconds remaining) {
   net::http_request request{call.method, call.target, {}, {call.body.begin(), call.body.end()}};
+  request.fields.reserve(call.headers.size() + 2);
   for (const auto& field : call.headers) request.fields.push_back({field->name, field->value});
+  request.fields.push_back({std::string(kDeadlineField), std::to_string(remaining.count())});
+  if (call.attempt > 0) {
+    request.fields.push_back({std::string(kAttemptField), std::to_string(call.attempt)});
+  }
   return request;
 }
 
+/// Counts a call for as long as it lives.
+class in_flight_count {
+ public:
+  explicit in_flight_count(std::atomic<std::size_t>& counter) : counter_(counter) { ++counter_; }
+  ~in_flight_count() { --counter_; }
+  in_flight_count(const in_flight_count&) = delete;
+  in_flight_count& operator=(const in_flight_count&) = delete;
+
+ private:
+  std::atomic<std::size_t>& counter_;
+};
+
 /// An upstream that refuses without having run the request says so in the outcome field.
 bool SaysNotRun(const net::http_response& response) {
-  return net::FindField(response.fields, kOutcomeField) == kNotRunText;
+  return response.status >= kStatusBadRequest &&
+         net::FindField(response.fields, kOutcomeField) == kNotRunText;
+}
+
+std::string_view RefusalText(admission::refusal reason) {
+  switch (reason) {
+    case admission::refusal::kDeadline:
+      return "deadline can't be met";
+    case admission::refusal::kRankTarget:
+      return "wait would exceed the target of the rank";
+    case admission::refusal::kQueueFull:
+      return "queue is full";
+    case admission::refusal::kUpstreamPause:
+      break;
+  }
+  return "upstream asked for a pause";
+}
+
+wire::call_answer_t Refused(const admission::decision& decision) {
+  const bool late = decision.reason == admission::refusal::kDeadline;
+  auto answer =
+      NotRun(late ? kStatusGatewayTimeout : kStatusUnavailable, RefusalText(decision.reason));
+  answer.retry_after_ms =
+      static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(decision.retry_after).count());
+  return answer;
 }
 
-std::uint32_t RetryAfterMs(const net::http_response& response) {
-  constexpr std::uint32_t kMsPerSecond = 1000;
-  constexpr std::uint32_t kMaxSeconds = 3600;
-  const std::string_view text = net::FindField(response.fields, "Retry-After");
-  std::uint32_t seconds = 0;
-  std::from_chars(text.data(), text.data() + text.size(), seconds);
-  return std::min(seconds, kMaxSeconds) * kMsPerSecond;
+admission::call_result ResultOf(const wire::call_answer_t& answer, bool cancelled) {
+  if (answer.retry_after_ms > 0 && answer.status == kStatusUnavailable) {
+    return admission::call_result::kShed;
+  }
+  switch (answer.outcome) {
+    case wire::outcome_kind::answered:
+      return admission::call_result::kAnswered;
+    case wire::outcome_kind::not_run:
+      return answer.reason == kUnreachableReason ? admission::call_result::kAbandoned
+                                                 : admission::call_result::kShed;
+    case wire::outcome_kind::unknown:
+      break;
+  }
+  return cancelled ? admission::call_result::kAbandoned : admission::call_result::kFailed;
 }
 
 }  // namespace
@@ -49,26 +97,41 @@
 
 wire::call_answer_t serving_service::Serve(const wire::call_request_t& call,
                                            net::cancellation& cancel) {
+  // Counted before the check, so that a shutdown which sees no call in flight misses none.
+  const in_flight_count count(in_flight_);
   if (context_.refusing) return NotRun(kStatusUnavailable, "node is shutting down");
   if (!context_.settings.upstream_address || call.service != context_.settings.service) {
     return NotRun(kStatusUnavailable, "service is not served here");
   }
-  ++in_flight_;
-  wire::call_answer_t answer = SendToUpstream(call, cancel);
-  answer.in_flight = static_cast<std::uint16_t>(in_flight_.load());
-  answer.slots = context_.settings.slots;
+  const auto deadline = std::chrono::steady_clock::now() + milliseconds(call.deadline_ms);
+  wire::call_answer_t answer = Admit(call, deadline, cancel);
+  const admission::upstream_load load = gate_->Load();
+  answer.in_flight = static_cast<std::uint16_t>(load.in_flight);
+  answer.queued = static_cast<std::uint16_t>(load.queued);
+  answer.slots = static_cast<std::uint16_t>(load.limit);
   answer.node_id = context_.settings.node_id;
-  --in_flight_;
+  return answer;
+}
+
+wire::call_answer_t serving_service::Admit(const wire::call_request_t& call,
+                                           net::steady_time deadline, net::cancellation& cancel) {
+  const admission::decision decision = gate_->Enter(call, deadline, cancel);
+  if (!decision.run) return Refused(decision);
+  wire::call_answer_t answer = SendToUpstream(call, deadline, cancel);
+  gate_->Leave(decision.ticket, ResultOf(answer, cancel.cancelled()),
+               milliseconds(answer.retry_after_ms));
   return answer;
 }
 
 wire::call_answer_t serving_service::SendToUpstream(const wire::call_request_t& call,
+                                                    net::steady_time deadline,
                                                     net::cancellation& cancel) {
-  const auto deadline = std::chrono::steady_clock::now() + milliseconds(call.deadline_ms);
-  net::http_result result = context_.upstream_client.Send(*context_.settings.upstream_address,
-                                                          ToHttp(call), deadline, &cancel);
+  const auto remaining =
+      std::chrono::ceil<milliseconds>(deadline - std::chrono::steady_clock::now());
+  net::http_result result = context_.upstream_client.Send(
+      *context_.settings.upstream_address, ToHttp(call, remaining), deadline, &cancel);
   if (result.stage == net::exchange_stage::kNotSent) {
-    return NotRun(kStatusUnavailable, "upstream is unreachable");
+    return NotRun(kStatusUnavailable, kUnreachableReason);
   }
   if (result.stage == net::exchange_stage::kSent) {
     return result.timed_out ? Unknown(kStatusGatewayTimeout, "upstream did not answer in time")
@@ -77,7 +140,9 @@
   wire::call_answer_t answer;
   if (SaysNotRun(result.response)) answer = NotRun(kStatusUnavailable, "upstream sheds load");
   answer.status = static_cast<std::uint16_t>(result.response.status);
-  answer.retry_after_ms = RetryAfterMs(result.response);
+  if (answer.outcome == wire::outcome_kind::not_run || answer.status == kStatusUnavailable) {
+    answer.retry_after_ms = RetryAfterMs(result.response, std::chrono::system_clock::now());
+  }
   for (auto& field : result.response.fields) {
     auto copy = std::make_unique<wire::header_field_t>();
     copy->name = std::move(field.name);
@@ -92,7 +157,11 @@
   const auto result = context_.upstream_client.Send(
       *context_.settings.upstream_address, {"GET", "/healthz", {}, {}},
       std::chrono::steady_clock::now() + kProbeTimeout);
-  return result.stage == net::exchange_stage::kAnswered && result.response.status == kStatusOk;
+  if (result.stage == net::exchange_stage::kNotSent) upstream_away_ = true;
+  const bool healthy =
+      result.stage == net::exchange_stage::kAnswered && result.response.status == kStatusOk;
+  if (healthy && upstream_away_.exchange(false)) gate_->StartRamp();
+  return healthy;
 }
 
 }  // namespace siskinrack::node
--- a/lib/node/serving_service.h
+++ b/lib/node/serving_service.h
@@ -4,27 +4,36 @@
 #include <atomic>
 
 #include "node_context.h"
+#include "upstream_gate.h"
 
 namespace siskinrack::node {
 
 /// Serves calls with this VM's upstream.
 class serving_service {
  public:
-  explicit serving_service(node_context& context) : context_(context) {}
+  explicit serving_service(node_context& context)
+      : context_(context), gate_(std::make_shared<upstream_gate>(context)) {}
 
   /// Runs one call; every outcome is typed. Runs in a fiber and may suspend.
   wire::call_answer_t Serve(const wire::call_request_t& call, net::cancellation& cancel);
 
-  /// Asks the upstream's health endpoint once.
+  /// Asks the upstream's health endpoint once. An upstream that answers after it was away starts
+  /// its ramp.
   bool ProbeUpstream();
 
+  /// Calls that run or wait for a slot.
   [[nodiscard]] std::size_t in_flight() const { return in_flight_; }
 
  private:
-  wire::call_answer_t SendToUpstream(const wire::call_request_t& call, net::cancellation& cancel);
+  wire::call_answer_t SendToUpstream(const wire::call_request_t& call, net::steady_time deadline,
+                                     net::cancellation& cancel);
+  wire::call_answer_t Admit(const wire::call_request_t& call, net::steady_time deadline,
+                            net::cancellation& cancel);
 
   node_context& context_;
+  std::shared_ptr<upstream_gate> gate_;
   std::atomic<std::size_t> in_flight_ = 0;
+  std::atomic<bool> upstream_away_ = true;
 };
 
 /// An answer that says that the request did not run.
--- a/unittests/admission/controller_test.cpp
+++ b/unittests/admission/controller_test.cpp
@@ -159,6 +159,18 @@
   EXPECT_EQ(Refused(by_target, 20)->reason, refusal::kRankTarget);
 }
 
+// Guards against a queue before an upstream that hangs: no call ends, so no service time is
+// learned.
+TEST(AdmissionController, HungUpstreamRefusesInTime) {
+  controller subject({1, milliseconds(0)}, kRanks);
+  Teach(subject, "urgent", 10);
+  subject.Offer(Call(1, "urgent", 60'000), At(10));
+  EXPECT_TRUE(subject.Offer(Call(2, "urgent", 60'000), At(50)).empty());
+  const auto late = subject.Offer(Call(3, "urgent", 60'000), At(300));
+  ASSERT_NE(Refused(late, 3), nullptr);
+  EXPECT_EQ(Refused(late, 3)->reason, refusal::kRankTarget);
+}
+
 // Guards against a slow spell after which everything is refused, because no call teaches the
 // controller that the upstream is fast again.
 TEST(AdmissionController, SlowSpellIsForgotten) {
--- a/unittests/balancing/selection_test.cpp
+++ b/unittests/balancing/selection_test.cpp
@@ -102,6 +102,18 @@
   EXPECT_GT(Count(20'000)[0], 200);
 }
 
+// Guards against a caller with a very short deadline that closes endpoints for all.
+TEST_F(selection_test, OnlyLongTimeoutsAreFailures) {
+  Add(true), Add(true);
+  Teach(0, 20, 0), Teach(1, 20, 0);
+  State(0).Start(At(0));
+  State(0).Finish({call_outcome::kTimedOut, milliseconds(5), {}, {}}, At(5));
+  EXPECT_EQ(State(0).View(At(5)).ready, readiness::kOpen);
+  State(0).Start(At(0));
+  State(0).Finish({call_outcome::kTimedOut, milliseconds(900), {}, {}}, At(900));
+  EXPECT_EQ(State(0).View(At(900)).ready, readiness::kClosed);
+}
+
 // Guards against a Retry-After that is cut short.
 TEST_F(selection_test, RetryAfterIsKeptWhole) {
   Add(true), Add(true);
