--- a/lib/node/membership_service.h
+++ b/lib/node/membership_service.h
@@ -32,6 +32,8 @@
   /// Publishes a new state of the upstream of this VM; may be called from any thread. A drain or a
   /// departure is sent to peers at once.
   void Announce(wire::upstream_state state);
+  /// Adds addresses to join through, for a node whose seeds don't answer.
+  void AddSeeds(const std::vector<support::socket_address>& seeds);
   /// Publishes the configuration version that this node serves.
   void PublishServedVersion(std::uint64_t version);
 
@@ -42,6 +44,9 @@
   void Perform(membership::gossip_step step);
   void SendAndAwait(membership::outgoing message);
   void ReportPeerVersion(const wire::envelope_t& message, const std::string& address);
+  /// Passes on what a peer of the same failure domain said of the watcher lease.
+  template <typename Exchange>
+  void HearWatcher(const std::string& sender, const Exchange& exchange);
   /// Fills the configuration fields of an exchange or its reply.
   template <typename Exchange>
   void FillConfigFields(Exchange* exchange) const;
