test: a draining node cuts requests off

Cause: a draining HTTP server closes idle connections and the listener, so a request that is on its way is reset. Change: a unit test of the server; the scenario counts callers that found no connection (unreached) apart from requests that were cut off (unknown).

--- a/test/caller/main.cpp
+++ b/test/caller/main.cpp
@@ -33,6 +33,8 @@
   std::atomic<std::size_t> answered = 0;
   std::atomic<std::size_t> refused = 0;
   std::atomic<std::size_t> unknown = 0;
+  /// No byte was sent, because the node didn't accept a connection.
+  std::atomic<std::size_t> unreached = 0;
   std::atomic<std::size_t> wrong = 0;
   std::atomic<std::size_t> done = 0;
 };
@@ -89,6 +91,10 @@
 
   void Classify(const net::http_result& result, const std::string& id, const std::string& target,
                 const std::string& body) {
+    if (result.stage == net::exchange_stage::kNotSent) {
+      ++totals_.unreached;
+      return;
+    }
     if (result.stage != net::exchange_stage::kAnswered) {
       ++totals_.unknown;
       return;
@@ -153,7 +159,7 @@
   const auto requests = static_cast<std::size_t>(values.integer("requests"));
   std::cout << "event=totals requests_sent=" << requests << " answered_own=" << result.answered
             << " refused_not_run=" << result.refused << " unknown=" << result.unknown
-            << " wrong_answers=" << result.wrong << std::endl;
+            << " unreached=" << result.unreached << " wrong_answers=" << result.wrong << std::endl;
   const bool complete = result.answered == requests;
   const bool allowed = values.flag("allow-refused") && result.answered + result.refused == requests;
   std::_Exit(complete || allowed ? 0 : 1);
--- a/test/scenario_runner/runner.cpp
+++ b/test/scenario_runner/runner.cpp
@@ -273,7 +273,7 @@
   const std::string text = ReadWhole(found->second.log);
   for (const auto& [key, condition] : step.options) {
     if (key != "answered_own" && key != "refused_not_run" && key != "unknown" &&
-        key != "wrong_answers") {
+        key != "unreached" && key != "wrong_answers") {
       continue;
     }
     std::string total;
--- a/unittests/net/http_test.cpp
+++ b/unittests/net/http_test.cpp
@@ -3,6 +3,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <thread>
+
 #include "siskinrack/net/http_client.h"
 #include "siskinrack/net/http_server.h"
 
@@ -11,14 +13,18 @@
 
 using std::chrono::milliseconds;
 
-/// Sends raw bytes on one connection and returns everything until the server closes it.
-std::string Exchange(std::uint16_t port, const std::string& bytes) {
+int Connect(std::uint16_t port) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+  return fd;
+}
+
+/// Sends raw bytes on a connection and returns everything until the server closes it.
+std::string Exchange(int fd, const std::string& bytes) {
   EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
   std::string answer;
   char buffer[4096];
@@ -29,6 +35,10 @@
   return answer;
 }
 
+std::string Exchange(std::uint16_t port, const std::string& bytes) {
+  return Exchange(Connect(port), bytes);
+}
+
 class http_server_test : public testing::Test {
  protected:
   void SetUp() override { ASSERT_EQ(server_.Start(), ""); }
@@ -55,6 +65,20 @@
   EXPECT_LT(first, second);
 }
 
+// Guards against a shutdown that cuts off requests on their way: on a connection that was idle, and
+// on a new one.
+TEST_F(http_server_test, DrainingServerAnswersAndCloses) {
+  const std::string request = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+  const int idle = Connect(server_.port());
+  std::this_thread::sleep_for(milliseconds(20));
+  server_.Drain();
+  std::this_thread::sleep_for(milliseconds(20));
+  for (const std::string& answer : {Exchange(idle, request), Exchange(server_.port(), request)}) {
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+  }
+}
+
 TEST_F(http_server_test, ChunkedBodyIsReadWhole) {
   const std::string answer = Exchange(
       server_.port(),
