net, node: a draining node cuts no request off

Cause: closing the listening socket resets connections in its queue, and closing idle connections races with requests on their way. Change: a draining server answers every request and closes the connection afterwards; at the end the kernel drops new connection attempts (SYN) while those in its queue are served; the node exits when the last answer is written to callers and peers.

--- a/include/siskinrack/net/http_server.h
+++ b/include/siskinrack/net/http_server.h
@@ -44,9 +44,11 @@
   /// Requests whose response isn't written yet.
   [[nodiscard]] std::size_t in_flight() const;
 
-  /// Stops accepting and closes idle connections; a connection with a request in progress closes
-  /// after its response.
+  /// Closes every connection after its next response. Connections are still accepted, so that a
+  /// request on its way gets an answer; the handler decides which one.
   void Drain();
+  /// Takes no new connections; open ones stay.
+  void StopAccepting();
   /// Closes everything and waits for the end of all fibers. Not for use inside a fiber.
   void Stop();
 
--- a/include/siskinrack/net/peer.h
+++ b/include/siskinrack/net/peer.h
@@ -1,7 +1,9 @@
 #ifndef SISKINRACK_NET_PEER_H_
 #define SISKINRACK_NET_PEER_H_
 
+#include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -24,6 +26,8 @@
   traffic_counters* traffic = nullptr;
   /// Source IP number of outgoing links; empty lets the kernel choose.
   std::string source_ip;
+  /// Answers to calls that are queued or being written. A shutdown waits for them.
+  std::atomic<std::size_t> unwritten_answers = 0;
 };
 
 /// Result of a request to a peer. `kSent` without a reply means that the peer may have acted on it.
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -61,16 +61,13 @@
   std::uint16_t port() const { return listener_.port(); }
   std::size_t in_flight() const { return in_flight_; }
 
-  void Drain() {
-    draining_ = true;
-    listener_.Close();
-    ForEachConnection([](connection& item) {
-      if (!item.busy) detail::CloseQuietly(item.stream.socket());
-    });
-  }
+  void Drain() { draining_ = true; }
+
+  void StopAccepting() { listener_.StopAccepting(); }
 
   void Stop() {
     draining_ = true;
+    stopped_ = true;
     listener_.Close();
     ForEachConnection([](connection& item) { detail::CloseQuietly(item.stream.socket()); });
     listener_.WaitIdle();
@@ -81,7 +78,6 @@
     explicit connection(tcp::socket socket) : stream(std::move(socket)) {}
     beast::tcp_stream stream;
     beast::flat_buffer buffer{kMaxHeaderBytes + kMaxBodyBytes};
-    bool busy = false;
   };
 
   template <typename Visit>
@@ -94,11 +90,11 @@
   }
 
   void Serve(tcp::socket socket) {
-    if (draining_ || listener_.connections() > options_.max_connections) return;
+    if (stopped_ || listener_.connections() > options_.max_connections) return;
     connection item(std::move(socket));
     auto& open = open_[fiber_runtime::CurrentThread()];
     open.insert(&item);
-    while (ServeOne(item) && !draining_) {
+    while (ServeOne(item) && !stopped_) {
     }
     open.erase(&item);
     detail::CloseQuietly(item.stream.socket());
@@ -114,7 +110,6 @@
       if (IsClientError(error)) WriteError(item, StatusForReadError(error), error.message());
       return false;
     }
-    item.busy = true;
     ++in_flight_;
     const bool keep_alive = parser.get().keep_alive();
     const unsigned version = parser.get().version();
@@ -122,7 +117,6 @@
     const bool stay_open = keep_alive && !draining_;
     error = WriteResponse(item, std::move(response), version, stay_open);
     --in_flight_;
-    item.busy = false;
     return !error && stay_open;
   }
 
@@ -189,6 +183,7 @@
   fiber_runtime& runtime_;
   detail::listener listener_;
   std::atomic<bool> draining_ = false;
+  std::atomic<bool> stopped_ = false;
   std::atomic<std::size_t> in_flight_ = 0;
   /// Open connections by thread; each set is used on its thread only.
   std::vector<std::set<connection*>> open_;
@@ -203,6 +198,7 @@
 std::uint16_t http_server::port() const { return impl_->port(); }
 std::size_t http_server::in_flight() const { return impl_->in_flight(); }
 void http_server::Drain() { impl_->Drain(); }
+void http_server::StopAccepting() { impl_->StopAccepting(); }
 void http_server::Stop() { impl_->Stop(); }
 
 }  // namespace siskinrack::net
--- a/lib/net/listener.cpp
+++ b/lib/net/listener.cpp
@@ -1,5 +1,6 @@
 #include "listener.h"
 
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
@@ -27,6 +28,20 @@
   if (!error) acceptor.bind(endpoint, error);
 }
 
+/// Makes the kernel drop the first packet (SYN) of new connections. Closing the socket instead
+/// would reset the connections in its queue, whose callers may have sent a request.
+void DropNewConnections(int socket) {
+  constexpr std::uint32_t kFlagsOffset = 13;
+  constexpr std::uint32_t kSynFlag = 0x02;
+  constexpr std::uint32_t kWholePacket = 0xffff;
+  sock_filter code[] = {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+                        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kSynFlag, 0, 1),
+                        BPF_STMT(BPF_RET | BPF_K, 0), BPF_STMT(BPF_RET | BPF_K, kWholePacket)};
+  const sock_fprog program{static_cast<unsigned short>(std::size(code)), code};
+  // Without the filter a few last connections may be reset; there is nothing better to do then.
+  setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
 }  // namespace
 
 struct listener::accept_state {
@@ -98,6 +113,12 @@
   --*connections_;
 }
 
+void listener::StopAccepting() {
+  for (const auto& state : acceptors_) {
+    asio::post(state->context, [state] { DropNewConnections(state->acceptor.native_handle()); });
+  }
+}
+
 void listener::Close() {
   for (const auto& state : acceptors_) {
     asio::post(state->context, [state] {
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -27,6 +27,8 @@
   /// Returns an error text, empty on success. Not for use inside a fiber.
   std::string Start(const support::socket_address& address);
   [[nodiscard]] std::uint16_t port() const { return port_; }
+  /// Takes no new connections; those that are open already, also in the kernel's queue, are served.
+  void StopAccepting();
   /// Closes the listening sockets.
   void Close();
   /// Waits until every fiber started by the listener has ended. Not for use inside a fiber.
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <utility>
 #include <vector>
 
 #include "await.h"
@@ -78,13 +79,18 @@
   const std::uint64_t correlation_id = message.is_reply ? 0 : message.correlation_id;
   std::string frame = wire::EncodeFrame(message);
   context_.traffic->CountSent(message.message.type, frame.size());
-  Enqueue(std::move(frame), correlation_id);
+  const bool is_answer = message.is_reply && message.message.type == wire::message::call_answer;
+  Enqueue({std::move(frame), correlation_id, is_answer});
 }
 
-void peer_link::Enqueue(std::string frame, std::uint64_t correlation_id) {
+void peer_link::Enqueue(queued_frame frame) {
   if (closed_) return;
   if (queue_.size() >= kMaxQueuedFrames) return Close();
-  queue_.push_back({std::move(frame), correlation_id});
+  if (frame.is_answer) {
+    ++queued_answers_;
+    ++context_.unwritten_answers;
+  }
+  queue_.push_back(std::move(frame));
   if (!write_active_) StartWrite();
 }
 
@@ -93,6 +99,7 @@
   writing_.clear();
   for (queued_frame& frame : queue_) writing_ += frame.bytes;
   queue_.clear();
+  writing_answers_ = std::exchange(queued_answers_, 0);
   asio::async_write(socket_, asio::buffer(writing_),
                     [self = shared_from_this()](const boost::system::error_code& error,
                                                 std::size_t) { self->OnWritten(error); });
@@ -100,6 +107,7 @@
 
 void peer_link::OnWritten(const boost::system::error_code& error) {
   write_active_ = false;
+  context_.unwritten_answers -= std::exchange(writing_answers_, 0);
   if (error) return Close();
   if (!queue_.empty() && !closed_) StartWrite();
 }
@@ -153,6 +161,7 @@
 void peer_link::Close() {
   if (closed_) return;
   closed_ = true;
+  context_.unwritten_answers -= std::exchange(queued_answers_, 0);
   CloseQuietly(socket_);
   for (auto& [id, pending] : waiters_) pending->timer.cancel();
 }
--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -45,9 +45,10 @@
   struct queued_frame {
     std::string bytes;
     std::uint64_t correlation_id;
+    bool is_answer;
   };
 
-  void Enqueue(std::string frame, std::uint64_t correlation_id);
+  void Enqueue(queued_frame frame);
   void StartWrite();
   void OnWritten(const boost::system::error_code& error);
   bool Dispatch(std::span<const std::uint8_t> bytes);
@@ -63,6 +64,9 @@
   std::deque<queued_frame> queue_;
   std::string writing_;
   bool write_active_ = false;
+  /// Answers in `writing_` and in `queue_`; part of the context's count.
+  std::size_t writing_answers_ = 0;
+  std::size_t queued_answers_ = 0;
 };
 
 }  // namespace siskinrack::net::detail
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -18,6 +18,9 @@
 /// Equal to the largest deadline of a request, so that the bound cuts no request off.
 constexpr milliseconds kMaxDrainWait{30'000};
 constexpr milliseconds kDrainPoll{10};
+/// Time for requests that were sent before the listening sockets closed: a few round trips between
+/// failure domains.
+constexpr milliseconds kLastRequests{100};
 
 void ReportListenError(std::string_view setting, const std::string& error,
                        support::findings& problems) {
@@ -75,14 +78,24 @@
     context_.refusing = true;
     caller_server_.Drain();
     const auto end = std::chrono::steady_clock::now() + kMaxDrainWait;
-    while (caller_server_.in_flight() + serving_.in_flight() > 0 &&
+    WaitForAnswers(end);
+    caller_server_.StopAccepting();
+    // Requests that were on their way are still read and refused.
+    std::this_thread::sleep_for(kLastRequests);
+    WaitForAnswers(end);
+    context_.log.Info("drain_finished", {{"in_flight", serving_.in_flight()}});
+  }
+
+ private:
+  /// Waits until no request is in progress and the last answer is written to callers and peers.
+  void WaitForAnswers(std::chrono::steady_clock::time_point end) {
+    while (caller_server_.in_flight() + serving_.in_flight() + context_.peer.unwritten_answers >
+               0 &&
            std::chrono::steady_clock::now() < end) {
       std::this_thread::sleep_for(kDrainPoll);
     }
-    context_.log.Info("drain_finished", {{"in_flight", serving_.in_flight()}});
   }
 
- private:
   std::optional<wire::envelope_t> HandlePeer(const wire::envelope_t& message,
                                              net::cancellation& cancel) {
     if (const auto* call = message.message.Ascall_request()) {
--- a/test/caller/main.cpp
+++ b/test/caller/main.cpp
@@ -97,16 +97,16 @@
     }
     if (result.stage != net::exchange_stage::kAnswered) {
       ++totals_.unknown;
+      Print("unknown", id, result.error);
       return;
     }
     const std::string_view outcome = net::FindField(result.response.fields, "x-siskinrack-outcome");
     if (outcome == "not-run") {
       ++totals_.refused;
-      const std::lock_guard lock(output_mutex_);
-      std::cout << "event=refused id=" << id << " reason=\""
-                << net::FindField(result.response.fields, "x-siskinrack-reason") << "\"\n";
+      Print("refused", id, net::FindField(result.response.fields, "x-siskinrack-reason"));
     } else if (outcome == "unknown") {
       ++totals_.unknown;
+      Print("unknown", id, net::FindField(result.response.fields, "x-siskinrack-reason"));
     } else if (IsOwnAnswer(result.response, id, target, body)) {
       ++totals_.answered;
     } else {
@@ -114,6 +114,11 @@
     }
   }
 
+  void Print(std::string_view event, const std::string& id, std::string_view reason) {
+    const std::lock_guard lock(output_mutex_);
+    std::cout << "event=" << event << " id=" << id << " reason=\"" << reason << "\"\n";
+  }
+
   static bool IsOwnAnswer(const net::http_response& response, const std::string& id,
                           const std::string& target, const std::string& body) {
     json::error_code error;
