--- a/lib/node/endpoint_cache.cpp
+++ b/lib/node/endpoint_cache.cpp
@@ -3,28 +3,26 @@
 namespace siskinrack::node {
 namespace {
 
-constexpr std::chrono::milliseconds kListAge{10};
-
-/// Lists read between two removals of the states of endpoints that are gone.
-constexpr std::uint64_t kReadsPerSweep = 1000;
+/// Lists made between two removals of the states of endpoints that are gone.
+constexpr std::uint64_t kListsPerSweep = 100;
 
 }  // namespace
 
 std::shared_ptr<const endpoint_list> endpoint_cache::Find(std::string_view service) {
   const auto cached = lists_.Get(service);
-  const auto now = std::chrono::steady_clock::now();
+  auto source = context_.members.Endpoints(service);
   const std::lock_guard lock(cached->mutex);
-  if (cached->list == nullptr || now - cached->read_at >= kListAge) {
-    cached->list = Read(service);
-    cached->read_at = now;
-    if (reads_++ % kReadsPerSweep == 0) tracker_.DropUnused();
+  if (cached->list == nullptr || cached->source != source) {
+    cached->list = Make(source);
+    cached->source = std::move(source);
+    if (made_++ % kListsPerSweep == 0) tracker_.DropUnused();
   }
   return cached->list;
 }
 
-std::shared_ptr<const endpoint_list> endpoint_cache::Read(std::string_view service) {
+std::shared_ptr<const endpoint_list> endpoint_cache::Make(const membership::endpoint_list& source) {
   auto list = std::make_shared<endpoint_list>();
-  for (const auto& member : context_.members.Endpoints(service)) {
+  for (const auto& member : *source) {
     auto address = support::ParseSocketAddress(member.peer_address);
     if (!address) continue;
     list->endpoints.push_back({member.node_id, std::move(*address)});
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -18,9 +18,9 @@
 /// Equal to the largest deadline of a request, so that the bound cuts no request off.
 constexpr milliseconds kMaxDrainWait{30'000};
 constexpr milliseconds kDrainPoll{10};
-/// Time for requests that were sent before the listening sockets closed: a few round trips between
-/// failure domains.
-constexpr milliseconds kLastRequests{100};
+/// Time for the announcement of the departure to be sent, and for requests that were sent before
+/// the node stopped to accept: a few round trips between failure domains.
+constexpr milliseconds kLeaveWait{100};
 
 void ReportListenError(std::string_view setting, const std::string& error,
                        support::findings& problems) {
@@ -80,8 +80,9 @@
     const auto end = std::chrono::steady_clock::now() + kMaxDrainWait;
     WaitForAnswers(end);
     caller_server_.StopAccepting();
+    membership_.Announce(wire::upstream_state::left);
     // Requests that were on their way are still read and refused.
-    std::this_thread::sleep_for(kLastRequests);
+    std::this_thread::sleep_for(kLeaveWait);
     WaitForAnswers(end);
     context_.log.Info("drain_finished", {{"in_flight", serving_.in_flight()}});
   }
