--- a/utils/bench/path_bench.cpp
+++ b/utils/bench/path_bench.cpp
@@ -5,12 +5,16 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <sstream>
 #include <thread>
 
-#include "fleet.h"
+#include "process.h"
+#include "siskinrack/net/http_client.h"
 
 namespace siskinrack::bench {
 namespace {
@@ -19,15 +23,14 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using std::chrono::steady_clock;
-using test::fleet;
-using test::fleet_node;
+using test::child_process;
 
 constexpr int kWarmUpCalls = 300;
 constexpr int kCalls = 2000;
 constexpr int kRounds = 4;
 constexpr int kLoadWorkers = 8;
 constexpr seconds kLoadTime{4};
-constexpr seconds kConfigLimit{20};
+constexpr seconds kStartLimit{20};
 constexpr milliseconds kPoll{50};
 constexpr std::string_view kIntent =
     "services:\n  - {name: counter, slots: 64}\n"
@@ -75,33 +78,94 @@
   return result;
 }
 
-void Configure(fleet& processes) {
-  const fs::path file = processes.work() / "intent.yaml";
-  std::ofstream(file) << kIntent;
-  const std::string tool = (processes.binaries() / "siskinctl").string();
-  const std::string platform = "--platform-address=" + processes.platform().ToText();
-  const std::string nodes = "--nodes=" + processes.AdminList();
-  const std::string log = (processes.work() / "apply.log").string();
-  test::child_process({tool, "apply", file.string(), platform, nodes}, log).Wait();
-  std::ifstream in(log);
-  std::string word;
-  std::string plan;
-  while (in >> word && word != "plan") {
+/// Value of the first FIELD=<number> in a log, once it stands there.
+std::string WaitForField(const fs::path& log, const std::string& field) {
+  const auto end = steady_clock::now() + kStartLimit;
+  while (steady_clock::now() < end) {
+    std::ifstream in(log);
+    for (std::string word; in >> word;) {
+      if (word.starts_with(field + '=')) return word.substr(field.size() + 1);
+    }
+    std::this_thread::sleep_for(kPoll);
   }
-  in >> plan;
-  if (plan.ends_with(':')) plan.pop_back();
-  test::child_process({tool, "confirm", plan, platform, nodes}, log).Wait();
+  throw std::runtime_error("no " + field + " in " + log.string());
 }
 
-void WaitUntilAnswered(fleet& processes, const support::socket_address& address) {
-  const auto end = steady_clock::now() + kConfigLimit;
-  while (processes.Send(address, Call(), seconds(1)).response.status != 200) {
+struct bench_node {
+  std::unique_ptr<child_process> upstream_process;
+  std::unique_ptr<child_process> process;
+  support::socket_address upstream, caller;
+  std::string admin, peer;
+};
+
+/// The processes of the run, without a relay between them: its hop would be measured too.
+class processes {
+ public:
+  processes(const fs::path& binaries, const fs::path& work) : binaries_(binaries), work_(work) {
+    platform_process_ = Start("platform_stand_in", "platform", {});
+    platform_ = "127.0.0.1:" + WaitForField(work_ / "platform.log", "port");
+  }
+
+  bench_node StartNode(const std::string& service, const std::string& seed) {
+    bench_node node;
+    node.upstream_process = Start("upstream_stand_in", service, {"--slots=64"});
+    node.upstream = LocalPort(service, "port");
+    const std::string name = "node-" + service;
+    std::vector<std::string> flags = {"--node-id=" + name,
+                                      "--failure-domain=d",
+                                      "--platform-address=" + platform_,
+                                      "--upstream-address=" + node.upstream.ToText(),
+                                      "--service=" + service,
+                                      "--slots=64"};
+    if (!seed.empty()) flags.push_back("--seeds=" + seed);
+    node.process = Start("siskinrack-node", name, flags);
+    node.caller = LocalPort(name, "caller_port");
+    node.admin = LocalPort(name, "admin_port").ToText();
+    node.peer = LocalPort(name, "peer_port").ToText();
+    return node;
+  }
+
+  void Configure(const std::string& admins) {
+    const fs::path file = work_ / "intent.yaml";
+    std::ofstream(file) << kIntent;
+    const std::vector<std::string> flags = {"--platform-address=" + platform_, "--nodes=" + admins};
+    Start("siskinctl", "apply", {"apply", file.string(), flags[0], flags[1]})->Wait();
+    std::ifstream in(work_ / "apply.log");
+    std::string plan;
+    for (std::string word; plan.empty() && in >> word;) {
+      if (word == "plan") in >> plan;
+    }
+    if (plan.ends_with(':')) plan.pop_back();
+    Start("siskinctl", "confirm", {"confirm", plan, flags[0], flags[1]})->Wait();
+  }
+
+ private:
+  std::unique_ptr<child_process> Start(const std::string& program, const std::string& name,
+                                       const std::vector<std::string>& flags) {
+    std::vector<std::string> command = {(binaries_ / program).string()};
+    command.insert(command.end(), flags.begin(), flags.end());
+    return std::make_unique<child_process>(command, (work_ / (name + ".log")).string());
+  }
+  support::socket_address LocalPort(const std::string& name, const std::string& field) {
+    const std::string port = WaitForField(work_ / (name + ".log"), field);
+    return {"127.0.0.1", static_cast<std::uint16_t>(std::stoul(port))};
+  }
+
+  fs::path binaries_, work_;
+  std::unique_ptr<child_process> platform_process_;
+  std::string platform_;
+};
+
+void WaitUntilAnswered(net::fiber_runtime& runtime, net::http_client& client,
+                       const support::socket_address& address) {
+  const auto end = steady_clock::now() + kStartLimit;
+  while (Measure(runtime, client, address, 1).empty()) {
     if (steady_clock::now() >= end) throw std::runtime_error("the path doesn't answer");
     std::this_thread::sleep_for(kPoll);
   }
 }
 
-void MeasureLatency(const fleet_node& entry, const fleet_node& serving) {
+void MeasureLatency(const bench_node& entry, const bench_node& serving) {
   net::fiber_runtime runtime(1);
   net::http_client client(runtime);
   std::vector<double> direct;
@@ -124,7 +188,7 @@
 }
 
 /// Calls by several workers for some seconds, and the processor time that each node used for them.
-void MeasureCost(const fleet_node& entry, const fleet_node& serving) {
+void MeasureCost(const bench_node& entry, const bench_node& serving) {
   net::fiber_runtime runtime(2);
   net::http_client client(runtime);
   std::atomic<int> running = kLoadWorkers;
@@ -156,19 +220,18 @@
   const fs::path work = fs::temp_directory_path() / ("siskinrack-path-" + std::to_string(getpid()));
   fs::create_directories(work);
   {
-    fleet processes(binaries, work, 1);
-    processes.StartPlatform();
-    test::fleet_options options;
-    options.domains = 1;
-    options.services = {"counter", "other"};
-    options.slots = 64;
-    processes.StartNodes(options);
-    Configure(processes);
-    const fleet_node& serving = *processes.nodes()[0];
-    const fleet_node& entry = *processes.nodes()[1];
-    WaitUntilAnswered(processes, entry.caller);
-    processes.Send(serving.upstream, {"PUT", "/control/behaviour", {}, R"({"service_ms":0})"},
-                   seconds(1));
+    processes all(binaries, work);
+    const bench_node serving = all.StartNode("counter", "");
+    const bench_node entry = all.StartNode("other", serving.peer);
+    all.Configure(serving.admin + ',' + entry.admin);
+    net::fiber_runtime runtime(1);
+    net::http_client client(runtime);
+    WaitUntilAnswered(runtime, client, entry.caller);
+    runtime.Run(0, [&] {
+      client.Send(serving.upstream, {"PUT", "/control/behaviour", {}, R"({"service_ms":0})"},
+                  steady_clock::now() + seconds(1));
+      client.CloseIdle();
+    });
     MeasureLatency(entry, serving);
     MeasureCost(entry, serving);
   }
