--- /dev/null
+++ b/utils/bench/path_bench.cpp
@@ -0,0 +1,256 @@
+// Added latency and processor cost of the request path with real processes on loopback: caller,
+// entry node, serving node, upstream. The baseline in the same run calls the upstream directly. The
+// links are idle otherwise and have no delay.
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <thread>
+
+#include "process.h"
+#include "siskinrack/net/http_client.h"
+
+namespace siskinrack::bench {
+namespace {
+
+namespace fs = std::filesystem;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+using test::child_process;
+
+constexpr int kWarmUpCalls = 300;
+constexpr int kCalls = 2000;
+constexpr int kRounds = 4;
+constexpr int kLoadWorkers = 8;
+constexpr seconds kLoadTime{4};
+constexpr seconds kStartLimit{20};
+constexpr milliseconds kPoll{50};
+constexpr std::string_view kIntent =
+    "services:\n  - {name: counter, slots: 64}\n"
+    "ranks:\n  - {name: urgent, target_ms: 1000, worth: 100, floor_percent: 40}\n"
+    "routes:\n  - {name: tray, prefix: /tray, service: counter, rank: urgent}\n";
+
+void Print(const std::string& name, double value, std::string_view unit) {
+  std::cout << name << ' ' << value << ' ' << unit << std::endl;
+}
+
+double Quantile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+double CpuSeconds(pid_t pid) {
+  std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(in)), {});
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string skipped;
+  constexpr int kFieldsBeforeTimes = 11;
+  for (int i = 0; i < kFieldsBeforeTimes; ++i) fields >> skipped;
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+net::http_request Call() { return {"GET", "/tray/item", {{"x-request-id", "r"}}, {}}; }
+
+/// Microseconds of each of `calls` calls, one after another.
+std::vector<double> Measure(net::fiber_runtime& runtime, net::http_client& client,
+                            const support::socket_address& address, int calls) {
+  std::vector<double> result;
+  result.reserve(static_cast<std::size_t>(calls));
+  runtime.Run(0, [&] {
+    for (int i = 0; i < calls; ++i) {
+      const auto start = steady_clock::now();
+      const auto answer = client.Send(address, Call(), start + seconds(5));
+      const std::chrono::duration<double, std::micro> took = steady_clock::now() - start;
+      if (answer.response.status == 200) result.push_back(took.count());
+    }
+  });
+  return result;
+}
+
+/// Value of the first FIELD=<number> in a log, once it stands there.
+std::string WaitForField(const fs::path& log, const std::string& field) {
+  const auto end = steady_clock::now() + kStartLimit;
+  while (steady_clock::now() < end) {
+    std::ifstream in(log);
+    for (std::string word; in >> word;) {
+      if (word.starts_with(field + '=')) return word.substr(field.size() + 1);
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  throw std::runtime_error("no " + field + " in " + log.string());
+}
+
+struct bench_node {
+  std::unique_ptr<child_process> upstream_process;
+  std::unique_ptr<child_process> process;
+  support::socket_address upstream, caller;
+  std::string admin, peer;
+};
+
+/// The processes of the run, without a relay between them: its hop would be measured too.
+class processes {
+ public:
+  processes(const fs::path& binaries, const fs::path& work) : binaries_(binaries), work_(work) {
+    platform_process_ = Start("platform_stand_in", "platform", {});
+    platform_ = "127.0.0.1:" + WaitForField(work_ / "platform.log", "port");
+  }
+
+  bench_node StartNode(const std::string& service, const std::string& seed) {
+    bench_node node;
+    node.upstream_process = Start("upstream_stand_in", service, {"--slots=64"});
+    node.upstream = LocalPort(service, "port");
+    const std::string name = "node-" + service;
+    std::vector<std::string> flags = {"--node-id=" + name,
+                                      "--failure-domain=d",
+                                      "--platform-address=" + platform_,
+                                      "--upstream-address=" + node.upstream.ToText(),
+                                      "--service=" + service,
+                                      "--slots=64"};
+    if (!seed.empty()) flags.push_back("--seeds=" + seed);
+    node.process = Start("siskinrack-node", name, flags);
+    node.caller = LocalPort(name, "caller_port");
+    node.admin = LocalPort(name, "admin_port").ToText();
+    node.peer = LocalPort(name, "peer_port").ToText();
+    return node;
+  }
+
+  void Configure(const std::string& admins) {
+    const fs::path file = work_ / "intent.yaml";
+    std::ofstream(file) << kIntent;
+    const std::vector<std::string> flags = {"--platform-address=" + platform_, "--nodes=" + admins};
+    Start("siskinctl", "apply", {"apply", file.string(), flags[0], flags[1]})->Wait();
+    std::ifstream in(work_ / "apply.log");
+    std::string plan;
+    for (std::string word; plan.empty() && in >> word;) {
+      if (word == "plan") in >> plan;
+    }
+    if (plan.ends_with(':')) plan.pop_back();
+    Start("siskinctl", "confirm", {"confirm", plan, flags[0], flags[1]})->Wait();
+  }
+
+ private:
+  std::unique_ptr<child_process> Start(const std::string& program, const std::string& name,
+                                       const std::vector<std::string>& flags) {
+    std::vector<std::string> command = {(binaries_ / program).string()};
+    command.insert(command.end(), flags.begin(), flags.end());
+    return std::make_unique<child_process>(command, (work_ / (name + ".log")).string());
+  }
+  support::socket_address LocalPort(const std::string& name, const std::string& field) {
+    const std::string port = WaitForField(work_ / (name + ".log"), field);
+    return {"127.0.0.1", static_cast<std::uint16_t>(std::stoul(port))};
+  }
+
+  fs::path binaries_, work_;
+  std::unique_ptr<child_process> platform_process_;
+  std::string platform_;
+};
+
+void WaitUntilAnswered(net::fiber_runtime& runtime, net::http_client& client,
+                       const support::socket_address& address) {
+  const auto end = steady_clock::now() + kStartLimit;
+  while (Measure(runtime, client, address, 1).empty()) {
+    if (steady_clock::now() >= end) throw std::runtime_error("the path doesn't answer");
+    std::this_thread::sleep_for(kPoll);
+  }
+}
+
+void MeasureLatency(const bench_node& entry, const bench_node& serving) {
+  net::fiber_runtime runtime(1);
+  net::http_client client(runtime);
+  std::vector<double> direct;
+  std::vector<double> path;
+  for (int round = 0; round < kRounds; ++round) {
+    Measure(runtime, client, serving.upstream, kWarmUpCalls);
+    const auto one = Measure(runtime, client, serving.upstream, kCalls);
+    direct.insert(direct.end(), one.begin(), one.end());
+    Measure(runtime, client, entry.caller, kWarmUpCalls);
+    const auto two = Measure(runtime, client, entry.caller, kCalls);
+    path.insert(path.end(), two.begin(), two.end());
+  }
+  runtime.Run(0, [&] { client.CloseIdle(); });
+  Print("direct_latency_us_p50", Quantile(direct, 0.5), "us");
+  Print("direct_latency_us_p99", Quantile(direct, 0.99), "us");
+  Print("path_latency_us_p50", Quantile(path, 0.5), "us");
+  Print("path_latency_us_p99", Quantile(path, 0.99), "us");
+  Print("added_latency_us_p50", Quantile(path, 0.5) - Quantile(direct, 0.5), "us");
+  Print("added_latency_us_p99", Quantile(path, 0.99) - Quantile(direct, 0.99), "us");
+}
+
+/// Calls by several workers for some seconds, and the processor time that each node used for them.
+void MeasureCost(const bench_node& entry, const bench_node& serving) {
+  net::fiber_runtime runtime(2);
+  net::http_client client(runtime);
+  std::atomic<int> running = kLoadWorkers;
+  std::atomic<std::uint64_t> calls = 0;
+  const double entry_before = CpuSeconds(entry.process->pid());
+  const double serving_before = CpuSeconds(serving.process->pid());
+  const auto end = steady_clock::now() + kLoadTime;
+  for (std::size_t i = 0; i < kLoadWorkers; ++i) {
+    runtime.Post(i % 2, [&] {
+      while (steady_clock::now() < end) {
+        const auto answer = client.Send(entry.caller, Call(), end + seconds(2));
+        if (answer.response.status == 200) ++calls;
+      }
+      --running;
+    });
+  }
+  while (running > 0) std::this_thread::sleep_for(kPoll);
+  for (std::size_t i = 0; i < 2; ++i) runtime.Run(i, [&] { client.CloseIdle(); });
+  const double total = static_cast<double>(calls);
+  const double entry_cpu = CpuSeconds(entry.process->pid()) - entry_before;
+  const double serving_cpu = CpuSeconds(serving.process->pid()) - serving_before;
+  Print("path_calls_per_s", total / static_cast<double>(kLoadTime.count()), "calls/s");
+  Print("entry_calls_per_s_per_core", total / entry_cpu, "calls/s");
+  Print("serving_calls_per_s_per_core", total / serving_cpu, "calls/s");
+  Print("calls_per_s_per_core", 2 * total / (entry_cpu + serving_cpu), "calls/s");
+}
+
+int Main(const fs::path& binaries) {
+  const fs::path work = fs::temp_directory_path() / ("siskinrack-path-" + std::to_string(getpid()));
+  fs::create_directories(work);
+  {
+    processes all(binaries, work);
+    const bench_node serving = all.StartNode("counter", "");
+    const bench_node entry = all.StartNode("other", serving.peer);
+    all.Configure(serving.admin + ',' + entry.admin);
+    net::fiber_runtime runtime(1);
+    net::http_client client(runtime);
+    WaitUntilAnswered(runtime, client, entry.caller);
+    runtime.Run(0, [&] {
+      client.Send(serving.upstream, {"PUT", "/control/behaviour", {}, R"({"service_ms":0})"},
+                  steady_clock::now() + seconds(1));
+      client.CloseIdle();
+    });
+    MeasureLatency(entry, serving);
+    MeasureCost(entry, serving);
+  }
+  fs::remove_all(work);
+  return 0;
+}
+
+}  // namespace
+}  // namespace siskinrack::bench
+
+int main(int argc, char** argv) {
+  if (argc != 2) {
+    std::cerr << "usage: bench_path BINARIES\n";
+    return 2;
+  }
+  try {
+    return siskinrack::bench::Main(argv[1]);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << '\n';
+    return 1;
+  }
+}
