--- /dev/null
+++ b/lib/idempotency/claim.cpp
@@ -0,0 +1,45 @@
+#include "siskinrack/idempotency/claim.h"
+
+#include <algorithm>
+
+namespace siskinrack::idempotency {
+namespace {
+
+std::uint64_t Mix(std::uint64_t value) {
+  // Finalizer of splitmix64; FNV-1a alone leaves the high bits of similar texts alike.
+  value ^= value >> 30U;
+  value *= 0xbf58476d1ce4e5b9ULL;
+  value ^= value >> 27U;
+  value *= 0x94d049bb133111ebULL;
+  return value ^ (value >> 31U);
+}
+
+}  // namespace
+
+std::size_t SizeOf(const kept_answer& answer) {
+  std::size_t size = answer.body.size();
+  for (const auto& [name, value] : answer.fields) size += name.size() + value.size();
+  return size;
+}
+
+std::uint64_t StableHash(std::string_view text) {
+  std::uint64_t hash = 0xcbf29ce484222325ULL;
+  for (const char c : text) {
+    hash ^= static_cast<unsigned char>(c);
+    hash *= 0x100000001b3ULL;
+  }
+  return Mix(hash);
+}
+
+std::size_t ShardOf(std::string_view key) { return StableHash(key) % kShards; }
+
+std::string OwnerOf(std::size_t shard, const std::vector<std::string>& members) {
+  const std::string prefix = std::to_string(shard) + '/';
+  const auto first = std::max_element(
+      members.begin(), members.end(), [&](const std::string& a, const std::string& b) {
+        return std::pair(StableHash(prefix + a), a) < std::pair(StableHash(prefix + b), b);
+      });
+  return first == members.end() ? std::string() : *first;
+}
+
+}  // namespace siskinrack::idempotency
