--- a/include/siskinrack/idempotency/shard_owner.h
+++ b/include/siskinrack/idempotency/shard_owner.h
@@ -73,24 +73,21 @@
   };
 
   [[nodiscard]] std::uint64_t LogNow(steady_time now) const;
-  std::optional<store_call> ReadyCall(steady_time now);
+  std::optional<store_call> WriteCall(steady_time now);
   [[nodiscard]] bool BatchDue(steady_time now) const;
   write MakeTakeover(steady_time now);
   write MakeBatch(steady_time now);
   write MakeArchive() const;
-  store_call MakeDelete(std::uint64_t log_ms);
   [[nodiscard]] bool CanDelete(std::uint64_t log_ms) const;
-  store_call StartWrite(write item, steady_time now);
 
-  void OnRead(store_call_result result, steady_time now);
   void OnOpenRead(store_call_result result, steady_time now);
   void OnArchiveRead(store_call_result result, steady_time now);
-  void OnWritten(store_call_result result, steady_time now);
+  void OnWritten(const store_call_result& result, steady_time now);
   void OnSettled(store_call_result result, steady_time now);
   void OnLanded(std::uint64_t version, steady_time now);
-  void OnBatchLanded(const write& landed, steady_time now);
+  void OnBatchLanded(const std::vector<log_record>& added, steady_time now);
   void OnPlatformFailure(steady_time now);
-  void FinishLoading();
+  void FinishLoading(steady_time now);
   void Fenced(steady_time now);
   /// Refuses every ask that is waiting.
   void RefuseWaiting(const std::string& reason);
@@ -112,6 +109,7 @@
 
   // Loading after a takeover.
   std::vector<log_record> open_records_;
+  claim_index loaded_;
   std::size_t next_archive_ = 0;
 
   // The write in progress and what is known of it.
--- a/lib/idempotency/shard_owner.cpp
+++ b/lib/idempotency/shard_owner.cpp
@@ -1,20 +1,151 @@
 #include "siskinrack/idempotency/shard_owner.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace siskinrack::idempotency {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time that a result may take from the upstream's deadline to the owner.
+constexpr milliseconds kResultMargin{1'000};
+/// Pause after losing the shard, so that two nodes with different views don't take it in turns.
+constexpr milliseconds kFencedPause{500};
+constexpr std::size_t kMaxQueuedClaims = 4096;
+/// Bounds the header and the reads of a takeover.
+constexpr std::size_t kMaxArchivedSegments = 512;
+
+constexpr std::string_view kDownReason = "platform is unavailable";
+
+std::uint64_t Count(milliseconds time) { return static_cast<std::uint64_t>(time.count()); }
 
-std::optional<claim_decision> shard_owner::Ask(const claim_ask&, steady_time) {
-  return claim_decision{verdict::kGranted, 1, {}, {}};
+}  // namespace
+
+std::uint64_t shard_owner::LogNow(steady_time now) const {
+  const auto passed = std::chrono::duration_cast<milliseconds>(now - log_base_at_);
+  return log_base_ms_ + Count(std::max(passed, milliseconds(0)));
+}
+
+std::optional<claim_decision> shard_owner::Ask(const claim_ask& ask, steady_time now) {
+  if (const auto refused = refused_.find(ask.attempt); refused != refused_.end()) {
+    claim_decision decision{verdict::kRefused, header_.epoch, std::move(refused->second), {}};
+    refused_.erase(refused);
+    return decision;
+  }
+  const std::uint64_t log_ms = LogNow(now);
+  if (phase_ == phase::kReady) {
+    index_.Expire(log_ms);
+    if (auto decision = index_.Decide(ask, log_ms)) return decision;
+  }
+  if (const claim* own = index_.Find(ask.key); own != nullptr) {
+    // While the log is being loaded, only the asks of this time are known.
+    if (own->attempt == ask.attempt) return std::nullopt;
+    return claim_decision{verdict::kInProgress, header_.epoch, "claim is being written", {}};
+  }
+  if (down_ || (phase_ == phase::kClosed && now < retry_at_)) {
+    return claim_decision{verdict::kRefused, header_.epoch, std::string(kDownReason), {}};
+  }
+  if (queued_claims_ >= kMaxQueuedClaims || header_.archived.size() >= kMaxArchivedSegments) {
+    return claim_decision{verdict::kRefused, header_.epoch, "claim log is full", {}};
+  }
+  log_record record{record_kind::kClaim, ask.key, ask.attempt, log_ms, ask.fingerprint, 0, 0, {}};
+  record.expires_ms = log_ms + Count(ask.deadline + kResultMargin);
+  index_.Insert(ask.key, {ask.fingerprint, ask.attempt, 0, log_ms, record.expires_ms,
+                          claim_state::kPending, std::nullopt});
+  Queue(std::move(record), now);
+  return std::nullopt;
 }
 
-bool shard_owner::Finish(const std::string&, std::uint64_t, bool, std::optional<kept_answer>,
-                         steady_time) {
+void shard_owner::Queue(log_record record, steady_time now) {
+  if (queue_.empty()) oldest_queued_at_ = now;
+  if (record.kind == record_kind::kClaim) ++queued_claims_;
+  queue_.push_back(std::move(record));
+}
+
+bool shard_owner::Finish(const std::string& key, std::uint64_t attempt, bool executed,
+                         std::optional<kept_answer> answer, steady_time now) {
+  refused_.erase(attempt);
+  claim* item = index_.Find(key);
+  if (item == nullptr || item->attempt != attempt || item->state == claim_state::kFinished) {
+    return false;
+  }
+  if (item->state == claim_state::kPending && !executed) {
+    Refuse(key, attempt, "withdrawn");
+    refused_.erase(attempt);
+    return true;
+  }
+  if (item->state != claim_state::kGranted) return false;
+  if (answer && SizeOf(*answer) > kMaxKeptAnswerBytes) answer.reset();
+  log_record record{executed ? record_kind::kFinish : record_kind::kRelease,
+                    key,
+                    attempt,
+                    LogNow(now),
+                    0,
+                    0,
+                    0,
+                    answer};
+  Queue(std::move(record), now);
+  if (!executed) {
+    index_.Erase(key);
+    return true;
+  }
+  item->state = claim_state::kFinished;
+  item->answer = std::move(answer);
   return true;
 }
 
-std::optional<store_call> shard_owner::NextCall(steady_time) { return std::nullopt; }
+void shard_owner::Refuse(const std::string& key, std::uint64_t attempt, const std::string& reason) {
+  claim* item = index_.Find(key);
+  if (item == nullptr || item->attempt != attempt || item->state != claim_state::kPending) return;
+  refused_[attempt] = reason;
+  const auto queued = std::find_if(queue_.begin(), queue_.end(), [&](const log_record& record) {
+    return record.kind == record_kind::kClaim && record.attempt == attempt;
+  });
+  if (queued != queue_.end()) {
+    queue_.erase(queued);
+    --queued_claims_;
+    index_.Erase(key);
+  } else {
+    item->state = claim_state::kAbandoned;
+  }
+}
+
+void shard_owner::RefuseWaiting(const std::string& reason) {
+  std::vector<log_record> waiting(queue_.begin(), queue_.end());
+  if (write_) waiting.insert(waiting.end(), write_->added.begin(), write_->added.end());
+  for (const log_record& record : waiting) {
+    if (record.kind != record_kind::kClaim) continue;
+    const claim* item = index_.Find(record.key);
+    const bool pending =
+        item != nullptr && item->attempt == record.attempt && item->state == claim_state::kPending;
+    if (!pending) continue;
+    Refuse(record.key, record.attempt, reason);
+    events_.push_back({owner_event_kind::kRefused, header_.epoch, record.key, reason});
+  }
+}
+
+void shard_owner::StepDown(std::string_view reason) {
+  RefuseWaiting(std::string(reason));
+  index_.Clear();
+  queue_.clear();
+  queued_claims_ = 0;
+  write_.reset();
+  open_records_.clear();
+  settling_ = false;
+  deleting_ = false;
+  header_ = {};
+  phase_ = phase::kClosed;
+}
+
+void shard_owner::Fenced(steady_time now) {
+  events_.push_back({owner_event_kind::kFenced, header_.epoch, {}, {}});
+  StepDown("another node owns the shard");
+  retry_at_ = now + kFencedPause;
+}
 
-void shard_owner::OnResult(store_call_result, steady_time) {}
+std::vector<owner_event> shard_owner::TakeEvents() { return std::exchange(events_, {}); }
 
-std::vector<owner_event> shard_owner::TakeEvents() { return {}; }
+bool shard_owner::idle() const { return queue_.empty() && !write_ && !in_call_; }
 
 }  // namespace siskinrack::idempotency
