--- /dev/null
+++ b/unittests/quarantine/quarantine_table_test.cpp
@@ -0,0 +1,117 @@
+#include "siskinrack/quarantine/quarantine_table.h"
+
+#include <gtest/gtest.h>
+
+#include "siskinrack/quarantine/fingerprint.h"
+
+namespace siskinrack::quarantine {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kBad = 66;
+
+class quarantine_table_test : public testing::Test {
+ protected:
+  crash_verdict Crash(const std::string& node, std::uint64_t id,
+                      std::vector<std::uint64_t> suspects) {
+    return table_.AddCrash({node, id, std::move(suspects), now_}, now_);
+  }
+
+  quarantine_table table_;
+  steady_time now_{std::chrono::hours(1)};
+};
+
+TEST_F(quarantine_table_test, SecondCrashHoldsAFingerprintBack) {
+  EXPECT_TRUE(Crash("a", 1, {kBad, 1}).held.empty());
+  EXPECT_FALSE(table_.IsHeld(kBad, now_));
+  EXPECT_EQ(Crash("b", 1, {kBad, 2}).held, (std::vector<std::uint64_t>{kBad}));
+  EXPECT_TRUE(table_.IsHeld(kBad, now_));
+  EXPECT_FALSE(table_.IsHeld(1, now_));
+  ASSERT_EQ(table_.Held(now_).size(), 1U);
+  EXPECT_EQ(table_.Held(now_)[0].crashes, 2U);
+  now_ += kHoldTime + seconds(1);
+  EXPECT_FALSE(table_.IsHeld(kBad, now_));
+}
+
+// Guards against one crash that is counted twice because its message arrives on two paths.
+TEST_F(quarantine_table_test, RepeatedEvidenceCountsOnce) {
+  EXPECT_TRUE(Crash("a", 1, {kBad}).held.empty());
+  EXPECT_TRUE(Crash("a", 1, {kBad}).held.empty());
+  EXPECT_FALSE(table_.IsHeld(kBad, now_));
+  EXPECT_FALSE(Crash("a", 2, {kBad}).held.empty());
+}
+
+TEST_F(quarantine_table_test, CompletedRunClears) {
+  Crash("a", 1, {kBad, 7});
+  EXPECT_TRUE(table_.Complete(7, now_));
+  now_ += seconds(1);
+  const crash_verdict second = Crash("b", 1, {kBad, 7});
+  EXPECT_EQ(second.held, (std::vector<std::uint64_t>{kBad}));
+  EXPECT_EQ(second.cleared, (std::vector<std::uint64_t>{7}));
+  EXPECT_TRUE(table_.Complete(kBad, now_));
+  EXPECT_FALSE(table_.IsHeld(kBad, now_));
+}
+
+// Guards against an innocent request that is held back since its caller's retry met the same crash.
+TEST_F(quarantine_table_test, TwoCandidatesWaitForAThirdCrash) {
+  Crash("a", 1, {kBad, 7});
+  EXPECT_TRUE(Crash("b", 1, {kBad, 7}).held.empty());
+  EXPECT_TRUE(table_.Complete(7, now_));
+  EXPECT_EQ(Crash("c", 1, {kBad}).held, (std::vector<std::uint64_t>{kBad}));
+  EXPECT_FALSE(table_.IsHeld(7, now_));
+}
+
+TEST_F(quarantine_table_test, CrashesFartherApartThanTheWindowDoNotAddUp) {
+  Crash("a", 1, {kBad});
+  now_ += kWindow + seconds(1);
+  EXPECT_TRUE(Crash("b", 1, {kBad}).held.empty());
+}
+
+TEST_F(quarantine_table_test, NewEvidenceRenewsTheHold) {
+  Crash("a", 1, {kBad});
+  Crash("b", 1, {kBad});
+  now_ += seconds(50);
+  Crash("c", 1, {kBad});
+  now_ += seconds(50);
+  EXPECT_TRUE(table_.IsHeld(kBad, now_));
+}
+
+// Guards against old evidence on its way that undoes an operator's release.
+TEST_F(quarantine_table_test, ReleaseForgetsEvidenceUpToNow) {
+  const steady_time before = now_;
+  Crash("a", 1, {kBad});
+  Crash("b", 1, {kBad});
+  now_ += seconds(1);
+  EXPECT_TRUE(table_.Release(kBad, now_));
+  EXPECT_FALSE(table_.Release(kBad, now_));
+  EXPECT_FALSE(table_.IsHeld(kBad, now_));
+  table_.AddCrash({"c", 1, {kBad}, before}, now_);
+  table_.AddCrash({"d", 1, {kBad}, before}, now_);
+  EXPECT_FALSE(table_.IsHeld(kBad, now_));
+}
+
+TEST_F(quarantine_table_test, MemoryIsBounded) {
+  for (std::uint64_t i = 0; i < 20'000; ++i) {
+    table_.Complete(1'000'000 + i, now_);
+    Crash("a", i, {i});
+    now_ += milliseconds(1);
+  }
+  table_.Expire(now_ + kWindow + seconds(1));
+  EXPECT_TRUE(table_.empty());
+}
+
+TEST(Fingerprint, EachPartCounts) {
+  const std::vector<std::uint8_t> body = {1, 2};
+  const auto whole = FingerprintOf("s", "POST", "/t", body);
+  EXPECT_EQ(whole, FingerprintOf("s", "POST", "/t", body));
+  EXPECT_NE(whole, FingerprintOf("s", "PUT", "/t", body));
+  EXPECT_NE(whole, FingerprintOf("sP", "OST", "/t", body));
+  EXPECT_NE(whole, FingerprintOf("s", "POST", "/t", {}));
+  EXPECT_EQ(ParseFingerprint(FormatFingerprint(whole)), whole);
+  EXPECT_FALSE(ParseFingerprint("12").has_value());
+}
+
+}  // namespace
+}  // namespace siskinrack::quarantine
