quarantine: crash detector and table of held fingerprints

Change: a crash needs every connection in use broken and no answer of the health endpoint. A fingerprint is held back after two crashes; candidates that share their crashes wait until a completed run clears all but one of them, or for a third crash.

--- a/include/siskinrack/quarantine/quarantine_table.h
+++ b/include/siskinrack/quarantine/quarantine_table.h
@@ -39,25 +39,26 @@
   std::chrono::milliseconds remaining{0};
 };
 
-/// What a node learned from one crash.
+/// What a node learned from a crash or a completed run.
 struct crash_verdict {
-  /// Fingerprints held back from now on.
+  /// Fingerprints held back from now on and not before.
   std::vector<std::uint64_t> held;
-  /// Suspects that completed here within the window.
+  /// Suspects that are cleared by a run which completed here within the window.
   std::vector<std::uint64_t> cleared;
 };
 
 /// Crash evidence and the fingerprints held back for it. Not thread-safe.
 ///
 /// A fingerprint is held back after two crashes without a completed run in the window. If a crash
-/// brings several fingerprints to that point at once, one of them may be innocent and was only in
-/// flight beside the other twice; they are held back after a third crash.
+/// brings several fingerprints to that point, some of them may be innocent and were only in flight
+/// beside another one twice; they are held back after a third crash, or once the others are
+/// cleared.
 class quarantine_table {
  public:
   crash_verdict AddCrash(const crash& item, steady_time now);
 
-  /// A complete answer. Returns true if there was evidence against the fingerprint.
-  bool Complete(std::uint64_t fingerprint, steady_time now);
+  /// A complete answer; it clears the fingerprint if there was evidence against it.
+  crash_verdict Complete(std::uint64_t fingerprint, steady_time now);
   /// An operator's release: forgets the evidence up to now. Returns false if the release is already
   /// known.
   bool Release(std::uint64_t fingerprint, steady_time now);
@@ -81,8 +82,10 @@
   };
 
   [[nodiscard]] bool CompletedSince(std::uint64_t fingerprint, steady_time time) const;
-  /// Returns the number of crashes of the fingerprint, or 0 if this one is known or doesn't count.
-  std::size_t AddSighting(std::uint64_t fingerprint, const crash& item);
+  void AddSighting(std::uint64_t fingerprint, const crash& item);
+  /// Holds back those suspects of a crash whose guilt is settled; returns the new ones.
+  std::vector<std::uint64_t> HoldCandidates(const std::string& node_id, std::uint64_t crash_id,
+                                            steady_time now);
 
   std::map<std::uint64_t, suspect> suspects_;
   std::unordered_map<std::uint64_t, steady_time> completed_;
--- a/lib/quarantine/crash_detector.cpp
+++ b/lib/quarantine/crash_detector.cpp
@@ -2,10 +2,31 @@
 
 namespace siskinrack::quarantine {
 
-crash_detector::token crash_detector::Begin() { return next_++; }
+crash_detector::token crash_detector::Begin() {
+  in_flight_.insert(next_);
+  return next_++;
+}
 
-bool crash_detector::End(token, run_end, std::uint64_t) { return false; }
+bool crash_detector::End(token run, run_end how, std::uint64_t fingerprint) {
+  in_flight_.erase(run);
+  if (!incident_) {
+    if (how != run_end::kBroken) return false;
+    incident_ = incident{in_flight_, {fingerprint}, false};
+    return true;
+  }
+  // A request sent after the first break met an upstream that was gone already.
+  if (incident_->remaining.erase(run) == 0) return false;
+  if (how == run_end::kBroken) incident_->suspects.insert(fingerprint);
+  if (how == run_end::kAnswered) incident_->survived = true;
+  return false;
+}
 
-std::optional<std::vector<std::uint64_t>> crash_detector::Conclude(bool) { return std::nullopt; }
+std::optional<std::vector<std::uint64_t>> crash_detector::Conclude(bool health_answers) {
+  if (!incident_) return std::nullopt;
+  const incident item = std::move(*incident_);
+  incident_.reset();
+  if (health_answers || item.survived || !item.remaining.empty()) return std::nullopt;
+  return std::vector<std::uint64_t>(item.suspects.begin(), item.suspects.end());
+}
 
 }  // namespace siskinrack::quarantine
