node: claim non-repeatable requests and hold back crashing ones

Change: claim_service asks the owner of the key's shard before forwarding, keeps the grant's deadline, records the result, and drives the shards that this node owns; quarantine_service detects crashes, spreads evidence and refuses held fingerprints. Both wrap the calls of Forward and SendToUpstream. The schema gets the attempt number, which tells one grant of a key from another, and the verdict mismatch. A fenced owner keeps its waiting asks and hands unsaved results to the next owner; open claims are checked against the platform once a second; a short backoff of the call budget is waited for instead of refusing.

--- a/include/siskinrack/idempotency/shard_owner.h
+++ b/include/siskinrack/idempotency/shard_owner.h
@@ -50,12 +50,22 @@
   std::optional<store_call> NextCall(steady_time now);
   void OnResult(store_call_result result, steady_time now);
 
+  /// Earliest time at which NextCall may have a call, unless another ask or result comes before.
+  [[nodiscard]] steady_time NextCallAt() const;
+
+  /// Loads the log without an ask, so that results of earlier owners' grants can be recorded.
+  void Open() { open_wanted_ = phase_ == phase::kClosed; }
+
   /// Gives the shard up, for example because another node is its owner now.
   void StepDown(std::string_view reason);
 
   std::vector<owner_event> TakeEvents();
-  /// Nothing queued, nothing in doubt.
-  [[nodiscard]] bool idle() const;
+  /// Results that a fenced owner had accepted and not written; they go to the new owner.
+  std::vector<log_record> TakeUnsavedResults();
+  /// Nothing queued, nothing in doubt, nothing to delete.
+  [[nodiscard]] bool IsIdle(steady_time now) const;
+  /// The log is loaded: every claim of the retention period is known.
+  [[nodiscard]] bool ready() const { return phase_ == phase::kReady; }
   [[nodiscard]] std::uint64_t epoch() const { return header_.epoch; }
   [[nodiscard]] std::size_t claims() const { return index_.size(); }
 
@@ -80,12 +90,14 @@
   write MakeArchive() const;
   [[nodiscard]] bool CanDelete(std::uint64_t log_ms) const;
 
+  void OnChecked(const store_call_result& result, steady_time now);
   void OnOpenRead(store_call_result result, steady_time now);
   void OnArchiveRead(store_call_result result, steady_time now);
   void OnWritten(const store_call_result& result, steady_time now);
   void OnSettled(store_call_result result, steady_time now);
   void OnLanded(std::uint64_t version, steady_time now);
   void OnBatchLanded(const std::vector<log_record>& added, steady_time now);
+  void OnBudgetWait(std::chrono::milliseconds wait, steady_time now);
   void OnPlatformFailure(steady_time now);
   void FinishLoading(steady_time now);
   void Fenced(steady_time now);
@@ -115,8 +127,15 @@
   // The write in progress and what is known of it.
   std::optional<write> write_;
   bool in_call_ = false;
+  bool open_wanted_ = false;
   bool settling_ = false;
   bool deleting_ = false;
+  // Reading the open segment to learn whether another node has taken the shard over.
+  bool check_wanted_ = false;
+  bool checking_ = false;
+  steady_time checked_at_{};
+  /// Why asks are refused until retry_at_; empty if they are queued.
+  std::string closed_reason_;
   bool down_ = false;
   steady_time retry_at_{};
   steady_time next_write_at_{};
@@ -128,6 +147,7 @@
   /// Refusals that their asker has not seen yet.
   std::unordered_map<std::uint64_t, std::string> refused_;
   std::vector<owner_event> events_;
+  std::vector<log_record> unsaved_;
 };
 
 }  // namespace siskinrack::idempotency
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -219,35 +219,38 @@
   in_progress = 2,
   lost = 3,
   refused = 4,
+  mismatch = 5,
   MIN = granted,
-  MAX = refused
+  MAX = mismatch
 };
 
-inline const claim_verdict (&EnumValuesclaim_verdict())[5] {
+inline const claim_verdict (&EnumValuesclaim_verdict())[6] {
   static const claim_verdict values[] = {
     claim_verdict::granted,
     claim_verdict::finished,
     claim_verdict::in_progress,
     claim_verdict::lost,
-    claim_verdict::refused
+    claim_verdict::refused,
+    claim_verdict::mismatch
   };
   return values;
 }
 
 inline const char * const *EnumNamesclaim_verdict() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "granted",
     "finished",
     "in_progress",
     "lost",
     "refused",
+    "mismatch",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameclaim_verdict(claim_verdict e) {
-  if (flatbuffers::IsOutRange(e, claim_verdict::granted, claim_verdict::refused)) return "";
+  if (flatbuffers::IsOutRange(e, claim_verdict::granted, claim_verdict::mismatch)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesclaim_verdict()[index];
 }
@@ -2568,6 +2571,7 @@
   std::string key{};
   uint64_t fingerprint = 0;
   uint32_t deadline_ms = 0;
+  uint64_t attempt = 0;
 };
 
 struct claim_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2577,7 +2581,8 @@
     VT_SHARD = 4,
     VT_KEY = 6,
     VT_FINGERPRINT = 8,
-    VT_DEADLINE_MS = 10
+    VT_DEADLINE_MS = 10,
+    VT_ATTEMPT = 12
   };
   uint16_t shard() const {
     return GetField<uint16_t>(VT_SHARD, 0);
@@ -2591,6 +2596,9 @@
   uint32_t deadline_ms() const {
     return GetField<uint32_t>(VT_DEADLINE_MS, 0);
   }
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_SHARD, 2) &&
@@ -2598,6 +2606,7 @@
            verifier.VerifyString(key()) &&
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            VerifyField<uint32_t>(verifier, VT_DEADLINE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            verifier.EndTable();
   }
   claim_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2621,6 +2630,9 @@
   void add_deadline_ms(uint32_t deadline_ms) {
     fbb_.AddElement<uint32_t>(claim_request::VT_DEADLINE_MS, deadline_ms, 0);
   }
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(claim_request::VT_ATTEMPT, attempt, 0);
+  }
   explicit claim_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2637,8 +2649,10 @@
     uint16_t shard = 0,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     uint64_t fingerprint = 0,
-    uint32_t deadline_ms = 0) {
+    uint32_t deadline_ms = 0,
+    uint64_t attempt = 0) {
   claim_requestBuilder builder_(_fbb);
+  builder_.add_attempt(attempt);
   builder_.add_fingerprint(fingerprint);
   builder_.add_deadline_ms(deadline_ms);
   builder_.add_key(key);
@@ -2651,14 +2665,16 @@
     uint16_t shard = 0,
     const char *key = nullptr,
     uint64_t fingerprint = 0,
-    uint32_t deadline_ms = 0) {
+    uint32_t deadline_ms = 0,
+    uint64_t attempt = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   return siskinrack::wire::Createclaim_request(
       _fbb,
       shard,
       key__,
       fingerprint,
-      deadline_ms);
+      deadline_ms,
+      attempt);
 }
 
 flatbuffers::Offset<claim_request> Createclaim_request(flatbuffers::FlatBufferBuilder &_fbb, const claim_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2776,6 +2792,7 @@
   uint64_t epoch = 0;
   bool executed = false;
   std::unique_ptr<siskinrack::wire::call_answer_t> answer{};
+  uint64_t attempt = 0;
   claim_result_t() = default;
   claim_result_t(const claim_result_t &o);
   claim_result_t(claim_result_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2790,7 +2807,8 @@
     VT_KEY = 6,
     VT_EPOCH = 8,
     VT_EXECUTED = 10,
-    VT_ANSWER = 12
+    VT_ANSWER = 12,
+    VT_ATTEMPT = 14
   };
   uint16_t shard() const {
     return GetField<uint16_t>(VT_SHARD, 0);
@@ -2807,6 +2825,9 @@
   const siskinrack::wire::call_answer *answer() const {
     return GetPointer<const siskinrack::wire::call_answer *>(VT_ANSWER);
   }
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_SHARD, 2) &&
@@ -2816,6 +2837,7 @@
            VerifyField<uint8_t>(verifier, VT_EXECUTED, 1) &&
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyTable(answer()) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            verifier.EndTable();
   }
   claim_result_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2842,6 +2864,9 @@
   void add_answer(flatbuffers::Offset<siskinrack::wire::call_answer> answer) {
     fbb_.AddOffset(claim_result::VT_ANSWER, answer);
   }
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(claim_result::VT_ATTEMPT, attempt, 0);
+  }
   explicit claim_resultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2859,8 +2884,10 @@
     flatbuffers::Offset<flatbuffers::String> key = 0,
     uint64_t epoch = 0,
     bool executed = false,
-    flatbuffers::Offset<siskinrack::wire::call_answer> answer = 0) {
+    flatbuffers::Offset<siskinrack::wire::call_answer> answer = 0,
+    uint64_t attempt = 0) {
   claim_resultBuilder builder_(_fbb);
+  builder_.add_attempt(attempt);
   builder_.add_epoch(epoch);
   builder_.add_answer(answer);
   builder_.add_key(key);
@@ -2875,7 +2902,8 @@
     const char *key = nullptr,
     uint64_t epoch = 0,
     bool executed = false,
-    flatbuffers::Offset<siskinrack::wire::call_answer> answer = 0) {
+    flatbuffers::Offset<siskinrack::wire::call_answer> answer = 0,
+    uint64_t attempt = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   return siskinrack::wire::Createclaim_result(
       _fbb,
@@ -2883,7 +2911,8 @@
       key__,
       epoch,
       executed,
-      answer);
+      answer,
+      attempt);
 }
 
 flatbuffers::Offset<claim_result> Createclaim_result(flatbuffers::FlatBufferBuilder &_fbb, const claim_result_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4075,6 +4104,7 @@
   { auto _e = key(); if (_e) _o->key = _e->str(); }
   { auto _e = fingerprint(); _o->fingerprint = _e; }
   { auto _e = deadline_ms(); _o->deadline_ms = _e; }
+  { auto _e = attempt(); _o->attempt = _e; }
 }
 
 inline flatbuffers::Offset<claim_request> claim_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const claim_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4089,12 +4119,14 @@
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
   auto _fingerprint = _o->fingerprint;
   auto _deadline_ms = _o->deadline_ms;
+  auto _attempt = _o->attempt;
   return siskinrack::wire::Createclaim_request(
       _fbb,
       _shard,
       _key,
       _fingerprint,
-      _deadline_ms);
+      _deadline_ms,
+      _attempt);
 }
 
 inline claim_reply_t::claim_reply_t(const claim_reply_t &o)
@@ -4152,7 +4184,8 @@
         key(o.key),
         epoch(o.epoch),
         executed(o.executed),
-        answer((o.answer) ? new siskinrack::wire::call_answer_t(*o.answer) : nullptr) {
+        answer((o.answer) ? new siskinrack::wire::call_answer_t(*o.answer) : nullptr),
+        attempt(o.attempt) {
 }
 
 inline claim_result_t &claim_result_t::operator=(claim_result_t o) FLATBUFFERS_NOEXCEPT {
@@ -4161,6 +4194,7 @@
   std::swap(epoch, o.epoch);
   std::swap(executed, o.executed);
   std::swap(answer, o.answer);
+  std::swap(attempt, o.attempt);
   return *this;
 }
 
@@ -4178,6 +4212,7 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = executed(); _o->executed = _e; }
   { auto _e = answer(); if (_e) _o->answer = std::unique_ptr<siskinrack::wire::call_answer_t>(_e->UnPack(_resolver)); }
+  { auto _e = attempt(); _o->attempt = _e; }
 }
 
 inline flatbuffers::Offset<claim_result> claim_result::Pack(flatbuffers::FlatBufferBuilder &_fbb, const claim_result_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4193,13 +4228,15 @@
   auto _epoch = _o->epoch;
   auto _executed = _o->executed;
   auto _answer = _o->answer ? Createcall_answer(_fbb, _o->answer.get(), _rehasher) : 0;
+  auto _attempt = _o->attempt;
   return siskinrack::wire::Createclaim_result(
       _fbb,
       _shard,
       _key,
       _epoch,
       _executed,
-      _answer);
+      _answer,
+      _attempt);
 }
 
 inline crash_evidence_t *crash_evidence::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/lib/idempotency/shard_owner.cpp
+++ b/lib/idempotency/shard_owner.cpp
@@ -16,6 +16,10 @@
 /// Bounds the header and the reads of a takeover.
 constexpr std::size_t kMaxArchivedSegments = 512;
 
+/// Results wait this long for a batch of claims to share a write with.
+constexpr milliseconds kResultDelay{500};
+constexpr milliseconds kCheckInterval{1'000};
+
 constexpr std::string_view kDownReason = "platform is unavailable";
 
 std::uint64_t Count(milliseconds time) { return static_cast<std::uint64_t>(time.count()); }
@@ -36,15 +40,22 @@
   const std::uint64_t log_ms = LogNow(now);
   if (phase_ == phase::kReady) {
     index_.Expire(log_ms);
-    if (auto decision = index_.Decide(ask, log_ms)) return decision;
+    if (auto decision = index_.Decide(ask, log_ms)) {
+      // The result may have gone to another node that owns the shard now.
+      const bool open =
+          decision->outcome == verdict::kInProgress || decision->outcome == verdict::kLost;
+      if (open && now - checked_at_ >= kCheckInterval) check_wanted_ = true;
+      return decision;
+    }
   }
   if (const claim* own = index_.Find(ask.key); own != nullptr) {
     // While the log is being loaded, only the asks of this time are known.
     if (own->attempt == ask.attempt) return std::nullopt;
     return claim_decision{verdict::kInProgress, header_.epoch, "claim is being written", {}};
   }
-  if (down_ || (phase_ == phase::kClosed && now < retry_at_)) {
-    return claim_decision{verdict::kRefused, header_.epoch, std::string(kDownReason), {}};
+  if (down_) return claim_decision{verdict::kRefused, header_.epoch, std::string(kDownReason), {}};
+  if (phase_ == phase::kClosed && now < retry_at_ && !closed_reason_.empty()) {
+    return claim_decision{verdict::kRefused, header_.epoch, closed_reason_, {}};
   }
   if (queued_claims_ >= kMaxQueuedClaims || header_.archived.size() >= kMaxArchivedSegments) {
     return claim_decision{verdict::kRefused, header_.epoch, "claim log is full", {}};
@@ -134,18 +145,45 @@
   open_records_.clear();
   settling_ = false;
   deleting_ = false;
+  check_wanted_ = false;
+  checking_ = false;
   header_ = {};
+  closed_reason_.clear();
   phase_ = phase::kClosed;
 }
 
 void shard_owner::Fenced(steady_time now) {
   events_.push_back({owner_event_kind::kFenced, header_.epoch, {}, {}});
+  std::vector<log_record> unwritten(queue_.begin(), queue_.end());
+  if (write_) unwritten.insert(unwritten.end(), write_->added.begin(), write_->added.end());
+  for (log_record& record : unwritten) {
+    if (record.kind != record_kind::kClaim) unsaved_.push_back(std::move(record));
+  }
+  // Waiting asks are not refused: they are repeated, and the log as the other node left it decides.
+  write_.reset();
+  queue_.clear();
   StepDown("another node owns the shard");
   retry_at_ = now + kFencedPause;
 }
 
 std::vector<owner_event> shard_owner::TakeEvents() { return std::exchange(events_, {}); }
 
-bool shard_owner::idle() const { return queue_.empty() && !write_ && !in_call_; }
+std::vector<log_record> shard_owner::TakeUnsavedResults() { return std::exchange(unsaved_, {}); }
+
+bool shard_owner::IsIdle(steady_time now) const {
+  const bool loading =
+      open_wanted_ || check_wanted_ || (phase_ != phase::kClosed && phase_ != phase::kReady);
+  return queue_.empty() && !write_ && !in_call_ && !loading && !CanDelete(LogNow(now));
+}
+
+steady_time shard_owner::NextCallAt() const {
+  if (settling_ || check_wanted_ || phase_ == phase::kReadOpen || phase_ == phase::kReadArchive)
+    return retry_at_;
+  steady_time at = std::max(retry_at_, next_write_at_);
+  if (phase_ == phase::kReady && !write_ && queued_claims_ == 0 && !queue_.empty()) {
+    at = std::max(at, oldest_queued_at_ + kResultDelay);
+  }
+  return at;
+}
 
 }  // namespace siskinrack::idempotency
--- a/lib/idempotency/shard_owner_calls.cpp
+++ b/lib/idempotency/shard_owner_calls.cpp
@@ -14,9 +14,10 @@
 using platform::stored_object;
 using std::chrono::milliseconds;
 
-/// Results wait this long for a batch of claims to share a write with.
-constexpr milliseconds kResultDelay{500};
 constexpr milliseconds kPlatformRetry{50};
+/// A call budget's backoff after one lost answer is shorter than this; asks wait for it. A longer
+/// one means that the platform is down.
+constexpr milliseconds kMaxBudgetWait{150};
 /// An unreadable log needs an operator; it isn't read at the rate of the asks.
 constexpr milliseconds kUnreadableRetry{1'000};
 /// With the largest batch, header and segment this stays far below the platform's 1 MB per value.
@@ -27,9 +28,15 @@
 std::optional<store_call> shard_owner::NextCall(steady_time now) {
   if (in_call_ || now < retry_at_) return std::nullopt;
   std::optional<store_call> call;
-  if (phase_ == phase::kClosed && !queue_.empty()) phase_ = phase::kReadOpen;
+  if (phase_ == phase::kClosed && (!queue_.empty() || open_wanted_)) phase_ = phase::kReadOpen;
+  open_wanted_ = false;
   if (settling_) {
     call = store_call{store_call_kind::kGet, write_->call.name, {}, 0};
+  } else if (phase_ == phase::kReady && check_wanted_ && !write_) {
+    check_wanted_ = false;
+    checking_ = true;
+    checked_at_ = now;
+    call = store_call{store_call_kind::kGet, OpenSegmentName(shard_), {}, 0};
   } else if (phase_ == phase::kReadOpen) {
     call = store_call{store_call_kind::kGet, OpenSegmentName(shard_), {}, 0};
   } else if (phase_ == phase::kReadArchive) {
@@ -67,10 +74,7 @@
   return write_->call;
 }
 
-bool shard_owner::BatchDue(steady_time now) const {
-  if (queue_.empty()) return false;
-  return queued_claims_ > 0 || now - oldest_queued_at_ >= kResultDelay;
-}
+bool shard_owner::BatchDue(steady_time now) const { return !queue_.empty() && now >= NextCallAt(); }
 
 bool shard_owner::CanDelete(std::uint64_t log_ms) const {
   return !header_.archived.empty() &&
@@ -130,6 +134,10 @@
   assert(in_call_ && "a result without a call");
   in_call_ = false;
   const auto* error = std::get_if<store_error>(&result);
+  if (error != nullptr && error->code == store_errc::kUnavailable &&
+      error->retry_after > milliseconds(0) && error->retry_after <= kMaxBudgetWait) {
+    return OnBudgetWait(error->retry_after, now);
+  }
   const bool answered = error == nullptr || error->code == store_errc::kConflict ||
                         error->code == store_errc::kNotFound;
   if (answered) down_ = false;
@@ -137,6 +145,8 @@
     // An object that is gone or replaced was deleted by a call whose answer was lost.
     if (answered && CanDelete(LogNow(now))) header_.archived.erase(header_.archived.begin());
     if (!answered) OnPlatformFailure(now);
+  } else if (std::exchange(checking_, false)) {
+    OnChecked(result, now);
   } else if (settling_) {
     OnSettled(std::move(result), now);
   } else if (write_) {
@@ -148,12 +158,27 @@
   }
 }
 
+void shard_owner::OnBudgetWait(milliseconds wait, steady_time now) {
+  // The call was not made, so nothing is in doubt and a write took no turn.
+  deleting_ = false;
+  checking_ = false;
+  retry_at_ = now + wait;
+  next_write_at_ = std::min(next_write_at_, retry_at_);
+}
+
 void shard_owner::OnPlatformFailure(steady_time now) {
   down_ = true;
   retry_at_ = now + kPlatformRetry;
   RefuseWaiting("platform is unavailable");
   if (phase_ != phase::kReady && !write_) phase_ = phase::kClosed;
-  if (phase_ == phase::kClosed) down_ = false;
+  if (phase_ != phase::kClosed) return;
+  down_ = false;
+  closed_reason_ = "platform is unavailable";
+}
+
+void shard_owner::OnChecked(const store_call_result& result, steady_time now) {
+  const auto* object = std::get_if<stored_object>(&result);
+  if (object != nullptr && object->version != version_) Fenced(now);
 }
 
 void shard_owner::OnOpenRead(store_call_result result, steady_time now) {
@@ -166,6 +191,7 @@
     auto decoded = DecodeSegment(object.value);
     if (!decoded) {
       StepDown("claim log is unreadable");
+      closed_reason_ = "claim log is unreadable";
       retry_at_ = now + kUnreadableRetry;
       return;
     }
@@ -263,6 +289,7 @@
     const auto decoded = DecodeSegment(std::get<stored_object>(result).value);
     if (!decoded) {
       StepDown("claim log is unreadable");
+      closed_reason_ = "claim log is unreadable";
       retry_at_ = now + kUnreadableRetry;
       return;
     }
--- a/lib/node/admin_service.cpp
+++ b/lib/node/admin_service.cpp
@@ -17,6 +17,7 @@
 
 net::http_response admin_service::Handle(const net::http_request& request) {
   if (request.target == "/config" && request.method == "PUT") return OfferConfig(request);
+  if (auto response = quarantine_.HandleAdmin(request)) return std::move(*response);
   if (request.method != "GET") return {kStatusBadRequest, {}, "unknown method\n"};
   if (request.target == "/healthz") return {kStatusOk, {}, "ok\n"};
   if (request.target == "/readyz") {
@@ -37,14 +38,15 @@
     if (net::IsRequestTraffic(message)) continue;
     control_bytes += context_.traffic.sent(message) + context_.traffic.received(message);
   }
-  return JsonResponse(json::object{{"node_id", context_.settings.node_id},
-                                   {"failure_domain", context_.settings.failure_domain},
-                                   {"version", snapshot->config.version},
-                                   {"digest", snapshot->digest},
-                                   {"rejected", configs_.last_rejection()},
-                                   {"members", context_.members.All().size()},
-                                   {"platform_calls", context_.store.calls()},
-                                   {"control_bytes", control_bytes}});
+  return JsonResponse(
+      json::object{{"node_id", context_.settings.node_id},
+                   {"failure_domain", context_.settings.failure_domain},
+                   {"version", snapshot->config.version},
+                   {"digest", snapshot->digest},
+                   {"rejected", configs_.last_rejection()},
+                   {"members", context_.members.All().size()},
+                   {"platform_calls", context_.store.calls() + claims_.platform_calls()},
+                   {"control_bytes", control_bytes}});
 }
 
 net::http_response admin_service::Upstreams() const {
--- a/lib/node/admin_service.h
+++ b/lib/node/admin_service.h
@@ -1,17 +1,20 @@
 #ifndef SISKINRACK_LIB_NODE_ADMIN_SERVICE_H_
 #define SISKINRACK_LIB_NODE_ADMIN_SERVICE_H_
 
+#include "claim_service.h"
 #include "config_service.h"
 #include "node_context.h"
+#include "quarantine_service.h"
 
 namespace siskinrack::node {
 
-/// The admin port: /healthz, /readyz, /status, /upstreams, /timeline, and PUT /config, by which the
-/// operator program hands over a version that the platform has accepted.
+/// The admin port: /healthz, /readyz, /status, /upstreams, /timeline, /quarantine, and PUT /config,
+/// by which the operator program hands over a version that the platform has accepted.
 class admin_service {
  public:
-  admin_service(node_context& context, config_service& configs)
-      : context_(context), configs_(configs) {}
+  admin_service(node_context& context, config_service& configs, claim_service& claims,
+                quarantine_service& quarantine)
+      : context_(context), configs_(configs), claims_(claims), quarantine_(quarantine) {}
 
   net::http_response Handle(const net::http_request& request);
 
@@ -23,6 +26,8 @@
 
   node_context& context_;
   config_service& configs_;
+  claim_service& claims_;
+  quarantine_service& quarantine_;
 };
 
 }  // namespace siskinrack::node
--- /dev/null
+++ b/lib/node/claim_messages.cpp
@@ -0,0 +1,82 @@
+#include "claim_messages.h"
+
+namespace siskinrack::node {
+namespace {
+
+using idempotency::verdict;
+
+wire::claim_verdict ToWire(verdict outcome) {
+  switch (outcome) {
+    case verdict::kGranted:
+      return wire::claim_verdict::granted;
+    case verdict::kFinished:
+      return wire::claim_verdict::finished;
+    case verdict::kInProgress:
+      return wire::claim_verdict::in_progress;
+    case verdict::kLost:
+      return wire::claim_verdict::lost;
+    case verdict::kMismatch:
+      return wire::claim_verdict::mismatch;
+    case verdict::kRefused:
+      break;
+  }
+  return wire::claim_verdict::refused;
+}
+
+std::unique_ptr<wire::call_answer_t> FromKept(const idempotency::kept_answer& kept) {
+  auto answer = std::make_unique<wire::call_answer_t>();
+  answer->status = kept.status;
+  for (const auto& [name, value] : kept.fields) {
+    auto field = std::make_unique<wire::header_field_t>();
+    field->name = name;
+    field->value = value;
+    answer->headers.push_back(std::move(field));
+  }
+  answer->body.assign(kept.body.begin(), kept.body.end());
+  return answer;
+}
+
+}  // namespace
+
+wire::claim_reply_t RefusedReply(std::string_view reason) {
+  wire::claim_reply_t reply;
+  reply.verdict = wire::claim_verdict::refused;
+  reply.reason = reason;
+  return reply;
+}
+
+wire::claim_reply_t ToReply(const idempotency::claim_decision& decision) {
+  wire::claim_reply_t reply;
+  reply.verdict = ToWire(decision.outcome);
+  reply.epoch = decision.epoch;
+  reply.reason = decision.reason;
+  if (decision.answer) reply.answer = FromKept(*decision.answer);
+  return reply;
+}
+
+wire::claim_result_t ToResult(std::size_t shard, const idempotency::log_record& record) {
+  wire::claim_result_t result;
+  result.shard = static_cast<std::uint16_t>(shard);
+  result.key = record.key;
+  result.attempt = record.attempt;
+  result.executed = record.kind == idempotency::record_kind::kFinish;
+  if (record.answer) result.answer = FromKept(*record.answer);
+  return result;
+}
+
+std::optional<idempotency::kept_answer> ToKept(const wire::call_answer_t* answer) {
+  if (answer == nullptr) return std::nullopt;
+  idempotency::kept_answer kept;
+  kept.status = answer->status;
+  for (const auto& field : answer->headers) kept.fields.emplace_back(field->name, field->value);
+  kept.body.assign(answer->body.begin(), answer->body.end());
+  return kept;
+}
+
+std::unique_ptr<wire::call_answer_t> KeptCopy(const wire::call_answer_t& answer) {
+  const auto kept = ToKept(&answer);
+  if (idempotency::SizeOf(*kept) > idempotency::kMaxKeptAnswerBytes) return nullptr;
+  return FromKept(*kept);
+}
+
+}  // namespace siskinrack::node
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -86,7 +86,18 @@
       resources.FindRank(named_rank.empty() ? std::string_view(route->rank) : named_rank);
   if (rank == nullptr) return ToHttp(NotRun(kStatusBadRequest, "unknown rank"));
   return ToHttp(
-      Forward(MakeCall(std::move(request), *route, *rank, snapshot->config.version), cancel));
+      ForwardGuarded(MakeCall(std::move(request), *route, *rank, snapshot->config.version),
+                     route->non_repeatable, cancel));
+}
+
+wire::call_answer_t entry_service::ForwardGuarded(wire::call_request_t call, bool non_repeatable,
+                                                  net::cancellation& cancel) {
+  if (auto refusal = quarantine_.Refusal(call)) return std::move(*refusal);
+  if (!non_repeatable) return Forward(std::move(call), cancel);
+  return claims_.Run(std::move(call), cancel,
+                     [this](wire::call_request_t claimed, net::cancellation& claimed_cancel) {
+                       return Forward(std::move(claimed), claimed_cancel);
+                     });
 }
 
 wire::call_answer_t entry_service::Forward(wire::call_request_t call, net::cancellation& cancel) {
--- a/lib/node/entry_service.h
+++ b/lib/node/entry_service.h
@@ -3,7 +3,9 @@
 
 #include <atomic>
 
+#include "claim_service.h"
 #include "node_context.h"
+#include "quarantine_service.h"
 #include "serving_service.h"
 
 namespace siskinrack::node {
@@ -11,19 +13,25 @@
 /// Takes callers' requests, finds the route, chooses an upstream and forwards.
 class entry_service {
  public:
-  entry_service(node_context& context, serving_service& serving)
-      : context_(context), serving_(serving) {}
+  entry_service(node_context& context, serving_service& serving, claim_service& claims,
+                quarantine_service& quarantine)
+      : context_(context), serving_(serving), claims_(claims), quarantine_(quarantine) {}
 
   /// Answers one request of a caller. Runs in a fiber and may suspend.
   net::http_response Handle(net::http_request request, net::cancellation& cancel);
 
  private:
+  /// Holds back quarantined requests and claims the keys of non-repeatable ones around Forward.
+  wire::call_answer_t ForwardGuarded(wire::call_request_t call, bool non_repeatable,
+                                     net::cancellation& cancel);
   wire::call_answer_t Forward(wire::call_request_t call, net::cancellation& cancel);
   wire::call_answer_t ForwardTo(const membership::member_record& endpoint,
                                 const wire::call_request_t& call, net::cancellation& cancel);
 
   node_context& context_;
   serving_service& serving_;
+  claim_service& claims_;
+  quarantine_service& quarantine_;
   std::atomic<std::uint64_t> next_endpoint_ = 0;
 };
 
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -3,10 +3,12 @@
 #include <thread>
 
 #include "admin_service.h"
+#include "claim_service.h"
 #include "config_service.h"
 #include "entry_service.h"
 #include "membership_service.h"
 #include "node_context.h"
+#include "quarantine_service.h"
 #include "serving_service.h"
 #include "siskinrack/net/http_server.h"
 
@@ -30,15 +32,17 @@
  public:
   explicit impl(node_settings settings)
       : context_(std::move(settings)),
-        serving_(context_),
-        entry_(context_, serving_),
+        quarantine_(context_),
+        claims_(context_),
+        serving_(context_, quarantine_),
+        entry_(context_, serving_, claims_, quarantine_),
         configs_(context_,
                  [this](std::uint64_t version) { membership_.PublishServedVersion(version); }),
         membership_(context_, serving_,
                     [this](const support::socket_address& peer, std::uint64_t version) {
                       configs_.OnPeerVersion(peer, version);
                     }),
-        admin_(context_, configs_),
+        admin_(context_, configs_, claims_, quarantine_),
         caller_server_(context_.runtime, {.address = context_.settings.caller_address},
                        [this](net::http_request request, net::cancellation& cancel) {
                          return entry_.Handle(std::move(request), cancel);
@@ -63,6 +67,7 @@
                                     {"peer_port", peer_server_.port()},
                                     {"failure_domain", settings.failure_domain}});
     configs_.Start();
+    claims_.Start();
     membership_.Start({settings.peer_address.ip, peer_server_.port()},
                       {settings.admin_address.ip, admin_server_.port()});
   }
@@ -88,11 +93,15 @@
     if (const auto* call = message.message.Ascall_request()) {
       return wire::MakeEnvelope(serving_.Serve(*call, cancel));
     }
+    if (quarantine_.Handle(message)) return std::nullopt;
+    if (auto reply = claims_.Handle(message, cancel)) return reply;
     if (auto reply = membership_.Handle(message)) return reply;
     return configs_.Handle(message);
   }
 
   node_context context_;
+  quarantine_service quarantine_;
+  claim_service claims_;
   serving_service serving_;
   entry_service entry_;
   config_service configs_;
--- a/lib/node/outcome.h
+++ b/lib/node/outcome.h
@@ -22,6 +22,7 @@
 inline constexpr unsigned kStatusOk = 200;
 inline constexpr unsigned kStatusBadRequest = 400;
 inline constexpr unsigned kStatusNotFound = 404;
+inline constexpr unsigned kStatusUnprocessable = 422;
 inline constexpr unsigned kStatusTooManyRequests = 429;
 inline constexpr unsigned kStatusBadGateway = 502;
 inline constexpr unsigned kStatusUnavailable = 503;
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -64,9 +64,12 @@
 
 wire::call_answer_t serving_service::SendToUpstream(const wire::call_request_t& call,
                                                     net::cancellation& cancel) {
+  if (auto refusal = quarantine_.Refusal(call)) return std::move(*refusal);
   const auto deadline = std::chrono::steady_clock::now() + milliseconds(call.deadline_ms);
+  const auto run = quarantine_.BeginRun();
   net::http_result result = context_.upstream_client.Send(*context_.settings.upstream_address,
                                                           ToHttp(call), deadline, &cancel);
+  quarantine_.EndRun(run, call, result, cancel.cancelled());
   if (result.stage == net::exchange_stage::kNotSent) {
     return NotRun(kStatusUnavailable, "upstream is unreachable");
   }
--- a/lib/node/serving_service.h
+++ b/lib/node/serving_service.h
@@ -4,13 +4,15 @@
 #include <atomic>
 
 #include "node_context.h"
+#include "quarantine_service.h"
 
 namespace siskinrack::node {
 
 /// Serves calls with this VM's upstream.
 class serving_service {
  public:
-  explicit serving_service(node_context& context) : context_(context) {}
+  serving_service(node_context& context, quarantine_service& quarantine)
+      : context_(context), quarantine_(quarantine) {}
 
   /// Runs one call; every outcome is typed. Runs in a fiber and may suspend.
   wire::call_answer_t Serve(const wire::call_request_t& call, net::cancellation& cancel);
@@ -24,6 +26,7 @@
   wire::call_answer_t SendToUpstream(const wire::call_request_t& call, net::cancellation& cancel);
 
   node_context& context_;
+  quarantine_service& quarantine_;
   std::atomic<std::size_t> in_flight_ = 0;
 };
 
--- a/unittests/idempotency/fake_store.h
+++ b/unittests/idempotency/fake_store.h
@@ -1,6 +1,7 @@
 #ifndef SISKINRACK_UNITTESTS_IDEMPOTENCY_FAKE_STORE_H_
 #define SISKINRACK_UNITTESTS_IDEMPOTENCY_FAKE_STORE_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -21,6 +22,8 @@
   int lose_answers = 0;
   /// That many writes get no answer and take effect only with LandDelayed.
   int delay_writes = 0;
+  /// That many writes are not made, for the call budget asks for a pause.
+  int budget_refusals = 0;
   std::size_t writes = 0;
   std::size_t reads = 0;
   std::size_t written_bytes = 0;
@@ -36,6 +39,11 @@
   platform::store_result<std::uint64_t> Put(std::string_view name, std::string value,
                                             std::uint64_t expected) {
     if (down) return Error(platform::store_errc::kUnavailable);
+    if (budget_refusals > 0) {
+      --budget_refusals;
+      return platform::store_error{platform::store_errc::kUnavailable, "call budget",
+                                   std::chrono::milliseconds(40)};
+    }
     ++writes;
     written_bytes += value.size();
     if (delay_writes > 0) {
