--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -102,8 +102,8 @@
 
 wire::call_answer_t entry_service::Forward(wire::call_request_t call, net::cancellation& cancel) {
   const auto endpoints = context_.members.Endpoints(call.service);
-  if (endpoints.empty()) return NotRun(kStatusUnavailable, "no upstream");
-  return ForwardTo(endpoints[next_endpoint_++ % endpoints.size()], call, cancel);
+  if (endpoints->empty()) return NotRun(kStatusUnavailable, "no upstream");
+  return ForwardTo((*endpoints)[next_endpoint_++ % endpoints->size()], call, cancel);
 }
 
 wire::call_answer_t entry_service::ForwardTo(const membership::member_record& endpoint,
