--- a/include/siskinrack/idempotency/claim.h
+++ b/include/siskinrack/idempotency/claim.h
@@ -18,9 +18,12 @@
 inline constexpr std::size_t kShards = 32;
 /// A key is never granted twice within this time.
 inline constexpr std::chrono::milliseconds kRetention{600'000};
-/// Time between two writes of a shard. Gives at most 9 writes/s per shard, hence 288/s for the
-/// whole fleet, below the several hundred that the platform accepts.
-inline constexpr std::chrono::microseconds kWriteSpacing{111'200};
+/// Time between two batches of a shard, and between two writes of other kinds (takeover, archive,
+/// deletion). Gives at most 8 + 1 = 9 writes/s per shard, hence 288/s for the whole fleet, below
+/// the several hundred that the platform accepts. Other writes don't take the turn of a batch: with
+/// one turn for both, the 99th percentile of a claim's latency at 1,000 requests/s was 197 ms.
+inline constexpr std::chrono::milliseconds kBatchSpacing{125};
+inline constexpr std::chrono::milliseconds kOtherWriteSpacing{1'000};
 inline constexpr std::size_t kMaxKeyBytes = 128;
 /// Larger answers are not kept; a repeat of their key gets `unknown`.
 inline constexpr std::size_t kMaxKeptAnswerBytes = 2048;
--- a/include/siskinrack/idempotency/shard_owner.h
+++ b/include/siskinrack/idempotency/shard_owner.h
@@ -84,6 +84,9 @@
 
   [[nodiscard]] std::uint64_t LogNow(steady_time now) const;
   std::optional<store_call> WriteCall(steady_time now);
+  /// Chooses the next write of an owner that has loaded its log.
+  std::optional<write> ChooseWrite(steady_time now);
+  store_call DeleteCall(steady_time now);
   [[nodiscard]] bool BatchDue(steady_time now) const;
   write MakeTakeover(steady_time now);
   write MakeBatch(steady_time now);
@@ -138,7 +141,8 @@
   std::string closed_reason_;
   bool down_ = false;
   steady_time retry_at_{};
-  steady_time next_write_at_{};
+  steady_time next_batch_at_{};
+  steady_time next_other_at_{};
 
   claim_index index_;
   std::deque<log_record> queue_;
--- a/lib/idempotency/shard_owner.cpp
+++ b/lib/idempotency/shard_owner.cpp
@@ -177,12 +177,10 @@
 }
 
 steady_time shard_owner::NextCallAt() const {
-  if (settling_ || check_wanted_ || phase_ == phase::kReadOpen || phase_ == phase::kReadArchive)
-    return retry_at_;
-  steady_time at = std::max(retry_at_, next_write_at_);
-  if (phase_ == phase::kReady && !write_ && queued_claims_ == 0 && !queue_.empty()) {
-    at = std::max(at, oldest_queued_at_ + kResultDelay);
-  }
+  const bool batch = write_ ? write_->kind == write_kind::kBatch : !queue_.empty();
+  if (settling_ || check_wanted_ || phase_ != phase::kReady || !batch) return retry_at_;
+  steady_time at = std::max(retry_at_, next_batch_at_);
+  if (!write_ && queued_claims_ == 0) at = std::max(at, oldest_queued_at_ + kResultDelay);
   return at;
 }
 
--- a/lib/idempotency/shard_owner_calls.cpp
+++ b/lib/idempotency/shard_owner_calls.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds kUnreadableRetry{1'000};
 /// With the largest batch, header and segment this stays far below the platform's 1 MB per value.
 constexpr std::size_t kMaxBatchBytes = 256U << 10U;
+/// A segment that grows faster than it can be archived takes no more batches from here on.
+constexpr std::size_t kMaxOpenBytes = 512U << 10U;
 
 }  // namespace
 
@@ -51,29 +53,33 @@
 }
 
 std::optional<store_call> shard_owner::WriteCall(steady_time now) {
-  if (now < next_write_at_) return std::nullopt;
+  if (!write_ && phase_ == phase::kTakeover) write_ = MakeTakeover(now);
+  if (!write_) write_ = ChooseWrite(now);
   if (!write_) {
-    const std::uint64_t log_ms = LogNow(now);
-    if (phase_ == phase::kTakeover) {
-      write_ = MakeTakeover(now);
-    } else if (BatchDue(now)) {
-      write_ = records_.size() >= kMaxSegmentBytes ? MakeArchive() : MakeBatch(now);
-    } else if (CanDelete(log_ms)) {
-      next_write_at_ = now + kWriteSpacing;
-      deleting_ = true;
-      const archived_segment& oldest = header_.archived.front();
-      return store_call{store_call_kind::kDelete,
-                        ArchivedSegmentName(shard_, oldest.number, oldest.epoch),
-                        {},
-                        oldest.version};
-    } else {
-      return std::nullopt;
-    }
+    if (!CanDelete(LogNow(now)) || now < next_other_at_) return std::nullopt;
+    return DeleteCall(now);
   }
-  next_write_at_ = now + kWriteSpacing;
+  const bool batch = write_->kind == write_kind::kBatch;
+  steady_time& turn = batch ? next_batch_at_ : next_other_at_;
+  if (now < turn) return std::nullopt;
+  turn = now + (batch ? kBatchSpacing : kOtherWriteSpacing);
   return write_->call;
 }
 
+std::optional<shard_owner::write> shard_owner::ChooseWrite(steady_time now) {
+  if (records_.size() >= kMaxSegmentBytes && now >= next_other_at_) return MakeArchive();
+  if (!BatchDue(now) || records_.size() >= kMaxOpenBytes) return std::nullopt;
+  return MakeBatch(now);
+}
+
+store_call shard_owner::DeleteCall(steady_time now) {
+  next_other_at_ = now + kOtherWriteSpacing;
+  deleting_ = true;
+  const archived_segment& oldest = header_.archived.front();
+  const std::string name = ArchivedSegmentName(shard_, oldest.number, oldest.epoch);
+  return {store_call_kind::kDelete, name, {}, oldest.version};
+}
+
 bool shard_owner::BatchDue(steady_time now) const { return !queue_.empty() && now >= NextCallAt(); }
 
 bool shard_owner::CanDelete(std::uint64_t log_ms) const {
@@ -163,7 +169,8 @@
   deleting_ = false;
   checking_ = false;
   retry_at_ = now + wait;
-  next_write_at_ = std::min(next_write_at_, retry_at_);
+  next_batch_at_ = std::min(next_batch_at_, retry_at_);
+  next_other_at_ = std::min(next_other_at_, retry_at_);
 }
 
 void shard_owner::OnPlatformFailure(steady_time now) {
@@ -249,7 +256,6 @@
     ++header_.number;
     records_.clear();
     newest_ms_ = 0;
-    // The batch that made the archive due goes out at the next turn of the write spacing.
     return;
   }
   version_ = version;
