--- a/lib/node/claim_service.cpp
+++ b/lib/node/claim_service.cpp
@@ -35,6 +35,7 @@
 constexpr milliseconds kDriverPause{5};
 constexpr milliseconds kDriverMinPause{1};
 constexpr milliseconds kMaintenance{5'000};
+constexpr milliseconds kStopPoll{100};
 constexpr int kReportAttempts = 8;
 constexpr milliseconds kReportPause{500};
 
@@ -61,7 +62,7 @@
 }
 
 void claim_service::Start() {
-  context_.runtime.Post(0, [this] { MaintenanceLoop(); });
+  fibers_.Post(context_.runtime, 0, [this] { MaintenanceLoop(); });
 }
 
 std::shared_ptr<const claim_service::owner_table> claim_service::MakeOwners() const {
@@ -186,8 +187,8 @@
 }
 
 void claim_service::Report(wire::claim_result_t result) {
-  net::Spawn([this, result = std::move(result)] {
-    for (int i = 0; i < kReportAttempts; ++i) {
+  fibers_.Spawn([this, result = std::move(result)] {
+    for (int i = 0; i < kReportAttempts && !fibers_.stopping(); ++i) {
       if (i > 0) net::SleepFor(kReportPause);
       if (ReportOnce(result)) return;
     }
@@ -271,12 +272,13 @@
     if (item.driven || item.owner->IsIdle(steady_clock::now())) return;
     item.driven = true;
   }
-  context_.runtime.Post(index % context_.runtime.thread_count(), [this, index] { Drive(index); });
+  fibers_.Post(context_.runtime, index % context_.runtime.thread_count(),
+               [this, index] { Drive(index); });
 }
 
 void claim_service::Drive(std::size_t index) {
   shard& item = shards_.at(index);
-  while (true) {
+  while (!fibers_.stopping()) {
     std::optional<idempotency::store_call> call;
     std::vector<idempotency::owner_event> events;
     std::vector<idempotency::log_record> unsaved;
@@ -320,8 +322,11 @@
 }
 
 void claim_service::MaintenanceLoop() {
-  while (!context_.refusing) {
-    net::SleepFor(kMaintenance);
+  auto next = steady_clock::now() + kMaintenance;
+  while (!context_.refusing && !fibers_.stopping()) {
+    net::SleepFor(kStopPoll);
+    if (steady_clock::now() < next) continue;
+    next += kMaintenance;
     const auto owners = Owners();
     for (std::size_t i = 0; i < kShards; ++i) {
       Kick(i);
--- a/lib/node/claim_service.h
+++ b/lib/node/claim_service.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "fiber_group.h"
 #include "node_context.h"
 #include "siskinrack/idempotency/shard_owner.h"
 
@@ -24,6 +25,8 @@
   explicit claim_service(node_context& context);
 
   void Start();
+  /// Ends the fibers of this service. Not for use inside a fiber.
+  void Stop() { fibers_.Stop(); }
 
   /// Claims the key of `call`, calls `forward` under the grant and records its answer; or answers
   /// without a call of `forward`. Runs in a fiber and may suspend.
@@ -75,6 +78,7 @@
   std::mutex owners_mutex_;
   std::shared_ptr<const owner_table> owners_;
   net::steady_time owners_until_{};
+  fiber_group fibers_;
 };
 
 }  // namespace siskinrack::node
--- /dev/null
+++ b/lib/node/endpoint_cache.cpp
@@ -0,0 +1,38 @@
+#include "endpoint_cache.h"
+
+namespace siskinrack::node {
+namespace {
+
+/// Lists built between two removals of the states of endpoints that are gone.
+constexpr std::uint64_t kBuildsPerSweep = 100;
+
+}  // namespace
+
+std::shared_ptr<const endpoint_list> endpoint_cache::Find(std::string_view service) {
+  const auto cached = lists_.Get(service);
+  const membership::endpoint_list members = context_.members.Endpoints(service);
+  const std::lock_guard lock(cached->mutex);
+  if (cached->members != members) {
+    cached->list = Build(members);
+    cached->members = members;
+    if (builds_++ % kBuildsPerSweep == 0) tracker_.DropUnused();
+  }
+  return cached->list;
+}
+
+std::shared_ptr<const endpoint_list> endpoint_cache::Build(
+    const membership::endpoint_list& members) {
+  auto list = std::make_shared<endpoint_list>();
+  for (const auto& member : *members) {
+    auto address = support::ParseSocketAddress(member.peer_address);
+    if (!address) continue;
+    list->endpoints.push_back({member.node_id, std::move(*address)});
+    // An upstream that restarts is a new endpoint without the failures of the one before.
+    const std::string name = member.node_id + '@' + std::to_string(member.incarnation);
+    list->candidates.push_back({tracker_.Get(name, member.slots),
+                                member.failure_domain == context_.settings.failure_domain});
+  }
+  return list;
+}
+
+}  // namespace siskinrack::node
--- a/lib/node/quarantine_service.cpp
+++ b/lib/node/quarantine_service.cpp
@@ -91,7 +91,7 @@
   }
   LogHeld(verdict.held);
   ReportCleared(verdict.cleared);
-  if (check) net::Spawn([this] { CheckUpstream(); });
+  if (check) fibers_.Spawn([this] { CheckUpstream(); });
 }
 
 bool quarantine_service::HealthAnswers() {
@@ -164,7 +164,7 @@
 
 void quarantine_service::ReportCleared(std::vector<std::uint64_t> cleared) {
   if (cleared.empty()) return;
-  net::Spawn([this, cleared = std::move(cleared)]() mutable {
+  fibers_.Spawn([this, cleared = std::move(cleared)]() mutable {
     // A request that many callers send completes on many nodes; one report is enough.
     const auto bound = static_cast<std::uint64_t>(kClearJitter.count());
     net::SleepFor(milliseconds(Random()() % bound));
@@ -202,8 +202,8 @@
 }
 
 void quarantine_service::Spread(wire::crash_evidence_t evidence, quarantine::steady_time at) {
-  net::Spawn([this, at, evidence = std::move(evidence)]() mutable {
-    for (int round = 0; round < kRounds; ++round) {
+  fibers_.Spawn([this, at, evidence = std::move(evidence)]() mutable {
+    for (int round = 0; round < kRounds && !fibers_.stopping(); ++round) {
       if (round > 0) net::SleepFor(kRoundPause);
       const auto age = std::chrono::duration_cast<milliseconds>(steady_clock::now() - at);
       evidence.age_ms = static_cast<std::uint32_t>(age.count());
@@ -222,10 +222,10 @@
   }
   context_.log.Info("fingerprint_released",
                     {{"fingerprint", FormatFingerprint(fingerprint)}, {"by", by}});
-  net::Spawn([this, fingerprint] {
+  fibers_.Spawn([this, fingerprint] {
     wire::quarantine_release_t release;
     release.fingerprint = fingerprint;
-    for (int round = 0; round < kRounds; ++round) {
+    for (int round = 0; round < kRounds && !fibers_.stopping(); ++round) {
       if (round > 0) net::SleepFor(kRoundPause);
       SendToPeers(release);
     }
--- a/lib/node/quarantine_service.h
+++ b/lib/node/quarantine_service.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "fiber_group.h"
 #include "node_context.h"
 #include "siskinrack/quarantine/crash_detector.h"
 #include "siskinrack/quarantine/quarantine_table.h"
@@ -23,6 +24,9 @@
  public:
   explicit quarantine_service(node_context& context) : context_(context) {}
 
+  /// Ends the fibers of this service. Not for use inside a fiber.
+  void Stop() { fibers_.Stop(); }
+
   /// The refusal of a request that is held back; nothing if it may run.
   std::optional<wire::call_answer_t> Refusal(const wire::call_request_t& call);
 
@@ -54,6 +58,7 @@
   bool IsNew(const std::string& node_id, std::uint64_t crash_id);
 
   node_context& context_;
+  fiber_group fibers_;
   std::mutex mutex_;
   quarantine::crash_detector detector_;
   quarantine::quarantine_table table_;
