--- a/lib/node/admin_service.h
+++ b/lib/node/admin_service.h
@@ -5,6 +5,7 @@
 #include "config_service.h"
 #include "node_context.h"
 #include "quarantine_service.h"
+#include "watcher_service.h"
 
 namespace siskinrack::node {
 
@@ -12,9 +13,13 @@
 /// by which the operator program hands over a version that the platform has accepted.
 class admin_service {
  public:
-  admin_service(node_context& context, config_service& configs, claim_service& claims,
-                quarantine_service& quarantine)
-      : context_(context), configs_(configs), claims_(claims), quarantine_(quarantine) {}
+  admin_service(node_context& context, config_service& configs, const watcher_service& watcher,
+                claim_service& claims, quarantine_service& quarantine)
+      : context_(context),
+        configs_(configs),
+        watcher_(watcher),
+        claims_(claims),
+        quarantine_(quarantine) {}
 
   net::http_response Handle(const net::http_request& request);
 
@@ -26,6 +31,7 @@
 
   node_context& context_;
   config_service& configs_;
+  const watcher_service& watcher_;
   claim_service& claims_;
   quarantine_service& quarantine_;
 };
--- a/lib/node/membership_service.cpp
+++ b/lib/node/membership_service.cpp
@@ -86,6 +86,12 @@
   context_.runtime.Post(0, [this, state] { Perform(gossip_.SetState(state, Now(), Random())); });
 }
 
+void membership_service::AddSeeds(const std::vector<support::socket_address>& seeds) {
+  std::vector<std::string> addresses;
+  for (const auto& seed : seeds) addresses.push_back(seed.ToText());
+  gossip_.AddSeeds(addresses);
+}
+
 void membership_service::PublishServedVersion(std::uint64_t version) {
   gossip_.SetServedVersion(version);
 }
@@ -134,17 +140,30 @@
   const auto* exchange = message.message.Asexchange();
   const auto* reply = message.message.Asexchange_reply();
   if (exchange == nullptr && reply == nullptr) return;
+  if (exchange != nullptr) HearWatcher(message.sender, *exchange);
+  if (reply != nullptr) HearWatcher(message.sender, *reply);
   const std::uint64_t version =
       exchange != nullptr ? exchange->config_version : reply->config_version;
   if (const auto peer = support::ParseSocketAddress(address)) on_peer_version_(*peer, version);
 }
 
+template <typename Exchange>
+void membership_service::HearWatcher(const std::string& sender, const Exchange& exchange) {
+  const auto member = context_.members.Find(sender);
+  if (!member || member->failure_domain != context_.settings.failure_domain) return;
+  context_.watcher.Hear({exchange.watcher_node, milliseconds(exchange.watcher_age_ms)},
+                        std::chrono::steady_clock::now());
+}
+
 template <typename Exchange>
 void membership_service::FillConfigFields(Exchange* exchange) const {
   if (exchange == nullptr) return;
   const config_snapshot_ptr snapshot = context_.config.Current();
   exchange->config_version = snapshot->config.version;
   exchange->config_digest = snapshot->digest;
+  const auto watcher = context_.watcher.Current(std::chrono::steady_clock::now());
+  exchange->watcher_node = watcher.holder;
+  exchange->watcher_age_ms = static_cast<std::uint32_t>(watcher.age.count());
 }
 
 bool membership_service::Reaches(const std::string& address) {
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -100,6 +100,9 @@
   // Counted before the check, so that a shutdown which sees no call in flight misses none.
   const in_flight_count count(in_flight_);
   if (context_.refusing) return NotRun(kStatusUnavailable, "node is shutting down");
+  if (context_.config.Current()->config.version == 0) {
+    return NotRun(kStatusUnavailable, "no configuration is in force yet");
+  }
   if (!context_.settings.upstream_address || call.service != context_.settings.service) {
     return NotRun(kStatusUnavailable, "service is not served here");
   }
--- a/unittests/node/request_path_fixture.h
+++ b/unittests/node/request_path_fixture.h
@@ -56,7 +56,7 @@
                      }) {
     EXPECT_EQ(peer_server_.Start(), "");
     support::findings problems;
-    context_.config.Activate(config::ToJson(TestConfig()), problems);
+    context_.config.Activate(distribution::CheckConfig(TestConfig(), problems));
     EXPECT_TRUE(problems.empty());
   }
 
