--- a/lib/node/entry_service.h
+++ b/lib/node/entry_service.h
@@ -1,8 +1,10 @@
 #ifndef SISKINRACK_LIB_NODE_ENTRY_SERVICE_H_
 #define SISKINRACK_LIB_NODE_ENTRY_SERVICE_H_
 
+#include "claim_service.h"
 #include "endpoint_cache.h"
 #include "node_context.h"
+#include "quarantine_service.h"
 #include "serving_service.h"
 
 namespace siskinrack::node {
@@ -10,13 +12,21 @@
 /// Takes callers' requests, finds the route, chooses an upstream and forwards.
 class entry_service {
  public:
-  entry_service(node_context& context, serving_service& serving)
-      : context_(context), serving_(serving), endpoints_(context) {}
+  entry_service(node_context& context, serving_service& serving, claim_service& claims,
+                quarantine_service& quarantine)
+      : context_(context),
+        serving_(serving),
+        claims_(claims),
+        quarantine_(quarantine),
+        endpoints_(context) {}
 
   /// Answers one request of a caller. Runs in a fiber and may suspend.
   net::http_response Handle(net::http_request request, net::cancellation& cancel);
 
  private:
+  /// Holds back quarantined requests and claims the keys of non-repeatable ones around Forward.
+  wire::call_answer_t ForwardGuarded(wire::call_request_t call, bool non_repeatable,
+                                     net::cancellation& cancel);
   /// Forwards to the chosen upstream and, where it's safe, once more to another one. A call with
   /// an idempotency key is not repeatable.
   wire::call_answer_t Forward(wire::call_request_t call, net::cancellation& cancel);
@@ -28,6 +38,8 @@
 
   node_context& context_;
   serving_service& serving_;
+  claim_service& claims_;
+  quarantine_service& quarantine_;
   endpoint_cache endpoints_;
   balancing::retry_budgets retry_budgets_;
 };
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -107,7 +107,9 @@
     return NotRun(kStatusUnavailable, "service is not served here");
   }
   const auto deadline = std::chrono::steady_clock::now() + milliseconds(call.deadline_ms);
-  wire::call_answer_t answer = Admit(call, deadline, cancel);
+  // Before admission, which takes a refusal of the upstream as a sign of overload.
+  auto refusal = quarantine_.Refusal(call);
+  wire::call_answer_t answer = refusal ? std::move(*refusal) : Admit(call, deadline, cancel);
   const admission::upstream_load load = gate_->Load();
   answer.in_flight = static_cast<std::uint16_t>(load.in_flight);
   answer.queued = static_cast<std::uint16_t>(load.queued);
@@ -131,8 +133,10 @@
                                                     net::cancellation& cancel) {
   const auto remaining =
       std::chrono::ceil<milliseconds>(deadline - std::chrono::steady_clock::now());
+  const auto run = quarantine_.BeginRun();
   net::http_result result = context_.upstream_client.Send(
       *context_.settings.upstream_address, ToHttp(call, remaining), deadline, &cancel);
+  quarantine_.EndRun(run, call, result, cancel.cancelled());
   if (result.stage == net::exchange_stage::kNotSent) {
     return NotRun(kStatusUnavailable, kUnreachableReason);
   }
--- a/test/scenario_runner/invariants.h
+++ b/test/scenario_runner/invariants.h
@@ -15,8 +15,10 @@
   /// Executions by idempotency key, over all upstreams, with the target's path.
   std::map<std::string, unsigned> executions;
   std::map<std::string, std::string> target_of_key;
-  /// Ids of requests whose caller was told "not run".
+  /// Copies of requests whose caller was told "not run", and those that an upstream ran. A key may
+  /// be refused in one copy and rightly run in another one that its caller sends later.
   std::set<std::string> refused;
+  std::set<std::string> executed_copies;
 };
 
 observed_history ReadHistory(const std::filesystem::path& work);
--- a/unittests/node/request_path_fixture.h
+++ b/unittests/node/request_path_fixture.h
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "entry_service.h"
@@ -37,13 +39,20 @@
  public:
   test_node(const std::string& id, net::http_handler handler)
       : upstream_(upstream_runtime_, {.address = {"127.0.0.1", 0}}, std::move(handler)),
-        context_(Settings(id, upstream_)),
-        serving_(context_),
-        entry_(context_, serving_),
+        platform_(upstream_runtime_, {.address = {"127.0.0.1", 0}},
+                  [this](const net::http_request& request, net::cancellation&) {
+                    return AnswerObject(request);
+                  }),
+        context_(Settings(id, upstream_, platform_)),
+        quarantine_(context_),
+        claims_(context_),
+        serving_(context_, quarantine_),
+        entry_(context_, serving_, claims_, quarantine_),
         peer_server_(context_.runtime, context_.peer, {.address = {"127.0.0.1", 0}},
                      [this](const wire::envelope_t& message, net::cancellation& cancel) {
-                       return std::optional(wire::MakeEnvelope(
-                           serving_.Serve(*message.message.Ascall_request(), cancel)));
+                       const auto* call = message.message.Ascall_request();
+                       if (call == nullptr) return claims_.Handle(message, cancel);
+                       return std::optional(wire::MakeEnvelope(serving_.Serve(*call, cancel)));
                      }) {
     EXPECT_EQ(peer_server_.Start(), "");
     support::findings problems;
@@ -52,12 +61,15 @@
   }
 
   ~test_node() {
+    claims_.Stop();
+    quarantine_.Stop();
     context_.peers.Stop();
     peer_server_.Stop();
     for (std::size_t i = 0; i < context_.runtime.thread_count(); ++i) {
       context_.runtime.Run(i, [&] { context_.upstream_client.CloseIdle(); });
     }
     upstream_.Stop();
+    platform_.Stop();
   }
   test_node(const test_node&) = delete;
   test_node& operator=(const test_node&) = delete;
@@ -91,21 +103,42 @@
   }
 
  private:
-  static node_settings Settings(const std::string& id, net::http_server& upstream) {
+  static node_settings Settings(const std::string& id, net::http_server& upstream,
+                                net::http_server& platform) {
     EXPECT_EQ(upstream.Start(), "");
+    EXPECT_EQ(platform.Start(), "");
     node_settings settings;
     settings.node_id = id;
     settings.failure_domain = "domain";
     settings.upstream_address = support::socket_address{"127.0.0.1", upstream.port()};
+    settings.platform_address = {"127.0.0.1", platform.port()};
     settings.service = "counter";
     settings.slots = 2;
     settings.log_level = support::log_level::kError;
     return settings;
   }
 
+  /// Conditional writes and reads of the platform's object API, for the claim log.
+  net::http_response AnswerObject(const net::http_request& request) {
+    auto& [version, value] = objects_[request.target];
+    if (request.method == "PUT") {
+      const std::string expected(net::FindField(request.fields, "If-Match"));
+      const std::string current = version == 0 ? "" : '"' + std::to_string(version) + '"';
+      if (expected != current) return {412, {}, {}};
+      value = request.body;
+      ++version;
+    }
+    if (version == 0) return {404, {}, {}};
+    return {200, {{"ETag", '"' + std::to_string(version) + '"'}}, value};
+  }
+
+  std::map<std::string, std::pair<std::uint64_t, std::string>> objects_;
   net::fiber_runtime upstream_runtime_{1};
   net::http_server upstream_;
+  net::http_server platform_;
   node_context context_;
+  quarantine_service quarantine_;
+  claim_service claims_;
   serving_service serving_;
   entry_service entry_;
   net::peer_server peer_server_;
--- a/unittests/node/request_path_test.cpp
+++ b/unittests/node/request_path_test.cpp
@@ -142,6 +142,7 @@
   void SetUp() override {
     for (test_node* target : {&a_, &b_}) {
       a_.context().members.Merge(target->Record());
+      b_.context().members.Merge(target->Record());
     }
   }
 
