--- a/lib/node/membership_service.cpp
+++ b/lib/node/membership_service.cpp
@@ -88,6 +88,7 @@
 
 void membership_service::AddSeeds(const std::vector<support::socket_address>& seeds) {
   std::vector<std::string> addresses;
+  addresses.reserve(seeds.size());
   for (const auto& seed : seeds) addresses.push_back(seed.ToText());
   gossip_.AddSeeds(addresses);
 }
--- a/unittests/distribution/watcher_lease_test.cpp
+++ b/unittests/distribution/watcher_lease_test.cpp
@@ -168,8 +168,7 @@
     down[nodes] = all.store().calls;
   }
   EXPECT_LE(down[100], down[10] + down[10] / 4);
-  EXPECT_LE(up[100], 4 * up[10]);
-  EXPECT_LE(up[100], 6 * 60U) << "six calls a second and domain";
+  EXPECT_LE(up[100], up[10] + up[10] / 4);
 }
 
 TEST(WatcherLease, RecordSurvivesItsJsonForm) {
