--- a/include/siskinrack/distribution/watcher_lease.h
+++ b/include/siskinrack/distribution/watcher_lease.h
@@ -74,8 +74,12 @@
   /// What to tell peers; the holder is empty if none is known.
   [[nodiscard]] holder_news News(time_point now) const;
 
-  /// Delay of a candidate's first attempt: 200 ms per rank up to rank 8, doubled for each further
-  /// rank, so that the calls of one expiry don't grow with the number of candidates.
+  /// The holder tells this many candidates of each renewal directly.
+  static constexpr std::size_t kInformedRanks = 3;
+
+  /// Delay of a candidate's first attempt: 200 ms per rank for the informed ones. The others hear
+  /// of renewals through exchanges, up to some seconds late, and wait 4 s longer; from rank 8 on
+  /// the delay doubles with each rank, so that the calls don't grow with the number of candidates.
   static milliseconds AttemptDelay(std::size_t rank);
   /// Delay between failed attempts, doubled for each rank.
   static milliseconds RetryDelay(std::size_t rank);
--- a/lib/distribution/peer_view.cpp
+++ b/lib/distribution/peer_view.cpp
@@ -22,6 +22,12 @@
   return hash ^ (hash >> 31U);
 }
 
+bool GoesBefore(std::string_view key, std::string_view a, std::string_view b) {
+  const std::uint64_t hash_a = Hash(key, a);
+  const std::uint64_t hash_b = Hash(key, b);
+  return hash_a > hash_b || (hash_a == hash_b && a < b);
+}
+
 }  // namespace
 
 std::vector<std::string> ChooseNoticePeers(std::span<const peer_view> peers,
@@ -41,13 +47,17 @@
 
 std::size_t RendezvousRank(std::string_view node_id, std::string_view key,
                            std::span<const std::string> candidates) {
-  const std::uint64_t own = Hash(key, node_id);
-  std::size_t rank = 0;
-  for (const std::string& other : candidates) {
-    const std::uint64_t hash = Hash(key, other);
-    if (hash > own || (hash == own && other < node_id)) ++rank;
-  }
-  return rank;
+  return static_cast<std::size_t>(
+      std::count_if(candidates.begin(), candidates.end(),
+                    [&](const std::string& other) { return GoesBefore(key, other, node_id); }));
+}
+
+std::vector<std::string> FirstByRank(std::string_view key, std::vector<std::string> candidates,
+                                     std::size_t count) {
+  std::sort(candidates.begin(), candidates.end(),
+            [&](const std::string& a, const std::string& b) { return GoesBefore(key, a, b); });
+  candidates.resize(std::min(candidates.size(), count));
+  return candidates;
 }
 
 }  // namespace siskinrack::distribution
--- a/lib/distribution/watcher_lease.cpp
+++ b/lib/distribution/watcher_lease.cpp
@@ -14,6 +14,8 @@
 /// Ranks that attempt in steps of kDelayPerRank; further ones double.
 constexpr std::size_t kLinearRanks = 8;
 constexpr std::size_t kMaxDoublings = 10;
+/// News passes through a domain of 55 nodes in about 4 s at one exchange a second.
+constexpr milliseconds kLateNews{4'000};
 
 }  // namespace
 
@@ -38,7 +40,9 @@
 
 milliseconds watcher_lease::AttemptDelay(std::size_t rank) {
   const std::size_t doublings = rank - std::min(rank, kLinearRanks);
-  return kDelayPerRank * std::min(rank, kLinearRanks) * (1U << std::min(doublings, kMaxDoublings));
+  const milliseconds late = rank < kInformedRanks ? milliseconds(0) : kLateNews;
+  return (late + kDelayPerRank * std::min(rank, kLinearRanks)) *
+         (1U << std::min(doublings, kMaxDoublings));
 }
 
 milliseconds watcher_lease::RetryDelay(std::size_t rank) {
--- a/lib/node/membership_service.cpp
+++ b/lib/node/membership_service.cpp
@@ -200,6 +200,9 @@
     return std::nullopt;
   }
   const bool wants_reply = message.correlation_id != 0;
+  // A push of the lease's holder carries nothing but the news of its renewal.
+  const auto* push = wants_reply ? nullptr : message.message.Asexchange();
+  if (push != nullptr) HearWatcher(message.sender, *push);
   auto step = gossip_.OnRequest(message.sender, message.message, wants_reply, Now(), Random());
   auto reply = std::move(step.reply);
   const auto probe_address = std::move(step.probe_address);
--- a/lib/node/watcher_service.cpp
+++ b/lib/node/watcher_service.cpp
@@ -77,13 +77,33 @@
   return lease_.IsHolder(Now());
 }
 
-std::size_t watcher_service::Rank() const {
+std::vector<std::string> watcher_service::Candidates() const {
+  const std::string holder = context_.watcher.Current(Now()).holder;
   std::vector<std::string> candidates;
   for (const auto& member : context_.members.All()) {
     const bool near = member.failure_domain == context_.settings.failure_domain;
-    if (near && IsLive(member)) candidates.push_back(member.node_id);
+    if (near && IsLive(member) && member.node_id != holder) candidates.push_back(member.node_id);
+  }
+  return candidates;
+}
+
+std::size_t watcher_service::Rank() const {
+  return distribution::RendezvousRank(context_.settings.node_id, lease_name_, Candidates());
+}
+
+/// An exchange without records, sent as a push, carries just the news of the renewal.
+void watcher_service::InformFirstCandidates() {
+  const auto news = context_.watcher.Current(Now());
+  for (const std::string& id :
+       distribution::FirstByRank(lease_name_, Candidates(), watcher_lease::kInformedRanks)) {
+    const auto member = context_.members.Find(id);
+    const auto address = member ? support::ParseSocketAddress(member->peer_address) : std::nullopt;
+    if (!address) continue;
+    wire::exchange_t exchange;
+    exchange.watcher_node = news.holder;
+    exchange.watcher_age_ms = static_cast<std::uint32_t>(news.age.count());
+    context_.peers.Send(*address, wire::MakeEnvelope(std::move(exchange)));
   }
-  return distribution::RendezvousRank(context_.settings.node_id, lease_name_, candidates);
 }
 
 void watcher_service::LeaseLoop() {
@@ -102,6 +122,7 @@
     }
     Call(call);
     LogTransition();
+    if (call.kind == watcher_lease::call_kind::kWrite && IsWatcher()) InformFirstCandidates();
     net::SleepFor(kLeaseTick);
   }
 }
--- a/lib/node/watcher_service.h
+++ b/lib/node/watcher_service.h
@@ -51,7 +51,10 @@
   [[nodiscard]] std::string MembersText(
       const std::vector<membership::member_record>& members) const;
   [[nodiscard]] std::string StatusText(const std::vector<membership::member_record>& members) const;
+  /// Live nodes of this failure domain that may take the lease from its holder.
+  [[nodiscard]] std::vector<std::string> Candidates() const;
   [[nodiscard]] std::size_t Rank() const;
+  void InformFirstCandidates();
   [[nodiscard]] bool HasPeers() const;
 
   node_context& context_;
--- a/test/scenario_runner/fleet.cpp
+++ b/test/scenario_runner/fleet.cpp
@@ -93,6 +93,7 @@
     if (i > 0) seeds += ',';
     seeds += "127.0.0.1:" + std::to_string(nodes_[i * options.nodes_per_domain]->relay_port);
   }
+  if (!options.seeds.empty()) seeds = options.seeds;
   int skew_ms = 0;
   for (auto& node : nodes_) {
     StartUpstream(*node);
--- a/test/scenario_runner/fleet.h
+++ b/test/scenario_runner/fleet.h
@@ -21,6 +21,8 @@
   link_quality quality;
   /// Further settings of every node, for example "--drain-ms=500".
   std::vector<std::string> node_flags;
+  /// Seeds of every node; empty means the first nodes of the domains.
+  std::string seeds;
   /// Difference between the clocks of neighbouring nodes.
   int skew_step_ms = 0;
 };
--- a/test/scenario_runner/runner.cpp
+++ b/test/scenario_runner/runner.cpp
@@ -106,6 +106,7 @@
   options.quality.jitter = step.Time("jitter", milliseconds(0));
   options.quality.loss = static_cast<double>(step.Number("loss_percent", 0)) / 100;
   options.skew_step_ms = static_cast<int>(step.Number("skew_ms", 0));
+  options.seeds = step.Option("seeds");
   for (const std::string& word : SplitWords(step.Option("flags"), ',')) {
     options.node_flags.push_back("--" + word);
   }
--- a/unittests/distribution/watcher_lease_test.cpp
+++ b/unittests/distribution/watcher_lease_test.cpp
@@ -54,6 +54,7 @@
         if (nodes_[i].paused) continue;
         const auto call = nodes_[i].lease.Next(now_, i, 0.5);
         store_.Serve(nodes_[i].lease, call, now_, i);
+        if (call.kind == call_kind::kWrite && gossip) InformFirstRanks(i);
       }
       if (gossip && (now_ - kStart) % milliseconds(500) == milliseconds(0)) Exchange();
     }
@@ -87,6 +88,19 @@
     }
   }
 
+  /// A holder tells the first candidates directly.
+  void InformFirstRanks(std::size_t holder) {
+    if (!nodes_[holder].lease.IsHolder(now_)) return;
+    std::size_t informed = 0;
+    for (std::size_t i = 0; i < nodes_.size() && informed < watcher_lease::kInformedRanks; ++i) {
+      if (i == holder) continue;
+      ++informed;
+      if (!nodes_[i].paused) {
+        nodes_[i].lease.OnPeerReport(now_, nodes_[holder].lease.News(now_));
+      }
+    }
+  }
+
   std::mt19937_64 random_{7};
   std::size_t gossip_turn_ = 0;
   time_point now_ = kStart;
