--- a/unittests/support/hybrid_clock_test.cpp
+++ b/unittests/support/hybrid_clock_test.cpp
@@ -21,5 +21,17 @@
   EXPECT_GT(clock.Tick(), first);
 }
 
+// Guards against one process with a clock far in the future that drags the clocks of all others.
+TEST(HybridClock, TimeFarInTheFutureIsNotTakenOver) {
+  constexpr std::int64_t kDayUs = 86'400'000'000;
+  constexpr std::int64_t kMinuteUs = 60'000'000;
+  std::int64_t wall_us = 1'000'000;
+  hybrid_clock clock([&] { return wall_us; });
+  const hybrid_time before = clock.Tick();
+  const hybrid_time received = clock.Observe({kDayUs, 0});
+  EXPECT_GT(received, before);
+  EXPECT_LE(received.wall_us, wall_us + kMinuteUs);
+}
+
 }  // namespace
 }  // namespace siskinrack::support
