--- a/include/siskinrack/config/plan.h
+++ b/include/siskinrack/config/plan.h
@@ -41,6 +41,9 @@
   std::string id;
   std::uint64_t base_version = 0;
   std::string base_digest;
+  /// The configuration that the plan was made for; a stale plan is compared with it, and its plan
+  /// id leads to the plan before.
+  mesh_config base;
   /// The configuration that a confirmation writes; removed services are in it as retiring.
   mesh_config result;
   std::vector<plan_step> steps;
@@ -59,6 +62,9 @@
 mesh_resources WithoutRetiring(mesh_resources resources);
 
 std::string ToJson(const plan& item);
+
+/// Reads a stored plan. A plan that differs from what MakePlan computes from its base and its
+/// content was altered after it was stored; that is a problem too.
 std::optional<plan> PlanFromJson(std::string_view text, support::findings& problems);
 
 /// Text form of a change: "add service counter (slots=6)".
--- /dev/null
+++ b/include/siskinrack/control/program.h
@@ -0,0 +1,28 @@
+#ifndef SISKINRACK_CONTROL_PROGRAM_H_
+#define SISKINRACK_CONTROL_PROGRAM_H_
+
+#include <iosfwd>
+#include <span>
+#include <string>
+
+#include "siskinrack/support/settings.h"
+
+namespace siskinrack::control {
+
+/// Exit codes of the operator program; findings and bad input give support::kExitFindings.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitConflict = 3;
+inline constexpr int kExitUnknown = 4;
+
+/// Runs the operator program: parses the command line, runs one command and prints its result to
+/// `out` and errors to `err`. Returns the exit code. `environment_names` lists the set variables
+/// that start with "SISKINRACK_".
+int RunProgram(std::span<const std::string> arguments,
+               const support::environment_lookup& environment,
+               std::span<const std::string> environment_names, std::ostream& out,
+               std::ostream& err);
+
+}  // namespace siskinrack::control
+
+#endif  // SISKINRACK_CONTROL_PROGRAM_H_
--- a/include/siskinrack/platform/http_object_store.h
+++ b/include/siskinrack/platform/http_object_store.h
@@ -1,6 +1,7 @@
 #ifndef SISKINRACK_PLATFORM_HTTP_OBJECT_STORE_H_
 #define SISKINRACK_PLATFORM_HTTP_OBJECT_STORE_H_
 
+#include <array>
 #include <atomic>
 #include <mutex>
 #include <random>
@@ -11,6 +12,9 @@
 
 namespace siskinrack::platform {
 
+/// Message of the error for a call that this process held back to keep its own budget.
+inline constexpr std::string_view kCallBudgetText = "call budget";
+
 /// Object API over HTTP:
 ///   GET    /objects/<name>                              one object; ETag is its version
 ///   PUT    /objects/<name>  If-Match | If-None-Match:*  conditional write
@@ -38,7 +42,12 @@
                                    std::chrono::milliseconds wait);
 
   /// Calls sent to the platform since the start.
-  [[nodiscard]] std::uint64_t calls() const { return calls_; }
+  [[nodiscard]] std::uint64_t calls(call_class kind) const {
+    return calls_.at(static_cast<std::size_t>(kind));
+  }
+  [[nodiscard]] std::uint64_t calls() const {
+    return calls(call_class::kRead) + calls(call_class::kWrite) + calls(call_class::kWatch);
+  }
 
  private:
   std::variant<net::http_response, store_error> Call(call_class kind, net::http_request request,
@@ -51,7 +60,7 @@
   std::mutex mutex_;
   call_budget budget_;
   std::mt19937_64 random_{std::random_device{}()};
-  std::atomic<std::uint64_t> calls_ = 0;
+  std::array<std::atomic<std::uint64_t>, kCallClasses> calls_{};
 };
 
 static_assert(object_store<http_object_store>);
--- a/include/siskinrack/support/settings.h
+++ b/include/siskinrack/support/settings.h
@@ -1,6 +1,7 @@
 #ifndef SISKINRACK_SUPPORT_SETTINGS_H_
 #define SISKINRACK_SUPPORT_SETTINGS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,7 +16,23 @@
 
 namespace siskinrack::support {
 
-enum class setting_kind { kText, kInteger, kAddress, kAddressList, kFlag };
+enum class setting_kind {
+  kText,
+  /// 1 to 63 of a-z, 0-9, '-', '_' and '.'; safe in logs, object names and metrics.
+  kName,
+  kInteger,
+  /// IP number.
+  kIp,
+  /// Address to listen on; port 0 lets the kernel choose.
+  kAddress,
+  /// Address of another process; the port can't be 0.
+  kRemoteAddress,
+  /// Addresses of other processes, separated by commas.
+  kAddressList,
+  /// Number with a unit: "500ms", "30s", "5m" or "2h".
+  kDuration,
+  kFlag
+};
 
 /// Declares one setting: the flag "--name" and the environment variable SISKINRACK_NAME.
 struct setting {
@@ -29,6 +46,8 @@
   std::int64_t max = 0;
   /// For example "ms"; empty for counts and texts.
   std::string unit;
+  /// Values that a text may have; empty allows all.
+  std::vector<std::string> choices;
 };
 
 /// Reads an environment variable; nothing if it is not set.
@@ -37,18 +56,24 @@
 /// Environment of this process.
 std::optional<std::string> ProcessEnvironment(const std::string& name);
 
+/// Names of the environment variables of this process that start with "SISKINRACK_".
+std::vector<std::string> ProcessEnvironmentNames();
+
 /// Checked values of the declared settings. A flag goes before the environment variable, which goes
 /// before the default.
 class settings {
  public:
-  /// Parses flags and environment and adds every problem to `problems`.
+  /// Parses flags and environment and adds every problem to `problems`. Each of
+  /// `environment_names` must belong to a declared setting.
   static settings Parse(std::span<const setting> declared, std::span<const std::string> arguments,
-                        const environment_lookup& environment, findings& problems);
+                        const environment_lookup& environment, findings& problems,
+                        std::span<const std::string> environment_names = {});
 
   [[nodiscard]] const std::string& text(std::string_view name) const;
   [[nodiscard]] std::int64_t integer(std::string_view name) const;
   [[nodiscard]] socket_address address(std::string_view name) const;
   [[nodiscard]] std::vector<socket_address> addresses(std::string_view name) const;
+  [[nodiscard]] std::chrono::milliseconds duration(std::string_view name) const;
   [[nodiscard]] bool flag(std::string_view name) const;
   /// Arguments that are not flags, in order.
   [[nodiscard]] std::span<const std::string> positional() const { return positional_; }
--- a/lib/config/plan.cpp
+++ b/lib/config/plan.cpp
@@ -111,12 +111,15 @@
   plan result;
   result.base_version = base.version;
   result.base_digest = DigestOf(base);
+  result.base = base;
   result.result.version = base.version + 1;
   result.result.resources = KeepRemovedAsRetiring(base.resources, wanted);
   result.id =
       Sha256Hex(result.base_digest + ToJson(result.result.resources)).substr(0, kPlanIdDigits);
   result.result.plan_id = result.id;
 
+  // Only services that are being removed already differ: an earlier plan covers their removal.
+  if (result.result.resources == base.resources) return result;
   const std::uint64_t version = result.result.version;
   const auto changes = Compare(base.resources, wanted);
   const auto removes = [](const resource_change& c) { return c.action == change_action::kRemove; };
@@ -151,42 +154,32 @@
   return json::serialize(json::object{{"id", item.id},
                                       {"base_version", item.base_version},
                                       {"base_digest", item.base_digest},
+                                      {"base", json::parse(ToJson(item.base))},
                                       {"result", json::parse(ToJson(item.result))},
                                       {"steps", std::move(steps)}});
 }
 
 std::optional<plan> PlanFromJson(std::string_view text, support::findings& problems) {
   namespace json = boost::json;
-  try {
-    const json::value value = json::parse({text.data(), text.size()});
-    plan result;
-    result.id = json::value_to<std::string>(value.at("id"));
-    result.base_version = value.at("base_version").to_number<std::uint64_t>();
-    result.base_digest = json::value_to<std::string>(value.at("base_digest"));
-    auto config = ConfigFromJson(json::serialize(value.at("result")), problems);
-    if (!config) return std::nullopt;
-    result.result = std::move(*config);
-    for (const json::value& entry : value.at("steps").as_array()) {
-      plan_step step;
-      step.order = entry.at("order").to_number<std::uint32_t>();
-      step.version = entry.at("version").to_number<std::uint64_t>();
-      step.title = json::value_to<std::string>(entry.at("title"));
-      for (const json::value& item : entry.at("changes").as_array()) {
-        const auto action = json::value_to<std::string>(item.at("action"));
-        step.changes.push_back({action == "add"      ? change_action::kAdd
-                                : action == "change" ? change_action::kChange
-                                                     : change_action::kRemove,
-                                json::value_to<std::string>(item.at("kind")),
-                                json::value_to<std::string>(item.at("name")),
-                                json::value_to<std::string>(item.at("detail"))});
-      }
-      result.steps.push_back(std::move(step));
-    }
-    return result;
-  } catch (const std::exception& error) {
-    problems.Add("plan", error.what());
+  json::error_code error;
+  const json::value value = json::parse({text.data(), text.size()}, error);
+  const json::object* members = error ? nullptr : value.if_object();
+  const json::value* base_json = members ? members->if_contains("base") : nullptr;
+  const json::value* result_json = members ? members->if_contains("result") : nullptr;
+  if (base_json == nullptr || result_json == nullptr) {
+    problems.Add("plan", "is not a stored plan");
+    return std::nullopt;
+  }
+  const auto base = ConfigFromJson(json::serialize(*base_json), problems);
+  const auto result = ConfigFromJson(json::serialize(*result_json), problems);
+  if (!base || !result) return std::nullopt;
+  plan item = MakePlan(*base, WithoutRetiring(result->resources));
+  // Parsing and serializing drops white space and keeps everything that has a meaning.
+  if (ToJson(item) != json::serialize(value)) {
+    problems.Add("plan", "was altered after it was stored", "apply the intent again");
     return std::nullopt;
   }
+  return item;
 }
 
 std::string ToText(const resource_change& change) {
--- /dev/null
+++ b/lib/control/program.cpp
@@ -0,0 +1,186 @@
+#include "siskinrack/control/program.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <ostream>
+
+#include "command.h"
+#include "command_table.h"
+#include "session.h"
+
+namespace siskinrack::control {
+namespace {
+
+/// Settings of siskinrack-node. Their environment variables may be set where the operator program
+/// runs, so they are known, though without effect here.
+const std::vector<std::string> kNodeSettings = {"node-id",       "failure-domain",
+                                                "region",        "caller-address",
+                                                "peer-address",  "advertise-address",
+                                                "admin-address", "upstream-address",
+                                                "service",       "slots",
+                                                "seeds",         "threads",
+                                                "drain-ms",      "clock-skew-ms",
+                                                "source-ip",     "log-level"};
+
+std::vector<std::string> RemoveKnown(std::span<const std::string> names) {
+  std::vector<std::string> known;
+  for (const auto& item : SettingsOf(nullptr)) known.push_back(support::EnvironmentName(item.name));
+  for (const auto& name : kNodeSettings) known.push_back(support::EnvironmentName(name));
+  std::vector<std::string> rest;
+  for (const std::string& name : names) {
+    if (std::find(known.begin(), known.end(), name) == known.end()) rest.push_back(name);
+  }
+  return rest;
+}
+
+/// Arguments before the first flag; they name the command.
+std::vector<std::string> LeadingWords(std::span<const std::string> arguments) {
+  const auto end = std::find_if(arguments.begin(), arguments.end(),
+                                [](const std::string& word) { return word.starts_with("-"); });
+  return {arguments.begin(), end};
+}
+
+void CheckCommand(const command_spec* command, std::span<const std::string> words,
+                  support::findings& problems) {
+  if (command == nullptr) {
+    std::vector<std::string> names;
+    for (const auto& item : Commands()) names.push_back(item.name);
+    const std::string name =
+        words.size() > 1 && (words[0] == "quarantine" || words[0] == "completion")
+            ? words[0] + ' ' + words[1]
+            : words[0];
+    const std::string_view nearest = support::NearestName(name, names);
+    problems.Add(
+        name, "unknown command",
+        nearest.empty() ? "see siskinctl --help" : "did you mean '" + std::string(nearest) + "'?");
+    return;
+  }
+  const auto arguments = words.subspan(WordCount(*command));
+  for (std::size_t i = arguments.size(); i < command->arguments.size(); ++i) {
+    problems.Add(command->name, command->arguments[i] + " is missing",
+                 "see siskinctl " + command->name + " --help");
+  }
+  for (std::size_t i = command->arguments.size(); i < arguments.size(); ++i) {
+    problems.Add(arguments[i], "unexpected argument");
+  }
+}
+
+int PrintError(const command_error& error, bool as_json, std::ostream& err) {
+  if (!as_json) {
+    if (!error.message.empty()) err << error.message << '\n';
+    for (const std::string& line : error.details) err << "  " << line << '\n';
+    err << error.problems;
+    return error.exit_code;
+  }
+  json::array findings;
+  for (const support::finding& item : error.problems.items()) {
+    findings.push_back(
+        json::object{{"place", item.place}, {"message", item.message}, {"hint", item.hint}});
+  }
+  err << json::serialize(json::object{{"error", error.message},
+                                      {"exit_code", error.exit_code},
+                                      {"details", json::value_from(error.details)},
+                                      {"findings", std::move(findings)}})
+      << '\n';
+  return error.exit_code;
+}
+
+int PrintReport(const command_report& report, bool as_json, std::ostream& out, std::ostream& err) {
+  for (const std::string& warning : report.warnings) err << "warning: " << warning << '\n';
+  if (as_json) {
+    out << json::serialize(report.data) << '\n';
+  } else {
+    out << report.text;
+  }
+  out.flush();
+  return out ? report.exit_code : kExitFailed;
+}
+
+int RunCommand(const command_spec& command, const support::settings& values, std::ostream& out,
+               std::ostream& err) {
+  const bool as_json = values.text("output") == "json";
+  const auto words = values.positional().subspan(WordCount(command));
+  const auto has = [&](std::string_view name) {
+    return std::find(command.settings.begin(), command.settings.end(), name) !=
+           command.settings.end();
+  };
+  session::options options;
+  if (has("platform-address")) options.platform = values.address("platform-address");
+  if (has("nodes")) options.nodes = values.addresses("nodes");
+  if (has("timeout-ms")) options.timeout = std::chrono::milliseconds(values.integer("timeout-ms"));
+  session platform(options);
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(report, command.run(platform, {{words.begin(), words.end()}, values}));
+        return PrintReport(report, as_json, out, err);
+      },
+      [&](const command_error& error) { return PrintError(error, as_json, err); },
+      [&] {
+        err << "unexpected error\n";
+        return kExitFailed;
+      });
+}
+
+}  // namespace
+
+leaf::error_id BadInput(std::string place, std::string message, std::string hint) {
+  command_error error{support::kExitFindings, {}, {}, {}};
+  error.problems.Add(std::move(place), std::move(message), std::move(hint));
+  return leaf::new_error(std::move(error));
+}
+
+std::string FormatTable(const std::vector<std::vector<std::string>>& rows) {
+  std::vector<std::size_t> widths;
+  for (const auto& row : rows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t i = 0; i < row.size(); ++i) widths[i] = std::max(widths[i], row[i].size());
+  }
+  std::string text;
+  for (const auto& row : rows) {
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      text += row[i];
+      if (i + 1 < row.size()) text += std::string(widths[i] + 2 - row[i].size(), ' ');
+    }
+    text += '\n';
+  }
+  return text;
+}
+
+command_result CompletionBash(session&, const command_input&) {
+  std::string script = BashCompletion();
+  json::object data{{"script", script}};
+  return command_report{std::move(script), std::move(data), {}, kExitOk};
+}
+
+int RunProgram(std::span<const std::string> arguments,
+               const support::environment_lookup& environment,
+               std::span<const std::string> environment_names, std::ostream& out,
+               std::ostream& err) {
+  const auto leading = LeadingWords(arguments);
+  const command_spec* command = FindCommand(leading);
+  const auto declared = SettingsOf(command);
+  support::findings problems;
+  const auto values = support::settings::Parse(declared, arguments, environment, problems,
+                                               RemoveKnown(environment_names));
+  if (problems.empty() && values.flag("help")) {
+    out << HelpText(command);
+    return kExitOk;
+  }
+  if (problems.empty() && values.flag("print-settings")) {
+    out << values.Describe(declared);
+    return kExitOk;
+  }
+  if (leading.empty()) {
+    problems.Add("command", "is missing", "see siskinctl --help");
+  } else {
+    CheckCommand(command, values.positional(), problems);
+  }
+  if (!problems.empty()) {
+    return PrintError({support::kExitFindings, {}, std::move(problems), {}},
+                      values.text("output") == "json", err);
+  }
+  return RunCommand(*command, values, out, err);
+}
+
+}  // namespace siskinrack::control
--- a/lib/control/timeline.cpp
+++ b/lib/control/timeline.cpp
@@ -24,8 +24,71 @@
   return time;
 }
 
+/// Reads a quoted value behind its opening quote; returns the number of bytes read, with the
+/// closing quote, or 0 if there is none.
+std::size_t ReadQuoted(std::string_view text, std::string& value) {
+  constexpr int kHexBase = 16;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '"') return i + 1;
+    if (text[i] != '\\') {
+      value += text[i];
+      continue;
+    }
+    if (++i == text.size()) return 0;
+    if (text[i] == 'n') {
+      value += '\n';
+    } else if (text[i] == 'x' && i + 2 < text.size()) {
+      unsigned byte = 0;
+      std::from_chars(text.data() + i + 1, text.data() + i + 3, byte, kHexBase);
+      value += static_cast<char>(byte);
+      i += 2;
+    } else {
+      value += text[i];
+    }
+  }
+  return 0;
+}
+
 }  // namespace
 
+std::vector<std::pair<std::string, std::string>> ParseEvent(std::string_view line) {
+  std::vector<std::pair<std::string, std::string>> pairs;
+  while (!line.empty()) {
+    const std::size_t equals = line.find('=');
+    if (equals == std::string_view::npos || equals == 0) break;
+    std::string key(line.substr(0, equals));
+    line.remove_prefix(equals + 1);
+    std::string value;
+    std::size_t size = 0;
+    if (line.starts_with('"')) {
+      size = ReadQuoted(line.substr(1), value);
+      if (size == 0) break;
+      ++size;
+    } else {
+      size = std::min(line.find(' '), line.size());
+      value = line.substr(0, size);
+    }
+    pairs.emplace_back(std::move(key), std::move(value));
+    line.remove_prefix(size);
+    if (line.starts_with(' ')) line.remove_prefix(1);
+  }
+  return pairs;
+}
+
+bool Matches(std::string_view line, const timeline_filter& filter) {
+  const auto time = TimeOf(line);
+  if (!time || time->wall_us < filter.since_us) return false;
+  bool request = filter.request.empty();
+  bool version = filter.version.empty();
+  bool node = filter.node.empty();
+  for (const auto& [key, value] : ParseEvent(line)) {
+    if (key == "request" || key == "request_id") request = request || value == filter.request;
+    if (key == "version") version = version || value == filter.version;
+    if (key == "process") node = node || value == filter.node;
+  }
+  return request && version && node;
+}
+
 std::vector<std::string> MergeTimeline(std::span<const std::string> lines) {
   std::vector<std::pair<support::hybrid_time, std::string>> events;
   for (const std::string& line : lines) {
--- a/lib/platform/http_object_store.cpp
+++ b/lib/platform/http_object_store.cpp
@@ -106,9 +106,10 @@
   {
     const std::lock_guard lock(mutex_);
     const milliseconds wait = budget_.Acquire(kind, now);
-    if (wait.count() > 0) return store_error{store_errc::kUnavailable, "call budget", wait};
+    if (wait.count() > 0)
+      return store_error{store_errc::kUnavailable, std::string(kCallBudgetText), wait};
   }
-  ++calls_;
+  ++calls_.at(static_cast<std::size_t>(kind));
   const bool writes = kind == call_class::kWrite;
   const net::http_result result = client_.Send(options_.address, std::move(request), now + timeout);
   milliseconds retry_after{0};
--- a/lib/support/hybrid_clock.cpp
+++ b/lib/support/hybrid_clock.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 namespace siskinrack::support {
@@ -29,14 +30,41 @@
 }
 
 hybrid_time hybrid_clock::Observe(hybrid_time remote) {
+  const std::int64_t wall = wall_clock_();
+  if (remote.wall_us > wall + kMaxAheadUs) {
+    ++refused_;
+    ReportExcess(wall, remote.wall_us - wall);
+    return Tick();
+  }
   const std::lock_guard lock(mutex_);
   return AdvanceLocked(std::max(last_, remote));
 }
 
+void hybrid_clock::SetExcessHandler(excess_handler handler) {
+  const std::lock_guard lock(mutex_);
+  on_excess_ = std::move(handler);
+}
+
+void hybrid_clock::ReportExcess(std::int64_t wall_us, std::int64_t ahead_us) {
+  excess_handler handler;
+  {
+    const std::lock_guard lock(mutex_);
+    if (wall_us < next_report_us_) return;
+    next_report_us_ = wall_us + kExcessReportIntervalUs;
+    handler = on_excess_;
+  }
+  if (handler) handler(ahead_us);
+}
+
 hybrid_time hybrid_clock::AdvanceLocked(hybrid_time floor) {
   const std::int64_t wall = wall_clock_();
-  last_ =
-      wall > floor.wall_us ? hybrid_time{wall, 0} : hybrid_time{floor.wall_us, floor.logical + 1};
+  if (wall > floor.wall_us) {
+    last_ = {wall, 0};
+  } else if (floor.logical == std::numeric_limits<std::uint32_t>::max()) {
+    last_ = {floor.wall_us + 1, 0};
+  } else {
+    last_ = {floor.wall_us, floor.logical + 1};
+  }
   return last_;
 }
 
--- a/lib/support/settings.cpp
+++ b/lib/support/settings.cpp
@@ -1,117 +1,112 @@
 #include "siskinrack/support/settings.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/program_options.hpp>
 #include <cassert>
 #include <cctype>
-#include <charconv>
 #include <cstdlib>
 
+#include "setting_values.h"
+
 namespace siskinrack::support {
 namespace {
 
 namespace po = boost::program_options;
 
-std::vector<std::string> SplitList(std::string_view text) {
-  std::vector<std::string> parts;
-  while (!text.empty()) {
-    const std::size_t comma = text.find(',');
-    parts.emplace_back(text.substr(0, comma));
-    if (comma == std::string_view::npos) break;
-    text.remove_prefix(comma + 1);
-  }
-  return parts;
-}
+/// What the command line holds.
+struct command_line {
+  std::map<std::string, std::string> flags;
+  std::vector<std::string> positional;
+};
 
-std::optional<std::int64_t> ParseInteger(std::string_view text) {
-  std::int64_t number = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  return number;
+std::vector<std::string> NamesOf(std::span<const setting> declared) {
+  std::vector<std::string> names;
+  for (const setting& item : declared) names.push_back(item.name);
+  return names;
 }
 
-std::string RangeText(const setting& item) {
-  std::string text = std::to_string(item.min) + " to " + std::to_string(item.max);
-  if (!item.unit.empty()) text += ' ' + item.unit;
-  return text;
+po::options_description Describe(std::span<const setting> declared) {
+  po::options_description description;
+  for (const setting& item : declared) {
+    auto* value = po::value<std::string>();
+    if (item.kind == setting_kind::kFlag) value->implicit_value("true");
+    description.add_options()(item.name.c_str(), value);
+  }
+  return description;
 }
 
-void CheckValue(const setting& item, const std::string& text, const std::string& place,
-                findings& problems) {
-  switch (item.kind) {
-    case setting_kind::kInteger: {
-      const auto number = ParseInteger(text);
-      if (!number) {
-        problems.Add(place, "'" + text + "' is not a whole number", RangeText(item));
-      } else if (*number < item.min || *number > item.max) {
-        problems.Add(place, text + " is out of range", RangeText(item));
+/// Parses `arguments` as far as they are well formed: a flag that Program_options refuses becomes a
+/// finding and is left out, so that the other problems are found as well.
+std::vector<po::option> Tokenize(const po::options_description& description,
+                                 std::vector<std::string> arguments,
+                                 std::map<std::string, std::string>& refused, findings& problems) {
+  // Short options are off, so that "-5" can be the value of a flag.
+  const auto style = po::command_line_style::unix_style & ~(po::command_line_style::allow_guessing |
+                                                            po::command_line_style::allow_short);
+  while (true) {
+    try {
+      return po::command_line_parser(arguments)
+          .options(description)
+          .style(style)
+          .allow_unregistered()
+          .run()
+          .options;
+    } catch (const po::error_with_option_name& error) {
+      const std::string name = error.get_option_name();
+      const auto found =
+          std::find_if(arguments.begin(), arguments.end(), [&](const std::string& argument) {
+            return argument == name || argument.starts_with(name + '=');
+          });
+      if (found == arguments.end()) {
+        problems.Add("command line", error.what());
+        return {};
       }
-      break;
+      problems.Add(name, "needs a value");
+      refused[name.substr(name.find_first_not_of('-'))] = "";
+      arguments.erase(found);
+    } catch (const po::error& error) {
+      problems.Add("command line", error.what());
+      return {};
     }
-    case setting_kind::kAddress:
-      if (!ParseSocketAddress(text)) {
-        problems.Add(place, "'" + text + "' is not an address", "for example 127.0.0.1:8080");
-      }
-      break;
-    case setting_kind::kAddressList:
-      for (const std::string& part : SplitList(text)) {
-        if (!ParseSocketAddress(part)) {
-          problems.Add(place, "'" + part + "' is not an address", "for example 127.0.0.1:8080");
-        }
-      }
-      break;
-    case setting_kind::kFlag:
-      if (text != "true" && text != "false") {
-        problems.Add(place, "'" + text + "' is neither true nor false");
-      }
-      break;
-    case setting_kind::kText:
-      break;
   }
 }
 
-/// Flags by name; an unknown or repeated flag and a flag without its value become findings.
-std::map<std::string, std::string> ReadFlags(std::span<const setting> declared,
-                                             std::span<const std::string> arguments,
-                                             std::vector<std::string>& positional,
-                                             findings& problems) {
-  po::options_description description;
-  std::vector<std::string> names;
-  for (const setting& item : declared) {
-    names.push_back(item.name);
-    if (item.kind == setting_kind::kFlag) {
-      description.add_options()(item.name.c_str(),
-                                po::value<std::string>()->implicit_value("true"));
-    } else {
-      description.add_options()(item.name.c_str(), po::value<std::string>());
+/// An unknown or repeated flag and a flag without its value become findings; a flag without its
+/// value stands in `refused`.
+command_line ReadFlags(std::span<const setting> declared, std::span<const std::string> arguments,
+                       std::map<std::string, std::string>& refused, findings& problems) {
+  command_line result;
+  const auto names = NamesOf(declared);
+  const auto description = Describe(declared);
+  for (const po::option& option :
+       Tokenize(description, {arguments.begin(), arguments.end()}, refused, problems)) {
+    if (option.position_key != -1) {
+      result.positional.insert(result.positional.end(), option.value.begin(), option.value.end());
+    } else if (option.unregistered) {
+      const std::string_view nearest = NearestName(option.string_key, names);
+      problems.Add(option.original_tokens.front(), "unknown setting",
+                   nearest.empty() ? "" : "did you mean --" + std::string(nearest) + "?");
+    } else if (!result.flags
+                    .emplace(option.string_key, option.value.empty() ? "" : option.value.front())
+                    .second) {
+      problems.Add("--" + option.string_key, "given more than once");
     }
   }
-  std::map<std::string, std::string> flags;
-  try {
-    const po::positional_options_description no_names;
-    const auto style =
-        po::command_line_style::default_style & ~po::command_line_style::allow_guessing;
-    const auto parsed = po::command_line_parser({arguments.begin(), arguments.end()})
-                            .options(description)
-                            .style(style)
-                            .allow_unregistered()
-                            .run();
-    for (const auto& option : parsed.options) {
-      if (option.position_key != -1) {
-        positional.insert(positional.end(), option.value.begin(), option.value.end());
-      } else if (option.unregistered) {
-        const std::string_view nearest = NearestName(option.string_key, names);
-        problems.Add(option.original_tokens.front(), "unknown setting",
-                     nearest.empty() ? "" : "did you mean --" + std::string(nearest) + "?");
-      } else if (!flags.emplace(option.string_key, option.value.empty() ? "" : option.value.front())
-                      .second) {
-        problems.Add("--" + option.string_key, "given more than once");
-      }
-    }
-  } catch (const po::error& error) {
-    problems.Add("command line", error.what());
+  return result;
+}
+
+void CheckEnvironmentNames(std::span<const setting> declared, std::span<const std::string> names,
+                           findings& problems) {
+  std::vector<std::string> known;
+  for (const setting& item : declared) known.push_back(EnvironmentName(item.name));
+  for (const std::string& name : names) {
+    if (std::find(known.begin(), known.end(), name) != known.end()) continue;
+    const std::string_view nearest = NearestName(name, known);
+    problems.Add(name, "unknown environment variable",
+                 nearest.empty() ? "" : "did you mean " + std::string(nearest) + "?");
   }
-  return flags;
 }
 
 }  // namespace
@@ -122,6 +117,17 @@
   return text;
 }
 
+std::vector<std::string> ProcessEnvironmentNames() {
+  constexpr std::string_view kPrefix = "SISKINRACK_";
+  std::vector<std::string> names;
+  for (char** entry = environ; entry != nullptr && *entry != nullptr; ++entry) {
+    const std::string_view variable(*entry);
+    if (variable.starts_with(kPrefix)) names.emplace_back(variable.substr(0, variable.find('=')));
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
 std::string EnvironmentName(std::string_view setting_name) {
   std::string name = "SISKINRACK_";
   for (const char c : setting_name) {
@@ -131,10 +137,20 @@
 }
 
 settings settings::Parse(std::span<const setting> declared, std::span<const std::string> arguments,
-                         const environment_lookup& environment, findings& problems) {
+                         const environment_lookup& environment, findings& problems,
+                         std::span<const std::string> environment_names) {
   settings result;
-  const auto flags = ReadFlags(declared, arguments, result.positional_, problems);
-  for (const setting& item : declared) result.Resolve(item, flags, environment, problems);
+  std::map<std::string, std::string> refused;
+  auto line = ReadFlags(declared, arguments, refused, problems);
+  result.positional_ = std::move(line.positional);
+  for (const setting& item : declared) {
+    if (refused.contains(item.name)) {
+      result.values_[item.name] = {"", "refused"};
+    } else {
+      result.Resolve(item, line.flags, environment, problems);
+    }
+  }
+  CheckEnvironmentNames(declared, environment_names, problems);
   return result;
 }
 
@@ -156,8 +172,9 @@
     values_[item.name] = {"", "missing"};
     return;
   }
-  if (!(resolved.origin == "default" && resolved.text.empty())) {
-    CheckValue(item, resolved.text, place, problems);
+  // An empty text means "not given" where the default is empty too.
+  if (!(resolved.text.empty() && item.default_value == "")) {
+    detail::CheckValue(item, resolved.text, place, problems);
   }
   values_[item.name] = std::move(resolved);
 }
@@ -169,7 +186,7 @@
 }
 
 std::int64_t settings::integer(std::string_view name) const {
-  return ParseInteger(text(name)).value_or(0);
+  return detail::ParseInteger(text(name)).value_or(0);
 }
 
 socket_address settings::address(std::string_view name) const {
@@ -178,12 +195,16 @@
 
 std::vector<socket_address> settings::addresses(std::string_view name) const {
   std::vector<socket_address> list;
-  for (const std::string& part : SplitList(text(name))) {
+  for (const std::string& part : detail::SplitList(text(name))) {
     if (const auto parsed = ParseSocketAddress(part)) list.push_back(*parsed);
   }
   return list;
 }
 
+std::chrono::milliseconds settings::duration(std::string_view name) const {
+  return detail::ParseDuration(text(name)).value_or(std::chrono::milliseconds(0));
+}
+
 bool settings::flag(std::string_view name) const { return text(name) == "true"; }
 
 std::string settings::Describe(std::span<const setting> declared) const {
@@ -203,7 +224,10 @@
     out += "  --" + item.name;
     if (item.kind != setting_kind::kFlag) out += " VALUE";
     out += "\n      " + item.help;
-    if (item.kind == setting_kind::kInteger) out += "; " + RangeText(item);
+    if (item.kind == setting_kind::kInteger) out += "; " + detail::RangeText(item);
+    for (const std::string& choice : item.choices) {
+      out += (&choice == item.choices.data() ? "; " : ", ") + choice;
+    }
     if (!item.default_value) {
       out += "; required";
     } else if (!item.default_value->empty()) {
--- a/unittests/support/hybrid_clock_test.cpp
+++ b/unittests/support/hybrid_clock_test.cpp
@@ -33,5 +33,27 @@
   EXPECT_LE(received.wall_us, wall_us + kMinuteUs);
 }
 
+// Guards against a counter that wraps to zero, which would sort an effect before its cause.
+TEST(HybridClock, FullCounterMovesToTheNextMicrosecond) {
+  hybrid_clock clock([] { return std::int64_t{5}; });
+  const hybrid_time remote{7, 0xffff'ffffU};
+  EXPECT_GT(clock.Observe(remote), remote);
+}
+
+TEST(HybridClock, RefusedTimesAreReportedAtMostOncePerInterval) {
+  std::int64_t wall_us = 1'000'000;
+  hybrid_clock clock([&] { return wall_us; });
+  int reports = 0;
+  clock.SetExcessHandler([&](std::int64_t) {
+    ++reports;
+    clock.Tick();
+  });
+  for (int i = 0; i < 5; ++i) clock.Observe({wall_us + hybrid_clock::kMaxAheadUs + 1, 0});
+  wall_us += 11'000'000;
+  clock.Observe({wall_us + hybrid_clock::kMaxAheadUs + 1, 0});
+  EXPECT_EQ(reports, 2);
+  EXPECT_EQ(clock.refused(), 6U);
+}
+
 }  // namespace
 }  // namespace siskinrack::support
