settings: names, addresses and environment are checked; all findings together

Change: setting kinds for names, IP numbers, addresses of other processes, durations and choices, checked with LEAF; unknown variables are refused with the nearest name of either program; a malformed flag is reported and the rest of the line still checked.

--- a/include/siskinrack/node/node_settings.h
+++ b/include/siskinrack/node/node_settings.h
@@ -42,6 +42,10 @@
 /// Settings that the node program declares.
 std::span<const support::setting> NodeSettingDeclarations();
 
+/// Environment variables that may be set where a node starts: its own, and those of siskinctl,
+/// which have no effect on it.
+std::vector<std::string> KnownEnvironmentNames();
+
 /// Reads the settings; adds every problem, also those between settings, to `problems`.
 node_settings MakeNodeSettings(const support::settings& values, support::findings& problems);
 
--- a/include/siskinrack/support/settings.h
+++ b/include/siskinrack/support/settings.h
@@ -50,6 +50,9 @@
   std::vector<std::string> choices;
 };
 
+/// Message of the finding for a required setting that is not given.
+inline constexpr std::string_view kMissingSettingText = "required setting is missing";
+
 /// Reads an environment variable; nothing if it is not set.
 using environment_lookup = std::function<std::optional<std::string>(const std::string&)>;
 
@@ -59,15 +62,17 @@
 /// Names of the environment variables of this process that start with "SISKINRACK_".
 std::vector<std::string> ProcessEnvironmentNames();
 
+/// Adds a finding with the nearest known name for each of `names` that isn't in `known`.
+void CheckEnvironmentNames(std::span<const std::string> known, std::span<const std::string> names,
+                           findings& problems);
+
 /// Checked values of the declared settings. A flag goes before the environment variable, which goes
 /// before the default.
 class settings {
  public:
-  /// Parses flags and environment and adds every problem to `problems`. Each of
-  /// `environment_names` must belong to a declared setting.
+  /// Parses flags and environment and adds every problem to `problems`.
   static settings Parse(std::span<const setting> declared, std::span<const std::string> arguments,
-                        const environment_lookup& environment, findings& problems,
-                        std::span<const std::string> environment_names = {});
+                        const environment_lookup& environment, findings& problems);
 
   [[nodiscard]] const std::string& text(std::string_view name) const;
   [[nodiscard]] std::int64_t integer(std::string_view name) const;
--- a/lib/control/program.cpp
+++ b/lib/control/program.cpp
@@ -23,15 +23,11 @@
                                                 "drain-ms",      "clock-skew-ms",
                                                 "source-ip",     "log-level"};
 
-std::vector<std::string> RemoveKnown(std::span<const std::string> names) {
+std::vector<std::string> KnownEnvironment() {
   std::vector<std::string> known;
   for (const auto& item : SettingsOf(nullptr)) known.push_back(support::EnvironmentName(item.name));
   for (const auto& name : kNodeSettings) known.push_back(support::EnvironmentName(name));
-  std::vector<std::string> rest;
-  for (const std::string& name : names) {
-    if (std::find(known.begin(), known.end(), name) == known.end()) rest.push_back(name);
-  }
-  return rest;
+  return known;
 }
 
 /// Arguments before the first flag; they name the command.
@@ -50,7 +46,11 @@
         words.size() > 1 && (words[0] == "quarantine" || words[0] == "completion")
             ? words[0] + ' ' + words[1]
             : words[0];
-    const std::string_view nearest = support::NearestName(name, names);
+    const auto longer = std::find_if(names.begin(), names.end(), [&](const std::string& item) {
+      return item.starts_with(name + ' ');
+    });
+    const std::string_view nearest =
+        longer != names.end() ? *longer : support::NearestName(name, names);
     problems.Add(
         name, "unknown command",
         nearest.empty() ? "see siskinctl --help" : "did you mean '" + std::string(nearest) + "'?");
@@ -161,8 +161,8 @@
   const command_spec* command = FindCommand(leading);
   const auto declared = SettingsOf(command);
   support::findings problems;
-  const auto values = support::settings::Parse(declared, arguments, environment, problems,
-                                               RemoveKnown(environment_names));
+  const auto values = support::settings::Parse(declared, arguments, environment, problems);
+  support::CheckEnvironmentNames(KnownEnvironment(), environment_names, problems);
   if (problems.empty() && values.flag("help")) {
     out << HelpText(command);
     return kExitOk;
--- a/lib/node/node_settings.cpp
+++ b/lib/node/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "siskinrack/node/node_settings.h"
 
+#include <algorithm>
 #include <array>
 
 namespace siskinrack::node {
@@ -8,22 +9,24 @@
 using support::setting;
 using support::setting_kind;
 
+/// In the order of support::log_level.
 constexpr std::array<std::string_view, 4> kLogLevels = {"debug", "info", "warn", "error"};
 
 const std::vector<setting>& Declarations() {
   static const std::vector<setting> declarations = {
-      {"node-id", setting_kind::kText, "name of this node, fixed for the life of its VM",
+      {"node-id", setting_kind::kName, "name of this node, fixed for the life of its VM",
        std::nullopt},
-      {"failure-domain", setting_kind::kText, "failure domain of this VM", std::nullopt},
-      {"region", setting_kind::kText, "region of this VM", "default"},
+      {"failure-domain", setting_kind::kName, "failure domain of this VM", std::nullopt},
+      {"region", setting_kind::kName, "region of this VM", "default"},
       {"caller-address", setting_kind::kAddress, "where callers send requests", "127.0.0.1:0"},
       {"peer-address", setting_kind::kAddress, "where other nodes connect", "127.0.0.1:0"},
-      {"advertise-address", setting_kind::kAddress,
+      {"advertise-address", setting_kind::kRemoteAddress,
        "address given to other nodes; empty means the peer address", ""},
       {"admin-address", setting_kind::kAddress, "status, metrics and time line", "127.0.0.1:0"},
-      {"platform-address", setting_kind::kAddress, "the platform's object API", std::nullopt},
-      {"upstream-address", setting_kind::kAddress, "the upstream of this VM; empty for none", ""},
-      {"service", setting_kind::kText, "service of the upstream", ""},
+      {"platform-address", setting_kind::kRemoteAddress, "the platform's object API", std::nullopt},
+      {"upstream-address", setting_kind::kRemoteAddress, "the upstream of this VM; empty for none",
+       ""},
+      {"service", setting_kind::kName, "service of the upstream", ""},
       {"slots", setting_kind::kInteger, "requests that the upstream works on at the same time", "6",
        1, 1024},
       {"seeds", setting_kind::kAddressList, "peer addresses of nodes to join", ""},
@@ -32,8 +35,12 @@
        "3000", 0, 60'000, "ms"},
       {"clock-skew-ms", setting_kind::kInteger, "shift of the clock, for tests", "0", -600'000,
        600'000, "ms"},
-      {"source-ip", setting_kind::kText, "source IP number of links to peers", ""},
-      {"log-level", setting_kind::kText, "debug, info, warn or error", "info"},
+      {"source-ip", setting_kind::kIp, "source IP number of links to peers", ""},
+      {.name = "log-level",
+       .kind = setting_kind::kText,
+       .help = "least level of the events to write",
+       .default_value = "info",
+       .choices = {kLogLevels.begin(), kLogLevels.end()}},
       {"print-settings", setting_kind::kFlag, "print the settings with their origin and exit",
        "false"},
       {"help", setting_kind::kFlag, "print this help and exit", "false"}};
@@ -48,6 +55,16 @@
 
 }  // namespace
 
+std::vector<std::string> KnownEnvironmentNames() {
+  std::vector<std::string> names;
+  for (const setting& item : Declarations()) names.push_back(support::EnvironmentName(item.name));
+  for (const std::string_view name :
+       {"nodes", "timeout-ms", "output", "request", "version", "node", "since"}) {
+    names.push_back(support::EnvironmentName(name));
+  }
+  return names;
+}
+
 std::span<const setting> NodeSettingDeclarations() { return Declarations(); }
 
 node_settings MakeNodeSettings(const support::settings& values, support::findings& problems) {
@@ -73,10 +90,7 @@
                  "set both --service and --upstream-address, or neither");
   }
   const auto level = std::find(kLogLevels.begin(), kLogLevels.end(), values.text("log-level"));
-  if (level == kLogLevels.end()) {
-    problems.Add("--log-level", "'" + values.text("log-level") + "' is not a log level",
-                 "debug, info, warn or error");
-  } else {
+  if (level != kLogLevels.end()) {
     result.log_level = static_cast<support::log_level>(level - kLogLevels.begin());
   }
   return result;
--- a/lib/support/setting_values.cpp
+++ b/lib/support/setting_values.cpp
@@ -21,7 +21,14 @@
   std::string hint;
 };
 
-std::string Quoted(std::string_view text) { return '\'' + std::string(text) + '\''; }
+/// A finding stays on one line, whatever the value holds.
+std::string Quoted(std::string_view text) {
+  std::string quoted = '\'' + std::string(text) + '\'';
+  std::replace_if(
+      quoted.begin(), quoted.end(), [](char c) { return static_cast<unsigned char>(c) < ' '; },
+      '?');
+  return quoted;
+}
 
 leaf::error_id Refuse(std::string_view text, std::string_view message, std::string hint = {}) {
   return leaf::new_error(value_error{Quoted(text) + ' ' + std::string(message), std::move(hint)});
--- a/lib/support/settings.cpp
+++ b/lib/support/settings.cpp
@@ -88,8 +88,11 @@
       const std::string_view nearest = NearestName(option.string_key, names);
       problems.Add(option.original_tokens.front(), "unknown setting",
                    nearest.empty() ? "" : "did you mean --" + std::string(nearest) + "?");
-    } else if (!result.flags
-                    .emplace(option.string_key, option.value.empty() ? "" : option.value.front())
+    } else if (!result
+                    .flags
+                    // Only a setting of kind kFlag may stand without a value.
+                    .emplace(option.string_key,
+                             option.value.empty() ? "true" : option.value.front())
                     .second) {
       problems.Add("--" + option.string_key, "given more than once");
     }
@@ -97,10 +100,10 @@
   return result;
 }
 
-void CheckEnvironmentNames(std::span<const setting> declared, std::span<const std::string> names,
+}  // namespace
+
+void CheckEnvironmentNames(std::span<const std::string> known, std::span<const std::string> names,
                            findings& problems) {
-  std::vector<std::string> known;
-  for (const setting& item : declared) known.push_back(EnvironmentName(item.name));
   for (const std::string& name : names) {
     if (std::find(known.begin(), known.end(), name) != known.end()) continue;
     const std::string_view nearest = NearestName(name, known);
@@ -109,8 +112,6 @@
   }
 }
 
-}  // namespace
-
 std::optional<std::string> ProcessEnvironment(const std::string& name) {
   const char* text = std::getenv(name.c_str());
   if (text == nullptr) return std::nullopt;
@@ -137,8 +138,7 @@
 }
 
 settings settings::Parse(std::span<const setting> declared, std::span<const std::string> arguments,
-                         const environment_lookup& environment, findings& problems,
-                         std::span<const std::string> environment_names) {
+                         const environment_lookup& environment, findings& problems) {
   settings result;
   std::map<std::string, std::string> refused;
   auto line = ReadFlags(declared, arguments, refused, problems);
@@ -150,7 +150,7 @@
       result.Resolve(item, line.flags, environment, problems);
     }
   }
-  CheckEnvironmentNames(declared, environment_names, problems);
+
   return result;
 }
 
@@ -167,7 +167,7 @@
   } else if (item.default_value) {
     resolved = {*item.default_value, "default"};
   } else {
-    problems.Add(place, "required setting is missing",
+    problems.Add(place, std::string(kMissingSettingText),
                  "set --" + item.name + " or " + EnvironmentName(item.name));
     values_[item.name] = {"", "missing"};
     return;
--- a/test/command_line/bad_input.sh
+++ b/test/command_line/bad_input.sh
@@ -56,7 +56,7 @@
 ctl "node address with port 0" 'has port 0' status --nodes 127.0.0.1:0
 ctl "empty entry in the nodes" 'is not an IP number and port' status --nodes 127.0.0.1:1,
 ctl "platform by name" 'is not an IP number and port' plans --platform-address platform:80
-ctl "empty platform address" 'is not an IP number and port' plans --platform-address=
+ctl "empty platform address" '--platform-address: needs a value' plans --platform-address=
 ctl "platform port over 65535" 'is not an IP number and port' plans --platform-address 127.0.0.1:70000
 ctl "time-out under the range" '100 to 600000 ms' plans --timeout-ms 99
 ctl "time-out that is no number" 'is not a whole number' plans --timeout-ms 1s
@@ -69,7 +69,7 @@
 ctl "negative since" 'is not a duration' timeline --nodes 127.0.0.1:1 --since -5m
 ctl "since over the range" 'is not a duration' timeline --nodes 127.0.0.1:1 --since 99999999h
 refused "siskinctl: unknown environment variable" 'did you mean SISKINRACK_NODES' \
-  env SISKINRACK_NODE=127.0.0.1:1 "$bin/siskinctl" plans
+  env SISKINRACK_NODESS=127.0.0.1:1 "$bin/siskinctl" plans
 refused "siskinctl: bad value in the environment" 'SISKINRACK_TIMEOUT_MS: .* is out of range' \
   env SISKINRACK_TIMEOUT_MS=1 "$bin/siskinctl" plans
 ctl "findings as JSON" '"findings":\[\{"place":"--timeout-ms"' plans --output json --timeout-ms 1
@@ -103,7 +103,7 @@
 check "siskinrack-node: nothing given: the other finding" grep -q -- '--node-id: required' "$work/err"
 refused "siskinrack-node: node id with a space" "--node-id: 'node 1' is not a name" \
   "$bin/siskinrack-node" --node-id 'node 1' --failure-domain d
-refused "siskinrack-node: empty node id" "--node-id: '' is not a name" \
+refused "siskinrack-node: empty node id" "--node-id: needs a value" \
   "$bin/siskinrack-node" --node-id= --failure-domain d
 refused "siskinrack-node: node id of 64 bytes" 'is not a name' \
   "$bin/siskinrack-node" --node-id "$(printf 'n%.0s' $(seq 64))" --failure-domain d
--- a/test/command_line/common.sh
+++ b/test/command_line/common.sh
@@ -22,7 +22,7 @@
 expect() {
   local name=$1 code=$2 pattern=$3 got
   shift 3
-  timeout 30 "$@" >"$work/out" 2>"$work/err" </dev/null
+  timeout 5 "$@" >"$work/out" 2>"$work/err" </dev/null
   got=$?
   if [ "$got" -ne "$code" ]; then
     report "$name" "exit code $got, expected $code: $(head -c 400 "$work/out" "$work/err")"
--- a/tools/siskinrack-node/main.cpp
+++ b/tools/siskinrack-node/main.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -24,19 +25,29 @@
   return kExitFindings;
 }
 
+/// --help works without the required settings, but not next to a mistyped one.
+bool OnlyMissingSettings(const findings& problems) {
+  const auto items = problems.items();
+  return std::all_of(items.begin(), items.end(), [](const auto& item) {
+    return item.message == siskinrack::support::kMissingSettingText;
+  });
+}
+
 int Main(std::span<const std::string> arguments) {
   namespace node = siskinrack::node;
   namespace support = siskinrack::support;
   const auto declared = node::NodeSettingDeclarations();
-  for (const std::string& argument : arguments) {
-    if (argument != "--help") continue;
+  findings problems;
+  const auto values =
+      support::settings::Parse(declared, arguments, support::ProcessEnvironment, problems);
+  support::CheckEnvironmentNames(node::KnownEnvironmentNames(), support::ProcessEnvironmentNames(),
+                                 problems);
+  const bool help = std::find(arguments.begin(), arguments.end(), "--help") != arguments.end();
+  if (help && OnlyMissingSettings(problems)) {
     std::cout << "siskinrack-node: serves callers and one upstream\n"
               << support::DescribeOptions(declared);
     return EXIT_SUCCESS;
   }
-  findings problems;
-  const auto values =
-      support::settings::Parse(declared, arguments, support::ProcessEnvironment, problems);
   for (const std::string& argument : values.positional()) {
     problems.Add(argument, "unexpected argument");
   }
