--- a/lib/node/admin_service.cpp
+++ b/lib/node/admin_service.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "node_metrics.h"
 #include "outcome.h"
 
 namespace siskinrack::node {
@@ -9,12 +10,22 @@
 
 namespace json = boost::json;
 
+constexpr std::int64_t kUsPerMs = 1000;
+
 net::http_response JsonResponse(const json::value& body) {
   return {kStatusOk, {{"Content-Type", "application/json"}}, json::serialize(body) + '\n'};
 }
 
 }  // namespace
 
+admin_service::admin_service(node_context& context, config_service& configs)
+    : context_(context), configs_(configs) {
+  context_.clock.SetExcessHandler([&log = context_.log](std::int64_t ahead_us) {
+    log.Warn("clock_time_refused", {{"ahead_ms", ahead_us / kUsPerMs},
+                                    {"max_ms", support::hybrid_clock::kMaxAheadUs / kUsPerMs}});
+  });
+}
+
 net::http_response admin_service::Handle(const net::http_request& request) {
   if (request.target == "/config" && request.method == "PUT") return OfferConfig(request);
   if (request.method != "GET") return {kStatusBadRequest, {}, "unknown method\n"};
@@ -23,6 +34,9 @@
     const bool ready = context_.config.Current()->config.version > 0 && !context_.refusing;
     return {ready ? kStatusOk : kStatusUnavailable, {}, ready ? "ready\n" : "not ready\n"};
   }
+  if (request.target == "/metrics") {
+    return {kStatusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, MetricsPage(context_)};
+  }
   if (request.target == "/status") return Status();
   if (request.target == "/upstreams") return Upstreams();
   if (request.target == "/timeline") return Timeline();
--- a/lib/node/admin_service.h
+++ b/lib/node/admin_service.h
@@ -6,12 +6,11 @@
 
 namespace siskinrack::node {
 
-/// The admin port: /healthz, /readyz, /status, /upstreams, /timeline, and PUT /config, by which the
-/// operator program hands over a version that the platform has accepted.
+/// The admin port: /healthz, /readyz, /status, /upstreams, /timeline, /metrics, and PUT /config, by
+/// which the operator program hands over a version that the platform has accepted.
 class admin_service {
  public:
-  admin_service(node_context& context, config_service& configs)
-      : context_(context), configs_(configs) {}
+  admin_service(node_context& context, config_service& configs);
 
   net::http_response Handle(const net::http_request& request);
 
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -7,6 +7,7 @@
 #include "entry_service.h"
 #include "membership_service.h"
 #include "node_context.h"
+#include "node_metrics.h"
 #include "serving_service.h"
 #include "siskinrack/net/http_server.h"
 
@@ -18,6 +19,8 @@
 /// Equal to the largest deadline of a request, so that the bound cuts no request off.
 constexpr milliseconds kMaxDrainWait{30'000};
 constexpr milliseconds kDrainPoll{10};
+/// Time for the announcement of the departure to be sent.
+constexpr milliseconds kLeaveWait{100};
 
 void ReportListenError(std::string_view setting, const std::string& error,
                        support::findings& problems) {
@@ -41,7 +44,10 @@
         admin_(context_, configs_),
         caller_server_(context_.runtime, {.address = context_.settings.caller_address},
                        [this](net::http_request request, net::cancellation& cancel) {
-                         return entry_.Handle(std::move(request), cancel);
+                         return Measure(context_, std::move(request),
+                                        [&](net::http_request measured) {
+                                          return entry_.Handle(std::move(measured), cancel);
+                                        });
                        }),
         admin_server_(context_.runtime, {.address = context_.settings.admin_address},
                       [this](const net::http_request& request, net::cancellation&) {
@@ -79,6 +85,8 @@
            std::chrono::steady_clock::now() < end) {
       std::this_thread::sleep_for(kDrainPoll);
     }
+    membership_.Announce(wire::upstream_state::left);
+    std::this_thread::sleep_for(kLeaveWait);
     context_.log.Info("drain_finished", {{"in_flight", serving_.in_flight()}});
   }
 
--- /dev/null
+++ b/lib/node/node_metrics.cpp
@@ -0,0 +1,96 @@
+#include "node_metrics.h"
+
+#include <array>
+
+#include "outcome.h"
+
+namespace siskinrack::node {
+namespace {
+
+using support::metrics_page;
+
+/// The rank that a request is counted under. Only names of the configuration in force become
+/// labels, so that callers can't create any number of series.
+std::string RankLabel(const node_context& context, const net::http_request& request) {
+  const config_snapshot_ptr snapshot = context.config.Current();
+  const config::mesh_resources& resources = snapshot->config.resources;
+  const std::string_view named = net::FindField(request.fields, kRankField);
+  if (!named.empty()) {
+    return resources.FindRank(named) != nullptr ? std::string(named) : "unknown";
+  }
+  const config::route* route = resources.MatchRoute(request.target);
+  return route == nullptr ? "none" : route->rank;
+}
+
+void AddTraffic(const node_context& context, metrics_page& page) {
+  double sent = 0;
+  double received = 0;
+  for (int type = 1; type <= static_cast<int>(wire::message::MAX); ++type) {
+    const auto message = static_cast<wire::message>(type);
+    if (net::IsRequestTraffic(message)) continue;
+    sent += static_cast<double>(context.traffic.sent(message));
+    received += static_cast<double>(context.traffic.received(message));
+  }
+  page.Metric("siskinrack_control_bytes_total", "counter",
+              "Bytes of frames between nodes that carry no requests.");
+  page.Sample("siskinrack_control_bytes_total", {{"direction", "sent"}}, sent);
+  page.Sample("siskinrack_control_bytes_total", {{"direction", "received"}}, received);
+}
+
+void AddPlatformCalls(const node_context& context, metrics_page& page) {
+  using platform::call_class;
+  const auto calls = [&](call_class kind) {
+    return static_cast<double>(context.store.calls(kind));
+  };
+  page.Metric("siskinrack_platform_calls_total", "counter", "Calls to the platform.");
+  page.Sample("siskinrack_platform_calls_total", {{"class", "read"}}, calls(call_class::kRead));
+  page.Sample("siskinrack_platform_calls_total", {{"class", "write"}}, calls(call_class::kWrite));
+  page.Sample("siskinrack_platform_calls_total", {{"class", "watch"}}, calls(call_class::kWatch));
+}
+
+void AddMembers(const node_context& context, metrics_page& page) {
+  std::array<double, static_cast<std::size_t>(wire::member_health::MAX) + 1> counts{};
+  for (const auto& member : context.members.All()) {
+    counts.at(static_cast<std::size_t>(member.health)) += 1;
+  }
+  page.Metric("siskinrack_members", "gauge", "Members that this node knows, itself included.");
+  for (const auto health : wire::EnumValuesmember_health()) {
+    page.Sample("siskinrack_members", {{"health", wire::EnumNamemember_health(health)}},
+                counts.at(static_cast<std::size_t>(health)));
+  }
+}
+
+}  // namespace
+
+net::http_response Measure(node_context& context, net::http_request request,
+                           const std::function<net::http_response(net::http_request)>& handle) {
+  const auto start = std::chrono::steady_clock::now();
+  const std::string rank = RankLabel(context, request);
+  net::http_response response = handle(std::move(request));
+  const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - start);
+  const std::string_view outcome = net::FindField(response.fields, kOutcomeField);
+  context.requests.Count(outcome.empty() ? "none" : outcome, rank, latency);
+  return response;
+}
+
+std::string MetricsPage(const node_context& context) {
+  metrics_page page;
+  page.Append(context.requests.ToText());
+  page.Metric("siskinrack_config_version", "gauge", "Configuration version in force.");
+  page.Sample("siskinrack_config_version", {},
+              static_cast<double>(context.config.Current()->config.version));
+  AddMembers(context, page);
+  AddPlatformCalls(context, page);
+  AddTraffic(context, page);
+  page.Metric("siskinrack_clock_refused_total", "counter",
+              "Received times too far in the future to be taken over.");
+  page.Sample("siskinrack_clock_refused_total", {}, static_cast<double>(context.clock.refused()));
+  page.Metric("process_cpu_seconds_total", "counter", "User and system time.");
+  page.Sample("process_cpu_seconds_total", {}, support::ProcessCpuSeconds());
+  page.Metric("process_resident_memory_bytes", "gauge", "Resident memory.");
+  page.Sample("process_resident_memory_bytes", {}, support::ProcessResidentBytes());
+  return page.text();
+}
+
+}  // namespace siskinrack::node
--- /dev/null
+++ b/lib/support/metrics.cpp
@@ -0,0 +1,170 @@
+#include "siskinrack/support/metrics.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace siskinrack::support {
+namespace {
+
+namespace bh = boost::histogram;
+
+constexpr std::size_t kShards = 8;
+constexpr int kMaxRanks = 64;
+constexpr double kUsPerSecond = 1e6;
+/// Upper ends of the latency buckets in seconds. 0.47 ms is the target for the added latency, 30 s
+/// the longest deadline.
+constexpr std::array<double, 16> kBucketSeconds = {
+    0.00047, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 30};
+
+using name_axis = bh::axis::category<std::string, bh::use_default, bh::axis::option::growth_t>;
+using latency_axis = bh::axis::variable<double>;
+
+auto MakeHistogram() {
+  std::vector<double> edges = {0};
+  edges.insert(edges.end(), kBucketSeconds.begin(), kBucketSeconds.end());
+  return bh::make_histogram(name_axis(), name_axis(), latency_axis(edges));
+}
+
+/// Shortest text that reads back as the same number.
+std::string ToText(double value) {
+  std::array<char, 32> buffer{};
+  const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value).ptr;
+  return {buffer.data(), end};
+}
+
+std::string LabelText(std::initializer_list<std::pair<std::string_view, std::string_view>> labels) {
+  std::string text;
+  for (const auto& [name, value] : labels) {
+    text += text.empty() ? "{" : ",";
+    text += name;
+    text += "=\"";
+    for (const char c : value) {
+      if (c == '"' || c == '\\') text += '\\';
+      text += c == '\n' ? ' ' : c;
+    }
+    text += '"';
+  }
+  return text.empty() ? text : text + '}';
+}
+
+/// Requests of one outcome and rank.
+struct series {
+  std::array<double, kBucketSeconds.size() + 1> buckets{};
+  double sum_seconds = 0;
+};
+
+using series_key = std::pair<std::string, std::string>;
+
+}  // namespace
+
+class request_metrics::impl {
+ public:
+  void Count(std::string_view outcome, std::string_view rank, double seconds) {
+    shard& own = shards_.at(std::hash<std::thread::id>()(std::this_thread::get_id()) % kShards);
+    const std::lock_guard lock(own.mutex);
+    std::string label(rank);
+    const auto& ranks = own.counts.axis(std::integral_constant<unsigned, 1>());
+    if (ranks.size() >= kMaxRanks && ranks.index(label) >= ranks.size()) label = "other";
+    own.counts(std::string(outcome), label, seconds);
+    own.sums[{std::string(outcome), label}] += seconds;
+  }
+
+  std::map<series_key, series> Collect() const {
+    std::map<series_key, series> result;
+    for (const shard& item : shards_) {
+      const std::lock_guard lock(item.mutex);
+      for (const auto& cell : bh::indexed(item.counts, bh::coverage::all)) {
+        const int bucket = cell.index(2);
+        if (bucket < 0 || *cell == 0) continue;
+        const std::string outcome =
+            item.counts.axis(std::integral_constant<unsigned, 0>()).value(cell.index(0));
+        const std::string rank =
+            item.counts.axis(std::integral_constant<unsigned, 1>()).value(cell.index(1));
+        result[{outcome, rank}].buckets.at(static_cast<std::size_t>(bucket)) += *cell;
+      }
+      for (const auto& [key, seconds] : item.sums) result[key].sum_seconds += seconds;
+    }
+    return result;
+  }
+
+ private:
+  struct shard {
+    mutable std::mutex mutex;
+    decltype(MakeHistogram()) counts = MakeHistogram();
+    std::map<series_key, double> sums;
+  };
+
+  std::array<shard, kShards> shards_;
+};
+
+request_metrics::request_metrics() : impl_(std::make_unique<impl>()) {}
+request_metrics::~request_metrics() = default;
+
+void request_metrics::Count(std::string_view outcome, std::string_view rank,
+                            std::chrono::microseconds latency) {
+  impl_->Count(outcome, rank, static_cast<double>(latency.count()) / kUsPerSecond);
+}
+
+std::string request_metrics::ToText() const {
+  const auto all = impl_->Collect();
+  metrics_page page;
+  page.Metric("siskinrack_requests_total", "counter", "Finished requests of callers.");
+  for (const auto& [key, item] : all) {
+    double count = 0;
+    for (const double bucket : item.buckets) count += bucket;
+    page.Sample("siskinrack_requests_total", {{"outcome", key.first}, {"rank", key.second}}, count);
+  }
+  page.Metric("siskinrack_request_seconds", "histogram", "Time from request to response.");
+  for (const auto& [key, item] : all) {
+    double count = 0;
+    for (std::size_t i = 0; i < item.buckets.size(); ++i) {
+      count += item.buckets.at(i);
+      const std::string end =
+          i < kBucketSeconds.size() ? support::ToText(kBucketSeconds.at(i)) : "+Inf";
+      page.Sample("siskinrack_request_seconds_bucket",
+                  {{"outcome", key.first}, {"rank", key.second}, {"le", end}}, count);
+    }
+    page.Sample("siskinrack_request_seconds_sum", {{"outcome", key.first}, {"rank", key.second}},
+                item.sum_seconds);
+    page.Sample("siskinrack_request_seconds_count", {{"outcome", key.first}, {"rank", key.second}},
+                count);
+  }
+  return page.text();
+}
+
+void metrics_page::Metric(std::string_view name, std::string_view type, std::string_view help) {
+  text_ += "# HELP " + std::string(name) + ' ' + std::string(help) + '\n';
+  text_ += "# TYPE " + std::string(name) + ' ' + std::string(type) + '\n';
+}
+
+void metrics_page::Sample(std::string_view name, labels of, double value) {
+  text_ += std::string(name) + LabelText(of) + ' ' + ToText(value) + '\n';
+}
+
+double ProcessCpuSeconds() {
+  rusage usage{};
+  if (getrusage(RUSAGE_SELF, &usage) != 0) return 0;
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / kUsPerSecond;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+double ProcessResidentBytes() {
+  std::ifstream in("/proc/self/statm");
+  double total_pages = 0;
+  double resident_pages = 0;
+  if (!(in >> total_pages >> resident_pages)) return 0;
+  return resident_pages * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+}  // namespace siskinrack::support
