--- a/lib/node/node_context.h
+++ b/lib/node/node_context.h
@@ -13,6 +13,7 @@
 #include "siskinrack/platform/http_object_store.h"
 #include "siskinrack/support/event_log.h"
 #include "siskinrack/support/hybrid_clock.h"
+#include "siskinrack/support/metrics.h"
 #include "watcher_news.h"
 
 namespace siskinrack::node {
@@ -33,6 +34,7 @@
   support::hybrid_clock clock;
   support::event_log log;
   net::traffic_counters traffic;
+  support::request_metrics requests;
   net::peer_context peer;
   net::fiber_runtime runtime;
   platform::http_object_store store;
