config, wire: refuse what the property tests found

Cause: a path prefix that is not UTF-8 passed validation and its configuration could not be read back; an unknown service state was read as active; a frame whose union has a type but no body passed the verifier and crashed the process that packed it again. Change: prefixes are printable ASCII, states are checked, such frames are refused. Conclusion: the readers accept only what they can write again.

--- a/lib/config/canonical_json.cpp
+++ b/lib/config/canonical_json.cpp
@@ -75,6 +75,16 @@
     return static_cast<std::uint32_t>(Number(key, std::numeric_limits<std::uint32_t>::max()));
   }
 
+  /// True for the text `yes`, false for `no`; other texts are a finding.
+  bool Choice(std::string_view key, std::string_view yes, std::string_view no) {
+    const std::string text = Text(key);
+    if (text != yes && text != no) {
+      problems_.Add(Place(key),
+                    "is neither '" + std::string(yes) + "' nor '" + std::string(no) + '\'');
+    }
+    return text == yes;
+  }
+
   bool Flag(std::string_view key) {
     const json::value* value = Member(key);
     if (value == nullptr) return false;
@@ -120,8 +130,8 @@
 service DecodeService(object_reader& reader) {
   service item;
   item.name = reader.Text("name");
-  item.state =
-      reader.Text("state") == "retiring" ? service_state::kRetiring : service_state::kActive;
+  item.state = reader.Choice("state", "retiring", "active") ? service_state::kRetiring
+                                                            : service_state::kActive;
   item.slots = reader.Number32("slots");
   item.ramp_ms = reader.Number32("ramp_ms");
   return item;
--- a/lib/config/validation.cpp
+++ b/lib/config/validation.cpp
@@ -13,6 +13,13 @@
          name.find_first_not_of(kAllowed) == std::string_view::npos;
 }
 
+/// Other bytes can't stand in a request's target, and text that is not UTF-8 can't be read back
+/// from its JSON form.
+bool IsPathPrefix(std::string_view prefix) {
+  return prefix.starts_with('/') && prefix.size() <= kMaxPrefixBytes &&
+         std::all_of(prefix.begin(), prefix.end(), [](char c) { return c > ' ' && c < 0x7f; });
+}
+
 std::string Place(std::string_view kind, std::string_view name) {
   return std::string(kind) + '[' + std::string(name) + ']';
 }
@@ -54,8 +61,9 @@
 
 void CheckRoute(const route& item, const mesh_resources& resources, support::findings& problems) {
   const std::string place = Place("routes", item.name);
-  if (!item.prefix.starts_with('/') || item.prefix.size() > kMaxPrefixBytes) {
-    problems.Add(place + ".prefix", "is not a path prefix", "starts with '/', at most 512 bytes");
+  if (!IsPathPrefix(item.prefix)) {
+    problems.Add(place + ".prefix", "is not a path prefix",
+                 "starts with '/', at most 512 printable ASCII bytes");
   }
   const service* target = resources.FindService(item.service);
   if (target == nullptr) {
--- a/lib/wire/frame.cpp
+++ b/lib/wire/frame.cpp
@@ -35,7 +35,14 @@
 std::unique_ptr<envelope_t> DecodeEnvelope(std::span<const std::uint8_t> bytes) {
   flatbuffers::Verifier verifier(bytes.data(), bytes.size());
   if (!VerifyenvelopeBuffer(verifier)) return nullptr;
-  return std::unique_ptr<envelope_t>(Getenvelope(bytes.data())->UnPack());
+  const envelope* frame = Getenvelope(bytes.data());
+  // The verifier accepts a type without a body and a type of a later schema; both would be read as
+  // a null message.
+  if (frame->message() == nullptr || frame->message_type() == message::NONE ||
+      frame->message_type() > message::MAX) {
+    return nullptr;
+  }
+  return std::unique_ptr<envelope_t>(frame->UnPack());
 }
 
 }  // namespace siskinrack::wire
