control: read the quarantine page as the node serves it

Cause: the page is a JSON list, the command expected an object with entries; release is idempotent on the node.

--- a/lib/control/node_commands.cpp
+++ b/lib/control/node_commands.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusBadRequest = 400;
 constexpr std::size_t kMaxFingerprintBytes = 64;
 
 std::string Text(const json::object& object, std::string_view key) {
@@ -136,10 +136,9 @@
   command_report report;
   std::map<std::string, json::object> entries;
   for (const node_page& page : platform.FetchAll(nodes, "/quarantine")) {
-    const auto body = ParsePage(page, json::kind::object, report);
-    const json::value* list = body ? body->get_object().if_contains("entries") : nullptr;
-    if (list == nullptr || !list->is_array()) continue;
-    for (const json::value& item : list->get_array()) {
+    const auto body = ParsePage(page, json::kind::array, report);
+    if (!body) continue;
+    for (const json::value& item : body->get_array()) {
       const json::object* entry = item.if_object();
       if (entry == nullptr) continue;
       // Nodes hear of a renewal at different times; the longest remaining time is the newest.
@@ -171,7 +170,6 @@
                     "hexadecimal digits, as 'quarantine list' prints them");
   }
   BOOST_LEAF_AUTO(nodes, RequireNodes(platform));
-  bool answered = false;
   for (const known_node& node : nodes) {
     const auto result =
         platform.Send(node.admin, {"POST", "/quarantine/release/" + fingerprint, {}, {}});
@@ -182,9 +180,10 @@
                             {},
                             kExitOk};
     }
-    answered = answered || result.response.status == kStatusNotFound;
+    if (result.response.status == kStatusBadRequest) {
+      return BadInput(fingerprint, "is not a fingerprint", "16 hexadecimal digits");
+    }
   }
-  if (answered) return BadInput(fingerprint, "is not quarantined");
   return leaf::new_error(command_error{kExitFailed, "no node answers", {}, {}});
 }
 
--- a/test/command_line/nodes.sh
+++ b/test/command_line/nodes.sh
@@ -99,6 +99,11 @@
 expect "timeline as JSON" 0 '"event":"config_active"' "$bin/siskinctl" timeline --output json
 expect "timeline of no request" 0 '"events":\[\]' "$bin/siskinctl" timeline --request no-such-request --output json
 
+expect "quarantine list" 0 'FINGERPRINT' "$bin/siskinctl" quarantine list
+expect "quarantine list as JSON" 0 '"entries":\[\]' "$bin/siskinctl" quarantine list --output json
+expect "release is idempotent: the request is not quarantined" 0 'released 0123456789abcdef' \
+  "$bin/siskinctl" quarantine release 0123456789abcdef
+
 # Guards against one wrong clock that drags all others along: node 5 is 10 minutes ahead.
 start_node 5 domain-b --clock-skew-ms 600000 --seeds "$peer_1"
 check "node 1 refuses the time" wait_until 20 grep -q event=clock_time_refused "$work/node-1.log"
