node: test of held requests and their release on the admin page

Cause: no test covered POST /quarantine/release and the tombstone against older evidence. Change: unit test of quarantine_service with evidence of peers, the admin pages and a release. Conclusion: passes at once, since the code it covers was already there.

--- /dev/null
+++ b/unittests/node/quarantine_service_test.cpp
@@ -0,0 +1,67 @@
+#include "quarantine_service.h"
+
+#include <gtest/gtest.h>
+
+#include "request_path_fixture.h"
+#include "siskinrack/quarantine/fingerprint.h"
+
+namespace siskinrack::node {
+namespace {
+
+class quarantine_service_test : public testing::Test {
+ protected:
+  quarantine_service_test() { subject_.context().members.Merge(subject_.Record()); }
+
+  void Crash(const std::string& node_id, std::uint32_t age_ms = 0) {
+    wire::crash_evidence_t evidence;
+    evidence.node_id = node_id;
+    evidence.crash_id = 1;
+    evidence.suspects = {fingerprint_};
+    evidence.age_ms = age_ms;
+    const wire::envelope_t message = wire::MakeEnvelope(std::move(evidence));
+    subject_.context().runtime.Run(0, [&] { subject_.quarantine().Handle(message); });
+  }
+
+  std::string Admin(const std::string& method, const std::string& target) {
+    std::string body;
+    subject_.context().runtime.Run(0, [&] {
+      const auto response = subject_.quarantine().HandleAdmin({method, target, {}, {}});
+      if (response) body = response->body;
+    });
+    return body;
+  }
+
+  std::string Send() { return Outcome(subject_.Send({"GET", "/tray/bad", {}, {}})); }
+
+  test_node subject_{"a", [](const net::http_request&, net::cancellation&) {
+                       return net::http_response{200, {}, "done"};
+                     }};
+  std::uint64_t fingerprint_ = quarantine::FingerprintOf("counter", "GET", "/tray/bad", {});
+};
+
+// Guards against a held request that reaches the upstream, and against one that stays held after
+// its release by an operator.
+TEST_F(quarantine_service_test, EvidenceOfPeersHoldsBackUntilTheRelease) {
+  Crash("x");
+  Crash("y");
+  EXPECT_EQ(Send(), "not-run");
+  const std::string text = quarantine::FormatFingerprint(fingerprint_);
+  EXPECT_NE(Admin("GET", "/quarantine").find(text), std::string::npos);
+  EXPECT_EQ(Admin("POST", "/quarantine/release/12"), "not a fingerprint\n");
+  EXPECT_EQ(Admin("POST", "/quarantine/release/" + text), "released\n");
+  EXPECT_EQ(Send(), "answered");
+  Crash("z", 1'000);
+  Crash("w", 1'000);
+  EXPECT_EQ(Send(), "answered");
+}
+
+TEST_F(quarantine_service_test, CompletedRunClearsAndOldEvidenceDoesNotCount) {
+  Crash("x");
+  EXPECT_EQ(Send(), "answered");
+  Crash("y");
+  EXPECT_EQ(Send(), "answered");
+  EXPECT_EQ(Admin("GET", "/quarantine"), "[]\n");
+}
+
+}  // namespace
+}  // namespace siskinrack::node
--- a/unittests/node/request_path_fixture.h
+++ b/unittests/node/request_path_fixture.h
@@ -88,6 +88,7 @@
 
   node_context& context() { return context_; }
   serving_service& serving() { return serving_; }
+  quarantine_service& quarantine() { return quarantine_; }
 
   /// Sends a caller's request on runtime thread `index` and waits for the response.
   net::http_response Send(net::http_request request, std::size_t index = 0) {
