--- a/lib/node/endpoint_cache.cpp
+++ b/lib/node/endpoint_cache.cpp
@@ -3,27 +3,26 @@
 namespace siskinrack::node {
 namespace {
 
-/// Lists built between two removals of the states of endpoints that are gone.
-constexpr std::uint64_t kBuildsPerSweep = 100;
+/// Lists made between two removals of the states of endpoints that are gone.
+constexpr std::uint64_t kListsPerSweep = 100;
 
 }  // namespace
 
 std::shared_ptr<const endpoint_list> endpoint_cache::Find(std::string_view service) {
   const auto cached = lists_.Get(service);
-  const membership::endpoint_list members = context_.members.Endpoints(service);
+  auto source = context_.members.Endpoints(service);
   const std::lock_guard lock(cached->mutex);
-  if (cached->members != members) {
-    cached->list = Build(members);
-    cached->members = members;
-    if (builds_++ % kBuildsPerSweep == 0) tracker_.DropUnused();
+  if (cached->list == nullptr || cached->source != source) {
+    cached->list = Make(source);
+    cached->source = std::move(source);
+    if (made_++ % kListsPerSweep == 0) tracker_.DropUnused();
   }
   return cached->list;
 }
 
-std::shared_ptr<const endpoint_list> endpoint_cache::Build(
-    const membership::endpoint_list& members) {
+std::shared_ptr<const endpoint_list> endpoint_cache::Make(const membership::endpoint_list& source) {
   auto list = std::make_shared<endpoint_list>();
-  for (const auto& member : *members) {
+  for (const auto& member : *source) {
     auto address = support::ParseSocketAddress(member.peer_address);
     if (!address) continue;
     list->endpoints.push_back({member.node_id, std::move(*address)});
--- a/lib/node/membership_service.cpp
+++ b/lib/node/membership_service.cpp
@@ -88,6 +88,7 @@
 
 void membership_service::AddSeeds(const std::vector<support::socket_address>& seeds) {
   std::vector<std::string> addresses;
+  addresses.reserve(seeds.size());
   for (const auto& seed : seeds) addresses.push_back(seed.ToText());
   gossip_.AddSeeds(addresses);
 }
@@ -199,6 +200,9 @@
     return std::nullopt;
   }
   const bool wants_reply = message.correlation_id != 0;
+  // A push of the lease's holder carries nothing but the news of its renewal.
+  const auto* push = wants_reply ? nullptr : message.message.Asexchange();
+  if (push != nullptr) HearWatcher(message.sender, *push);
   auto step = gossip_.OnRequest(message.sender, message.message, wants_reply, Now(), Random());
   auto reply = std::move(step.reply);
   const auto probe_address = std::move(step.probe_address);
--- a/test/caller/main.cpp
+++ b/test/caller/main.cpp
@@ -33,6 +33,8 @@
   std::atomic<std::size_t> answered = 0;
   std::atomic<std::size_t> refused = 0;
   std::atomic<std::size_t> unknown = 0;
+  /// No byte was sent, because the node didn't accept a connection.
+  std::atomic<std::size_t> unreached = 0;
   std::atomic<std::size_t> wrong = 0;
   std::atomic<std::size_t> done = 0;
 };
@@ -91,18 +93,22 @@
 
   void Classify(const net::http_result& result, const std::string& id, const std::string& target,
                 const std::string& body) {
+    if (result.stage == net::exchange_stage::kNotSent) {
+      ++totals_.unreached;
+      return;
+    }
     if (result.stage != net::exchange_stage::kAnswered) {
       ++totals_.unknown;
+      Print("unknown", id, result.error);
       return;
     }
     const std::string_view outcome = net::FindField(result.response.fields, "x-siskinrack-outcome");
     if (outcome == "not-run") {
       ++totals_.refused;
-      const std::lock_guard lock(output_mutex_);
-      std::cout << "event=refused id=" << id << " copy=" << copy_ << '/' << id << " reason=\""
-                << net::FindField(result.response.fields, "x-siskinrack-reason") << "\"\n";
+      Print("refused", id, net::FindField(result.response.fields, "x-siskinrack-reason"));
     } else if (outcome == "unknown") {
       ++totals_.unknown;
+      Print("unknown", id, net::FindField(result.response.fields, "x-siskinrack-reason"));
     } else if (IsOwnAnswer(result.response, id, target, body)) {
       ++totals_.answered;
     } else {
@@ -110,6 +116,12 @@
     }
   }
 
+  void Print(std::string_view event, const std::string& id, std::string_view reason) {
+    const std::lock_guard lock(output_mutex_);
+    std::cout << "event=" << event << " id=" << id << " copy=" << copy_ << '/' << id << " reason=\""
+              << reason << "\"\n";
+  }
+
   static bool IsOwnAnswer(const net::http_response& response, const std::string& id,
                           const std::string& target, const std::string& body) {
     json::error_code error;
@@ -158,7 +170,7 @@
   const auto requests = static_cast<std::size_t>(values.integer("requests"));
   std::cout << "event=totals requests_sent=" << requests << " answered_own=" << result.answered
             << " refused_not_run=" << result.refused << " unknown=" << result.unknown
-            << " wrong_answers=" << result.wrong << std::endl;
+            << " unreached=" << result.unreached << " wrong_answers=" << result.wrong << std::endl;
   const bool complete = result.answered == requests;
   const bool allowed = values.flag("allow-refused") && result.answered + result.refused == requests;
   std::_Exit(complete || allowed ? 0 : 1);
