--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -3,10 +3,12 @@
 #include <thread>
 
 #include "admin_service.h"
+#include "claim_service.h"
 #include "config_service.h"
 #include "entry_service.h"
 #include "membership_service.h"
 #include "node_context.h"
+#include "quarantine_service.h"
 #include "serving_service.h"
 #include "siskinrack/net/http_server.h"
 #include "watcher_service.h"
@@ -19,7 +21,8 @@
 /// Equal to the largest deadline of a request, so that the bound cuts no request off.
 constexpr milliseconds kMaxDrainWait{30'000};
 constexpr milliseconds kDrainPoll{10};
-/// Time for the announcement of the departure to be sent.
+/// Time for the announcement of the departure to be sent, and for requests that were sent before
+/// the node stopped to accept: a few round trips between failure domains.
 constexpr milliseconds kLeaveWait{100};
 
 void ReportListenError(std::string_view setting, const std::string& error,
@@ -33,8 +36,10 @@
  public:
   explicit impl(node_settings settings)
       : context_(std::move(settings)),
-        serving_(context_),
-        entry_(context_, serving_),
+        quarantine_(context_),
+        claims_(context_),
+        serving_(context_, quarantine_),
+        entry_(context_, serving_, claims_, quarantine_),
         configs_(context_,
                  [this](std::uint64_t version) { membership_.PublishServedVersion(version); }),
         membership_(context_, serving_,
@@ -45,7 +50,7 @@
                  [this](const std::vector<support::socket_address>& peers) {
                    membership_.AddSeeds(peers);
                  }),
-        admin_(context_, configs_, watcher_),
+        admin_(context_, configs_, watcher_, claims_, quarantine_),
         caller_server_(context_.runtime, {.address = context_.settings.caller_address},
                        [this](net::http_request request, net::cancellation& cancel) {
                          return entry_.Handle(std::move(request), cancel);
@@ -70,6 +75,7 @@
                                     {"peer_port", peer_server_.port()},
                                     {"failure_domain", settings.failure_domain}});
     configs_.Start();
+    claims_.Start();
     membership_.Start({settings.peer_address.ip, peer_server_.port()},
                       {settings.admin_address.ip, admin_server_.port()});
     watcher_.Start();
@@ -83,26 +89,39 @@
     context_.refusing = true;
     caller_server_.Drain();
     const auto end = std::chrono::steady_clock::now() + kMaxDrainWait;
-    while (caller_server_.in_flight() + serving_.in_flight() > 0 &&
-           std::chrono::steady_clock::now() < end) {
-      std::this_thread::sleep_for(kDrainPoll);
-    }
+    WaitForAnswers(end);
+    caller_server_.StopAccepting();
     membership_.Announce(wire::upstream_state::left);
+    // Requests that were on their way are still read and refused.
     std::this_thread::sleep_for(kLeaveWait);
+    WaitForAnswers(end);
     context_.log.Info("drain_finished", {{"in_flight", serving_.in_flight()}});
   }
 
  private:
+  /// Waits until no request is in progress and the last answer is written to callers and peers.
+  void WaitForAnswers(std::chrono::steady_clock::time_point end) {
+    while (caller_server_.in_flight() + serving_.in_flight() + context_.peer.unwritten_answers >
+               0 &&
+           std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(kDrainPoll);
+    }
+  }
+
   std::optional<wire::envelope_t> HandlePeer(const wire::envelope_t& message,
                                              net::cancellation& cancel) {
     if (const auto* call = message.message.Ascall_request()) {
       return wire::MakeEnvelope(serving_.Serve(*call, cancel));
     }
+    if (quarantine_.Handle(message)) return std::nullopt;
+    if (auto reply = claims_.Handle(message, cancel)) return reply;
     if (auto reply = membership_.Handle(message)) return reply;
     return configs_.Handle(message);
   }
 
   node_context context_;
+  quarantine_service quarantine_;
+  claim_service claims_;
   serving_service serving_;
   entry_service entry_;
   config_service configs_;
