--- /dev/null
+++ b/lib/node/fiber_group.h
@@ -0,0 +1,50 @@
+#ifndef SISKINRACK_LIB_NODE_FIBER_GROUP_H_
+#define SISKINRACK_LIB_NODE_FIBER_GROUP_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <thread>
+#include <utility>
+
+#include "siskinrack/net/fiber_runtime.h"
+
+namespace siskinrack::node {
+
+/// Background fibers of one service, which has to outlive them.
+class fiber_group {
+ public:
+  /// Starts a fiber on the calling runtime thread.
+  void Spawn(std::function<void()> body) {
+    ++running_;
+    net::Spawn([this, body = std::move(body)] { Run(body); });
+  }
+  /// Starts a fiber on a given thread.
+  void Post(net::fiber_runtime& runtime, std::size_t index, std::function<void()> body) {
+    ++running_;
+    runtime.Post(index, [this, body = std::move(body)] { Run(body); });
+  }
+
+  /// Asked by fibers that run for long.
+  [[nodiscard]] bool stopping() const { return stopping_; }
+
+  /// Tells the fibers to end and waits for them. Not for use inside a fiber.
+  void Stop() {
+    stopping_ = true;
+    while (running_ > 0) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+
+ private:
+  void Run(const std::function<void()>& body) {
+    body();
+    --running_;
+  }
+
+  std::atomic<std::size_t> running_ = 0;
+  std::atomic<bool> stopping_ = false;
+};
+
+}  // namespace siskinrack::node
+
+#endif  // SISKINRACK_LIB_NODE_FIBER_GROUP_H_
--- a/lib/node/outcome.h
+++ b/lib/node/outcome.h
@@ -15,6 +15,11 @@
 inline constexpr std::string_view kRequestIdField = "x-request-id";
 inline constexpr std::string_view kIdempotencyKeyField = "idempotency-key";
 
+inline constexpr std::string_view kRetryAfterField = "retry-after";
+
+/// Reason of a call that didn't reach its upstream; load balancing counts it as a failure.
+inline constexpr std::string_view kUnreachableReason = "upstream is unreachable";
+
 inline constexpr std::string_view kAnsweredText = "answered";
 inline constexpr std::string_view kNotRunText = "not-run";
 inline constexpr std::string_view kUnknownText = "unknown";
@@ -22,6 +27,7 @@
 inline constexpr unsigned kStatusOk = 200;
 inline constexpr unsigned kStatusBadRequest = 400;
 inline constexpr unsigned kStatusNotFound = 404;
+inline constexpr unsigned kStatusUnprocessable = 422;
 inline constexpr unsigned kStatusTooManyRequests = 429;
 inline constexpr unsigned kStatusBadGateway = 502;
 inline constexpr unsigned kStatusUnavailable = 503;
--- a/test/caller/main.cpp
+++ b/test/caller/main.cpp
@@ -33,6 +33,8 @@
   std::atomic<std::size_t> answered = 0;
   std::atomic<std::size_t> refused = 0;
   std::atomic<std::size_t> unknown = 0;
+  /// No byte was sent, because the node didn't accept a connection.
+  std::atomic<std::size_t> unreached = 0;
   std::atomic<std::size_t> wrong = 0;
   std::atomic<std::size_t> done = 0;
 };
@@ -46,6 +48,7 @@
         targets_(Split(values.text("targets"))),
         ranks_(Split(values.text("ranks"))),
         run_id_(values.text("run-id")),
+        copy_(values.text("copy")),
         requests_(static_cast<std::size_t>(values.integer("requests"))),
         workers_(static_cast<std::size_t>(values.integer("concurrency"))),
         deadline_ms_(values.integer("deadline-ms")) {}
@@ -76,6 +79,7 @@
                       {"idempotency-key", id},
                       {"x-siskinrack-caller", "shop-" + std::to_string(index % 7)},
                       {"x-siskinrack-deadline-ms", std::to_string(deadline_ms_)}};
+    if (!copy_.empty()) request.fields.push_back({"x-test-copy", copy_ + '/' + id});
     if (!ranks_.empty()) {
       request.fields.push_back({"x-siskinrack-rank", ranks_[index % ranks_.size()]});
     }
@@ -89,18 +93,22 @@
 
   void Classify(const net::http_result& result, const std::string& id, const std::string& target,
                 const std::string& body) {
+    if (result.stage == net::exchange_stage::kNotSent) {
+      ++totals_.unreached;
+      return;
+    }
     if (result.stage != net::exchange_stage::kAnswered) {
       ++totals_.unknown;
+      Print("unknown", id, result.error);
       return;
     }
     const std::string_view outcome = net::FindField(result.response.fields, "x-siskinrack-outcome");
     if (outcome == "not-run") {
       ++totals_.refused;
-      const std::lock_guard lock(output_mutex_);
-      std::cout << "event=refused id=" << id << " reason=\""
-                << net::FindField(result.response.fields, "x-siskinrack-reason") << "\"\n";
+      Print("refused", id, net::FindField(result.response.fields, "x-siskinrack-reason"));
     } else if (outcome == "unknown") {
       ++totals_.unknown;
+      Print("unknown", id, net::FindField(result.response.fields, "x-siskinrack-reason"));
     } else if (IsOwnAnswer(result.response, id, target, body)) {
       ++totals_.answered;
     } else {
@@ -108,6 +116,12 @@
     }
   }
 
+  void Print(std::string_view event, const std::string& id, std::string_view reason) {
+    const std::lock_guard lock(output_mutex_);
+    std::cout << "event=" << event << " id=" << id << " copy=" << copy_ << '/' << id << " reason=\""
+              << reason << "\"\n";
+  }
+
   static bool IsOwnAnswer(const net::http_response& response, const std::string& id,
                           const std::string& target, const std::string& body) {
     json::error_code error;
@@ -127,6 +141,7 @@
   std::vector<std::string> targets_;
   std::vector<std::string> ranks_;
   std::string run_id_;
+  std::string copy_;
   std::size_t requests_;
   std::size_t workers_;
   std::int64_t deadline_ms_;
@@ -142,6 +157,8 @@
       {"targets", setting_kind::kText, "path prefixes, separated by commas", std::nullopt},
       {"ranks", setting_kind::kText, "ranks, separated by commas", ""},
       {"run-id", setting_kind::kText, "prefix of request ids and keys", "run"},
+      {"copy", setting_kind::kText, "tells repeats of one run-id apart; empty for no copy field",
+       ""},
       {"requests", setting_kind::kInteger, "number of requests", "200", 1, 1'000'000},
       {"concurrency", setting_kind::kInteger, "requests at the same time", "8", 1, 1024},
       {"deadline-ms", setting_kind::kInteger, "deadline of each request", "5000", 1, 30'000, "ms"},
@@ -153,7 +170,7 @@
   const auto requests = static_cast<std::size_t>(values.integer("requests"));
   std::cout << "event=totals requests_sent=" << requests << " answered_own=" << result.answered
             << " refused_not_run=" << result.refused << " unknown=" << result.unknown
-            << " wrong_answers=" << result.wrong << std::endl;
+            << " unreached=" << result.unreached << " wrong_answers=" << result.wrong << std::endl;
   const bool complete = result.answered == requests;
   const bool allowed = values.flag("allow-refused") && result.answered + result.refused == requests;
   std::_Exit(complete || allowed ? 0 : 1);
