--- a/include/siskinrack/membership/gossip.h
+++ b/include/siskinrack/membership/gossip.h
@@ -34,7 +34,7 @@
 
 /// Steady rate of records in exchanges; with the other fields and the repairs it keeps the worst of
 /// 550 nodes under 4 KB/s. A mass failure or a mass return may use the burst.
-inline constexpr double kRecordBytesPerSecond = 700;
+inline constexpr double kRecordBytesPerSecond = 600;
 inline constexpr double kRecordBurstBytes = 8'000;
 /// Rate of passing on urgent changes at once; what exceeds it waits for the next exchange.
 inline constexpr double kUrgentBytesPerSecond = 250;
