balancing, admission: load and latency by rank

Cause: a flood of background work keeps every queue full and its refusals raise the cost of every endpoint, so the reported load hid where urgent calls waited, and they gathered at one upstream. Change: the serving node reports the load as a call of the rank meets it (its own and more worthy ranks, or its own over its floor); an entry node keeps the state of an endpoint by rank. Failures are learned by rank too, at the price of one failed call for each rank.

--- a/lib/admission/controller.cpp
+++ b/lib/admission/controller.cpp
@@ -148,6 +148,20 @@
   return {running_.size(), Queued(), Limit(now)};
 }
 
+upstream_load controller::LoadFor(std::string_view rank, time_point now) const {
+  upstream_load load = Load(now);
+  load.queued = 0;
+  const std::size_t index = RankIndex(rank);
+  for (std::size_t i = 0; i <= index; ++i) load.queued += ranks_[i].queue.size();
+  const double floor = FloorShare(ranks_[index].policy);
+  if (floor > 0) {
+    // The slots of the floor alone clear the rank's own queue after this many calls of all ranks.
+    const double by_floor = static_cast<double>(ranks_[index].queue.size()) / floor;
+    load.queued = std::min(load.queued, static_cast<std::size_t>(by_floor));
+  }
+  return load;
+}
+
 std::size_t controller::RankIndex(std::string_view name) const {
   for (std::size_t i = 0; i < ranks_.size(); ++i) {
     if (ranks_[i].policy.name == name) return i;
--- a/lib/node/endpoint_cache.h
+++ b/lib/node/endpoint_cache.h
@@ -24,13 +24,15 @@
   std::vector<balancing::candidate> candidates;
 };
 
-/// Endpoint lists by service with parsed addresses and states, so that a request neither copies nor
-/// parses member records. A list is made again when the member table hands out another one.
+/// Endpoint lists by service and rank with parsed addresses and states, so that a request neither
+/// copies nor parses member records. Each rank has states of its own, because a flood of one rank
+/// gives it long waits and refusals that say nothing about the others. A list is made again when
+/// the member table hands out another one.
 class endpoint_cache {
  public:
   explicit endpoint_cache(node_context& context) : context_(context) {}
 
-  std::shared_ptr<const endpoint_list> Find(std::string_view service);
+  std::shared_ptr<const endpoint_list> Find(std::string_view service, std::string_view rank);
 
  private:
   struct cached_list {
@@ -39,7 +41,8 @@
     std::shared_ptr<const endpoint_list> list;
   };
 
-  std::shared_ptr<const endpoint_list> Make(const membership::endpoint_list& source);
+  std::shared_ptr<const endpoint_list> Make(const membership::endpoint_list& source,
+                                            std::string_view rank);
 
   node_context& context_;
   balancing::endpoint_tracker tracker_;
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -160,7 +160,7 @@
 
 wire::call_answer_t entry_service::Forward(wire::call_request_t call, net::cancellation& cancel) {
   const auto deadline = steady_clock::now() + milliseconds(call.deadline_ms);
-  const auto list = endpoints_.Find(call.service);
+  const auto list = endpoints_.Find(call.service, call.rank);
   if (list->endpoints.empty()) return NotRun(kStatusUnavailable, "no upstream");
   const auto budget = retry_budgets_.Get(call.service);
   budget->AddRequest();
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -105,7 +105,7 @@
   }
   const auto deadline = std::chrono::steady_clock::now() + milliseconds(call.deadline_ms);
   wire::call_answer_t answer = Admit(call, deadline, cancel);
-  const admission::upstream_load load = gate_->Load();
+  const admission::upstream_load load = gate_->Load(call.rank);
   answer.in_flight = static_cast<std::uint16_t>(load.in_flight);
   answer.queued = static_cast<std::uint16_t>(load.queued);
   answer.slots = static_cast<std::uint16_t>(load.limit);
--- a/lib/node/upstream_gate.cpp
+++ b/lib/node/upstream_gate.cpp
@@ -72,9 +72,9 @@
   controller_.StartRamp(steady_clock::now());
 }
 
-admission::upstream_load upstream_gate::Load() const {
+admission::upstream_load upstream_gate::Load(std::string_view rank) const {
   const std::lock_guard lock(mutex_);
-  return controller_.Load(steady_clock::now());
+  return controller_.LoadFor(rank, steady_clock::now());
 }
 
 void upstream_gate::Reconfigure() {
--- a/lib/node/upstream_gate.h
+++ b/lib/node/upstream_gate.h
@@ -28,7 +28,8 @@
 
   /// The upstream has started.
   void StartRamp();
-  [[nodiscard]] admission::upstream_load Load() const;
+  /// Load as a call of `rank` meets it.
+  [[nodiscard]] admission::upstream_load Load(std::string_view rank) const;
 
  private:
   using promise = boost::fibers::promise<admission::decision>;
--- a/unittests/admission/controller_test.cpp
+++ b/unittests/admission/controller_test.cpp
@@ -227,6 +227,17 @@
   EXPECT_EQ(subject.Load(At(701)).limit, 8U);
 }
 
+// Guards against a flood of background work whose full queues hide where urgent calls wait.
+TEST(AdmissionController, LoadOfARankCountsWhatPrecedesIt) {
+  controller subject({1, milliseconds(0)}, kRanks);
+  for (std::uint64_t i = 1; i <= 11; ++i) subject.Offer(Call(i, "background", 60'000), At(0));
+  for (std::uint64_t i = 21; i <= 22; ++i) subject.Offer(Call(i, "urgent", 60'000), At(0));
+  EXPECT_EQ(subject.LoadFor("urgent", At(0)).queued, 2U);
+  EXPECT_EQ(subject.LoadFor("normal", At(0)).queued, 0U) << "its floor has no queue";
+  EXPECT_EQ(subject.LoadFor("background", At(0)).queued, 12U);
+  EXPECT_EQ(subject.Load(At(0)).queued, 12U);
+}
+
 // Guards against a cancelled call that keeps its place or its slot.
 TEST(AdmissionController, CancelledCallLeavesQueueAndSlot) {
   controller subject({1, milliseconds(0)}, kRanks);
--- a/utils/bench/overload_bench.cpp
+++ b/utils/bench/overload_bench.cpp
@@ -82,8 +82,9 @@
     for (std::size_t i = 0; i < setup.instances; ++i) {
       upstreams_.push_back({admission::controller({setup.slots, milliseconds(0)}, ranks), {}, 0});
     }
-    // Each domain's entry node has a view of its own.
-    for (std::size_t domain = 0; domain < setup.domains; ++domain) {
+    // Each domain's entry node has a view of its own, by rank.
+    for (std::size_t view = 0; view < setup.domains * ranks.size(); ++view) {
+      const std::size_t domain = view % setup.domains;
       auto& list = views_.emplace_back();
       for (std::size_t i = 0; i < setup.instances; ++i) {
         list.push_back({std::make_shared<balancing::endpoint_state>(setup.slots),
@@ -190,15 +191,19 @@
     if (baseline_) {
       item.target = next_endpoint_++ % setup_.instances;
     } else {
-      const auto chosen = balancing::Choose(views_[item.domain], now_, random_(), exclude);
+      const auto chosen = balancing::Choose(View(item), now_, random_(), exclude);
       if (!chosen.index) return Lose(id);
       item.target = *chosen.index;
     }
     item.sent = now_;
-    views_[item.domain][item.target].state->Start(now_);
+    View(item)[item.target].state->Start(now_);
     After(LinkDelay(item), [this, id] { Deliver(id); });
   }
 
+  std::vector<balancing::candidate>& View(const call& item) {
+    return views_[item.rank * setup_.domains + item.domain];
+  }
+
   nanoseconds LinkDelay(const call& item) {
     if (item.target % setup_.domains == item.domain) return Ms(0.1);
     const double lost = Uniform() < kLoss ? kRetransmitMs : 0;
@@ -209,8 +214,7 @@
     const call& item = calls_.at(id);
     upstream& host = upstreams_[item.target];
     if (!baseline_) {
-      Apply(item.target,
-            host.gate.Offer({id, setup_.ranks[item.rank].policy.name, item.caller, item.end_by},
+      Apply(host.gate.Offer({id, setup_.ranks[item.rank].policy.name, item.caller, item.end_by},
                             now_));
     } else if (host.running < setup_.slots) {
       ++host.running;
@@ -222,7 +226,7 @@
     }
   }
 
-  void Apply(std::size_t target, const admission::decisions& list) {
+  void Apply(const admission::decisions& list) {
     for (const admission::decision& item : list) {
       if (item.run) {
         Execute(item.ticket);
@@ -230,7 +234,6 @@
         Answer(item.ticket, false);
       }
     }
-    (void)target;
   }
 
   void Execute(std::uint64_t id) {
@@ -238,7 +241,7 @@
       const std::size_t target = calls_.at(id).target;
       upstream& host = upstreams_[target];
       Answer(id, true);
-      if (!baseline_) return Apply(target, host.gate.Finish(id, call_result::kAnswered, now_));
+      if (!baseline_) return Apply(host.gate.Finish(id, call_result::kAnswered, now_));
       if (host.fifo.empty()) {
         --host.running;
         return;
@@ -251,7 +254,8 @@
 
   void Answer(std::uint64_t id, bool ran) {
     const call& item = calls_.at(id);
-    const auto load = upstreams_[item.target].gate.Load(now_);
+    const auto load =
+        upstreams_[item.target].gate.LoadFor(setup_.ranks[item.rank].policy.name, now_);
     const balancing::reported_load report{static_cast<std::uint32_t>(load.in_flight),
                                           static_cast<std::uint32_t>(load.queued),
                                           static_cast<std::uint32_t>(load.limit)};
@@ -260,7 +264,7 @@
 
   void Receive(std::uint64_t id, bool ran, const balancing::reported_load& load) {
     call& item = calls_.at(id);
-    views_[item.domain][item.target].state->Finish(
+    View(item)[item.target].state->Finish(
         {ran ? call_outcome::kAnswered : call_outcome::kRefused, now_ - item.sent, load, {}}, now_);
     const bool in_time = now_ <= item.end_by;
     if (ran && in_time) {
