--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -144,6 +144,9 @@
   const request_headers headers = ReadRequestHeaders(request, problem);
   if (!problem.empty()) return ToHttp(NotRun(kStatusBadRequest, problem));
   const config_snapshot_ptr snapshot = context_.config.Current();
+  if (snapshot->config.version == 0) {
+    return ToHttp(NotRun(kStatusUnavailable, "no configuration is in force yet"));
+  }
   const config::mesh_resources& resources = snapshot->config.resources;
   const config::route* route = resources.MatchRoute(request.target);
   if (route == nullptr) return ToHttp(NotRun(kStatusNotFound, "no route"));
