--- a/lib/net/listener.cpp
+++ b/lib/net/listener.cpp
@@ -37,7 +37,7 @@
   sock_filter code[] = {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
                         BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kSynFlag, 0, 1),
                         BPF_STMT(BPF_RET | BPF_K, 0), BPF_STMT(BPF_RET | BPF_K, kWholePacket)};
-  const sock_fprog program{static_cast<unsigned short>(std::size(code)), code};
+  const sock_fprog program{static_cast<std::uint16_t>(std::size(code)), code};
   // Without the filter a few last connections may be reset; there is nothing better to do then.
   setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
 }
