--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -153,12 +153,20 @@
   const config::rank_policy* rank =
       resources.FindRank(headers.rank.empty() ? std::string_view(route->rank) : headers.rank);
   if (rank == nullptr) return ToHttp(NotRun(kStatusBadRequest, "unknown rank"));
-  if (route->non_repeatable && headers.idempotency_key.empty()) {
-    return ToHttp(NotRun(kStatusBadRequest, "route needs an idempotency key"));
-  }
   // The views of `headers` point into the fields, which MakeCall moves only after it read them.
-  return ToHttp(Forward(
-      MakeCall(std::move(request), headers, *route, *rank, snapshot->config.version), cancel));
+  return ToHttp(
+      ForwardGuarded(MakeCall(std::move(request), headers, *route, *rank, snapshot->config.version),
+                     route->non_repeatable, cancel));
+}
+
+wire::call_answer_t entry_service::ForwardGuarded(wire::call_request_t call, bool non_repeatable,
+                                                  net::cancellation& cancel) {
+  if (auto refusal = quarantine_.Refusal(call)) return std::move(*refusal);
+  if (!non_repeatable) return Forward(std::move(call), cancel);
+  return claims_.Run(std::move(call), cancel,
+                     [this](wire::call_request_t claimed, net::cancellation& claimed_cancel) {
+                       return Forward(std::move(claimed), claimed_cancel);
+                     });
 }
 
 wire::call_answer_t entry_service::Forward(wire::call_request_t call, net::cancellation& cancel) {
--- a/test/scenario_runner/runner.cpp
+++ b/test/scenario_runner/runner.cpp
@@ -106,6 +106,7 @@
   options.quality.jitter = step.Time("jitter", milliseconds(0));
   options.quality.loss = static_cast<double>(step.Number("loss_percent", 0)) / 100;
   options.skew_step_ms = static_cast<int>(step.Number("skew_ms", 0));
+  options.seeds = step.Option("seeds");
   for (const std::string& word : SplitWords(step.Option("flags"), ',')) {
     options.node_flags.push_back("--" + word);
   }
@@ -259,7 +260,8 @@
   const std::string log = (fleet_.work() / ("send-" + name + ".log")).string();
   std::vector<std::string> command = {(fleet_.binaries() / "caller").string(),
                                       "--addresses=" + CallerList(step.Option("via", "all")),
-                                      "--run-id=" + step.Option("run_id", name), "--allow-refused"};
+                                      "--run-id=" + step.Option("run_id", name), "--copy=" + name,
+                                      "--allow-refused"};
   for (const std::string option : {"requests", "targets", "ranks", "concurrency", "deadline-ms"}) {
     if (step.options.contains(option)) command.push_back("--" + option + '=' + step.Option(option));
   }
