--- a/utils/bench/delta_bench.cpp
+++ b/utils/bench/delta_bench.cpp
@@ -1,11 +1,10 @@
 // Prints the size of a resource delta and of a full copy at design size, as `name value unit`
 // lines.
 
-#include "siskinrack/config/delta.h"
-
 #include <iostream>
 
 #include "siskinrack/config/canonical_json.h"
+#include "siskinrack/config/delta.h"
 
 namespace siskinrack::bench {
 namespace {
