--- a/lib/node/admin_service.cpp
+++ b/lib/node/admin_service.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "node_metrics.h"
 #include "outcome.h"
 
 namespace siskinrack::node {
@@ -24,6 +25,9 @@
     const bool ready = context_.config.Current()->config.version > 0 && !context_.refusing;
     return {ready ? kStatusOk : kStatusUnavailable, {}, ready ? "ready\n" : "not ready\n"};
   }
+  if (request.target == "/metrics") {
+    return {kStatusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, MetricsPage(context_)};
+  }
   if (request.target == "/status") return Status();
   if (request.target == "/upstreams") return Upstreams();
   if (request.target == "/timeline") return Timeline();
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -8,6 +8,7 @@
 #include "entry_service.h"
 #include "membership_service.h"
 #include "node_context.h"
+#include "node_metrics.h"
 #include "quarantine_service.h"
 #include "serving_service.h"
 #include "siskinrack/net/http_server.h"
@@ -21,6 +22,7 @@
 /// Equal to the largest deadline of a request, so that the bound cuts no request off.
 constexpr milliseconds kMaxDrainWait{30'000};
 constexpr milliseconds kDrainPoll{10};
+constexpr std::int64_t kUsPerMs = 1000;
 /// Time for the announcement of the departure to be sent, and for requests that were sent before
 /// the node stopped to accept: a few round trips between failure domains.
 constexpr milliseconds kLeaveWait{100};
@@ -53,7 +55,10 @@
         admin_(context_, configs_, watcher_, claims_, quarantine_),
         caller_server_(context_.runtime, {.address = context_.settings.caller_address},
                        [this](net::http_request request, net::cancellation& cancel) {
-                         return entry_.Handle(std::move(request), cancel);
+                         return Measure(context_, std::move(request),
+                                        [&](net::http_request measured) {
+                                          return entry_.Handle(std::move(measured), cancel);
+                                        });
                        }),
         admin_server_(context_.runtime, {.address = context_.settings.admin_address},
                       [this](const net::http_request& request, net::cancellation&) {
@@ -65,6 +70,10 @@
                      }) {}
 
   void Start(support::findings& problems) {
+    context_.clock.SetExcessHandler([&log = context_.log](std::int64_t ahead_us) {
+      log.Warn("clock_time_refused", {{"ahead_ms", ahead_us / kUsPerMs},
+                                      {"max_ms", support::hybrid_clock::kMaxAheadUs / kUsPerMs}});
+    });
     ReportListenError("caller-address", caller_server_.Start(), problems);
     ReportListenError("admin-address", admin_server_.Start(), problems);
     ReportListenError("peer-address", peer_server_.Start(), problems);
