--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -110,7 +110,7 @@
   // Before admission, which takes a refusal of the upstream as a sign of overload.
   auto refusal = quarantine_.Refusal(call);
   wire::call_answer_t answer = refusal ? std::move(*refusal) : Admit(call, deadline, cancel);
-  const admission::upstream_load load = gate_->Load();
+  const admission::upstream_load load = gate_->Load(call.rank);
   answer.in_flight = static_cast<std::uint16_t>(load.in_flight);
   answer.queued = static_cast<std::uint16_t>(load.queued);
   answer.slots = static_cast<std::uint16_t>(load.limit);
