node: a repeat is refused as not run only if the claim log says so

Cause: a request whose owner or platform could not be asked was refused as 'not run', although an earlier copy with the same key may have run; a caller reads that as word that its order did not happen. The same held for refusals while shutting down, without a configuration or route, and in quarantine. Change: such refusals are 'unknown' unless the caller states with x-siskinrack-attempt: 0 that this is the first copy. The standing check now also fails on a key that was executed and whose repeat was refused as not run. Ruled out: per-copy 'not run' (true of the copy, misleading about the order). Conclusion: 'not run' is true of the key, not only of one copy.

--- a/lib/node/admin_service.h
+++ b/lib/node/admin_service.h
@@ -9,8 +9,8 @@
 
 namespace siskinrack::node {
 
-/// The admin port: /healthz, /readyz, /status, /upstreams, /timeline, /metrics, /quarantine, and PUT
-/// /config, by which the operator program hands over a version that the platform has accepted.
+/// The admin port: /healthz, /readyz, /status, /upstreams, /timeline, /metrics, /quarantine, and
+/// PUT /config, by which the operator program hands over a version that the platform has accepted.
 class admin_service {
  public:
   admin_service(node_context& context, config_service& configs, const watcher_service& watcher,
--- a/lib/node/claim_service.cpp
+++ b/lib/node/claim_service.cpp
@@ -96,8 +96,8 @@
   return owner.node_id == context_.settings.node_id;
 }
 
-wire::call_answer_t claim_service::Run(wire::call_request_t call, net::cancellation& cancel,
-                                       const forwarder& forward) {
+wire::call_answer_t claim_service::Run(wire::call_request_t call, bool first_copy,
+                                       net::cancellation& cancel, const forwarder& forward) {
   const std::string key = call.idempotency_key;
   if (key.empty() || key.size() > idempotency::kMaxKeyBytes) {
     return NotRun(kStatusBadRequest, "this route needs an idempotency-key of 1 to 128 bytes");
@@ -115,7 +115,7 @@
   if (reply.verdict != wire::claim_verdict::granted) {
     // The grant may be on its way, or be written by an owner that gave no answer.
     if (reply.verdict == wire::claim_verdict::refused) Report(std::move(result));
-    return AnswerWithoutGrant(key, reply);
+    return AnswerWithoutGrant(key, first_copy, reply);
   }
   result.epoch = reply.epoch;
   const milliseconds remaining = Until(deadline);
@@ -133,14 +133,15 @@
   return answer;
 }
 
-wire::call_answer_t claim_service::AnswerWithoutGrant(const std::string& key,
+wire::call_answer_t claim_service::AnswerWithoutGrant(const std::string& key, bool first_copy,
                                                       const wire::claim_reply_t& reply) {
   if (reply.verdict == wire::claim_verdict::finished && reply.answer != nullptr) {
     return *reply.answer;
   }
   context_.log.Info("claim_refused", {{"key", key}, {"reason", reply.reason}});
   if (reply.verdict == wire::claim_verdict::refused) {
-    return NotRun(kStatusUnavailable, reply.reason);
+    auto refusal = NotRun(kStatusUnavailable, reply.reason);
+    return first_copy ? std::move(refusal) : WithUnknownHistory(std::move(refusal));
   }
   if (reply.verdict == wire::claim_verdict::mismatch) {
     return NotRun(kStatusUnprocessable, reply.reason);
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -139,31 +139,40 @@
 }  // namespace
 
 net::http_response entry_service::Handle(net::http_request request, net::cancellation& cancel) {
-  if (context_.refusing) return ToHttp(NotRun(kStatusUnavailable, "node is shutting down"));
   std::string problem;
   const request_headers headers = ReadRequestHeaders(request, problem);
   if (!problem.empty()) return ToHttp(NotRun(kStatusBadRequest, problem));
+  // Before the route is known, any key may be that of a non-repeatable request.
+  const auto refuse = [&](unsigned status, std::string_view reason) {
+    auto answer = NotRun(status, reason);
+    const bool history_matters = !headers.idempotency_key.empty() && !headers.first_copy;
+    return ToHttp(history_matters ? WithUnknownHistory(std::move(answer)) : std::move(answer));
+  };
+  if (context_.refusing) return refuse(kStatusUnavailable, "node is shutting down");
   const config_snapshot_ptr snapshot = context_.config.Current();
   if (snapshot->config.version == 0) {
-    return ToHttp(NotRun(kStatusUnavailable, "no configuration is in force yet"));
+    return refuse(kStatusUnavailable, "no configuration is in force yet");
   }
   const config::mesh_resources& resources = snapshot->config.resources;
   const config::route* route = resources.MatchRoute(request.target);
-  if (route == nullptr) return ToHttp(NotRun(kStatusNotFound, "no route"));
+  if (route == nullptr) return refuse(kStatusNotFound, "no route");
   const config::rank_policy* rank =
       resources.FindRank(headers.rank.empty() ? std::string_view(route->rank) : headers.rank);
   if (rank == nullptr) return ToHttp(NotRun(kStatusBadRequest, "unknown rank"));
   // The views of `headers` point into the fields, which MakeCall moves only after it read them.
-  return ToHttp(
-      ForwardGuarded(MakeCall(std::move(request), headers, *route, *rank, snapshot->config.version),
-                     route->non_repeatable, cancel));
+  const bool first_copy = headers.first_copy;
+  auto call = MakeCall(std::move(request), headers, *route, *rank, snapshot->config.version);
+  return ToHttp(ForwardGuarded(std::move(call), route->non_repeatable, first_copy, cancel));
 }
 
 wire::call_answer_t entry_service::ForwardGuarded(wire::call_request_t call, bool non_repeatable,
-                                                  net::cancellation& cancel) {
-  if (auto refusal = quarantine_.Refusal(call)) return std::move(*refusal);
+                                                  bool first_copy, net::cancellation& cancel) {
+  if (auto refusal = quarantine_.Refusal(call)) {
+    const bool history_matters = non_repeatable && !first_copy && !call.idempotency_key.empty();
+    return history_matters ? WithUnknownHistory(std::move(*refusal)) : std::move(*refusal);
+  }
   if (!non_repeatable) return Forward(std::move(call), cancel);
-  return claims_.Run(std::move(call), cancel,
+  return claims_.Run(std::move(call), first_copy, cancel,
                      [this](wire::call_request_t claimed, net::cancellation& claimed_cancel) {
                        return Forward(std::move(claimed), claimed_cancel);
                      });
--- a/lib/node/entry_service.h
+++ b/lib/node/entry_service.h
@@ -26,7 +26,7 @@
  private:
   /// Holds back quarantined requests and claims the keys of non-repeatable ones around Forward.
   wire::call_answer_t ForwardGuarded(wire::call_request_t call, bool non_repeatable,
-                                     net::cancellation& cancel);
+                                     bool first_copy, net::cancellation& cancel);
   /// Forwards to the chosen upstream and, where it's safe, once more to another one. A call with
   /// an idempotency key is not repeatable.
   wire::call_answer_t Forward(wire::call_request_t call, net::cancellation& cancel);
--- a/lib/node/request_headers.cpp
+++ b/lib/node/request_headers.cpp
@@ -77,7 +77,9 @@
   headers.rank = reader.Text(kRankField);
   headers.caller = reader.Text(kCallerField);
   headers.deadline_ms = reader.Value<std::uint32_t>(kDeadlineField);
-  headers.attempt = reader.Value<std::uint8_t>(kAttemptField).value_or(0);
+  const auto attempt = reader.Value<std::uint8_t>(kAttemptField);
+  headers.attempt = attempt.value_or(0);
+  headers.first_copy = attempt == 0;
   headers.request_id = net::FindField(request.fields, kRequestIdField);
   headers.idempotency_key = reader.Text(kIdempotencyKeyField);
   return headers;
--- a/lib/node/request_headers.h
+++ b/lib/node/request_headers.h
@@ -25,6 +25,8 @@
   std::string_view idempotency_key;
   std::optional<std::uint32_t> deadline_ms;
   std::uint8_t attempt = 0;
+  /// The caller states with attempt 0 that it sends this request for the first time.
+  bool first_copy = false;
 };
 
 /// Reads the fields; a malformed one sets `problem` to a text for the caller.
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -89,6 +89,13 @@
   return answer;
 }
 
+wire::call_answer_t WithUnknownHistory(wire::call_answer_t refusal) {
+  refusal.outcome = wire::outcome_kind::unknown;
+  refusal.status = kStatusBadGateway;
+  refusal.reason += "; an earlier copy of this key may have run";
+  return refusal;
+}
+
 wire::call_answer_t Unknown(unsigned status, std::string_view reason) {
   wire::call_answer_t answer = NotRun(status, reason);
   answer.outcome = wire::outcome_kind::unknown;
--- a/lib/node/serving_service.h
+++ b/lib/node/serving_service.h
@@ -42,6 +42,9 @@
 
 /// An answer that says that the request did not run.
 wire::call_answer_t NotRun(unsigned status, std::string_view reason);
+/// Turns a refusal of a request with an idempotency key into "unknown": without the claim log
+/// nothing is known of earlier copies of the key, and one of them may have run.
+wire::call_answer_t WithUnknownHistory(wire::call_answer_t refusal);
 /// An answer that says that the request may have run.
 wire::call_answer_t Unknown(unsigned status, std::string_view reason);
 
--- a/test/caller/main.cpp
+++ b/test/caller/main.cpp
@@ -49,6 +49,7 @@
         ranks_(Split(values.text("ranks"))),
         run_id_(values.text("run-id")),
         copy_(values.text("copy")),
+        repeat_(values.flag("repeat")),
         requests_(static_cast<std::size_t>(values.integer("requests"))),
         workers_(static_cast<std::size_t>(values.integer("concurrency"))),
         deadline_ms_(values.integer("deadline-ms")) {}
@@ -79,6 +80,8 @@
                       {"idempotency-key", id},
                       {"x-siskinrack-caller", "shop-" + std::to_string(index % 7)},
                       {"x-siskinrack-deadline-ms", std::to_string(deadline_ms_)}};
+    // Attempt 0 states that this is the first copy of the request.
+    if (!repeat_) request.fields.push_back({"x-siskinrack-attempt", "0"});
     if (!copy_.empty()) request.fields.push_back({"x-test-copy", copy_ + '/' + id});
     if (!ranks_.empty()) {
       request.fields.push_back({"x-siskinrack-rank", ranks_[index % ranks_.size()]});
@@ -118,8 +121,8 @@
 
   void Print(std::string_view event, const std::string& id, std::string_view reason) {
     const std::lock_guard lock(output_mutex_);
-    std::cout << "event=" << event << " id=" << id << " copy=" << copy_ << '/' << id << " reason=\""
-              << reason << "\"\n";
+    std::cout << "event=" << event << " id=" << id << " copy=" << copy_ << '/' << id
+              << " repeat=" << repeat_ << " reason=\"" << reason << "\"\n";
   }
 
   static bool IsOwnAnswer(const net::http_response& response, const std::string& id,
@@ -142,6 +145,7 @@
   std::vector<std::string> ranks_;
   std::string run_id_;
   std::string copy_;
+  bool repeat_;
   std::size_t requests_;
   std::size_t workers_;
   std::int64_t deadline_ms_;
@@ -157,6 +161,8 @@
       {"targets", setting_kind::kText, "path prefixes, separated by commas", std::nullopt},
       {"ranks", setting_kind::kText, "ranks, separated by commas", ""},
       {"run-id", setting_kind::kText, "prefix of request ids and keys", "run"},
+      {"repeat", setting_kind::kFlag, "the requests were sent before with the same run-id",
+       "false"},
       {"copy", setting_kind::kText, "tells repeats of one run-id apart; empty for no copy field",
        ""},
       {"requests", setting_kind::kInteger, "number of requests", "200", 1, 1'000'000},
--- a/test/scenario_runner/invariants.cpp
+++ b/test/scenario_runner/invariants.cpp
@@ -52,7 +52,9 @@
     history.executed_copies.insert(FieldOf(line, "copy"));
   });
   ForEachLine(work, "send-", [&](const std::string&, const std::string& line) {
-    if (IsEvent(line, "refused")) history.refused.insert(FieldOf(line, "copy"));
+    if (!IsEvent(line, "refused")) return;
+    history.refused.insert(FieldOf(line, "copy"));
+    if (FieldOf(line, "repeat") == "1") history.refused_repeats.insert(FieldOf(line, "id"));
   });
   return history;
 }
@@ -65,9 +67,13 @@
   for (const auto& [key, count] : history.executions) {
     const std::string& target = history.target_of_key.at(key);
     for (const std::string& prefix : non_repeatable_prefixes) {
-      if (count > 1 && target.starts_with(prefix)) {
+      if (!target.starts_with(prefix)) continue;
+      if (count > 1) {
         problems.Add(key, "was executed " + std::to_string(count) + " times on " + target);
       }
+      if (history.refused_repeats.contains(key)) {
+        problems.Add(key, "was executed and a repeat was refused as not run");
+      }
     }
   }
   for (const std::string& copy : history.refused) {
--- a/test/scenario_runner/invariants.h
+++ b/test/scenario_runner/invariants.h
@@ -18,6 +18,8 @@
   /// Copies of requests whose caller was told "not run", and those that an upstream ran. A key may
   /// be refused in one copy and rightly run in another one that its caller sends later.
   std::set<std::string> refused;
+  /// Keys refused as not run in a copy that was sent after another one had ended.
+  std::set<std::string> refused_repeats;
   std::set<std::string> executed_copies;
 };
 
@@ -25,8 +27,9 @@
 
 /// Checks the whole time line of every process: a node's version never moves back, also over
 /// restarts; a version has one digest everywhere and was written to the platform before it took
-/// effect; a key of a non-repeatable target was executed at most once; a request that was refused
-/// as not run was not executed. Adds each violation to `problems`.
+/// effect; a key of a non-repeatable target was executed at most once, and not at all if a repeat
+/// of it was refused as not run; a request that was refused as not run was not executed. Adds each
+/// violation to `problems`.
 void CheckInvariants(const std::filesystem::path& work,
                      const std::set<std::string>& non_repeatable_prefixes,
                      support::findings& problems);
--- a/test/scenario_runner/runner.cpp
+++ b/test/scenario_runner/runner.cpp
@@ -262,6 +262,7 @@
                                       "--addresses=" + CallerList(step.Option("via", "all")),
                                       "--run-id=" + step.Option("run_id", name), "--copy=" + name,
                                       "--allow-refused"};
+  if (step.options.contains("run_id")) command.push_back("--repeat");
   for (const std::string option : {"requests", "targets", "ranks", "concurrency", "deadline-ms"}) {
     if (step.options.contains(option)) command.push_back("--" + option + '=' + step.Option(option));
   }
@@ -296,6 +297,9 @@
   if (step.options.contains("key")) {
     request.fields.push_back({"idempotency-key", step.Option("key")});
   }
+  if (step.options.contains("attempt")) {
+    request.fields.push_back({"x-siskinrack-attempt", step.Option("attempt")});
+  }
   if (step.options.contains("rank")) {
     request.fields.push_back({"x-siskinrack-rank", step.Option("rank")});
   }
