node: a repeatable call leaves a cut endpoint in time for a retry

Cause: region_cut answered 56 to 58 of 60 requests; the rest had been sent into the cut and waited there for their whole deadline, so that no time for a retry was left. Change: a repeatable first attempt ends when half of its time is over and an answer is overdue (four usual latencies and 100 ms); the retry takes the rest, within the retry budget. The runner marks repeats explicitly (repeat=1); run_id alone doesn't mean a repeat, which made graceful_shutdown count true refusals as unknown. test/membership_simulation is test/membership_fakes: it is a set of fake links. Ruled out: hedging after a short delay, which costs a timer and a fiber on every call.

--- a/include/siskinrack/admission/controller.h
+++ b/include/siskinrack/admission/controller.h
@@ -98,8 +98,8 @@
   /// End of the pause that the upstream asked for; in the past if there is none.
   [[nodiscard]] time_point paused_until() const { return paused_until_; }
   [[nodiscard]] upstream_load Load(time_point now) const;
-  /// Load as a call of `rank` meets it: calls of less worthy ranks don't count as queued. A flood
-  /// of those keeps every queue full and would hide where the more worthy calls wait.
+  /// Load as a call of `rank` meets it: calls of less worthy ranks don't count as queued. An
+  /// overload of those keeps every queue full and would hide where the more worthy calls wait.
   [[nodiscard]] upstream_load LoadFor(std::string_view rank, time_point now) const;
 
  private:
--- a/include/siskinrack/balancing/endpoint_state.h
+++ b/include/siskinrack/balancing/endpoint_state.h
@@ -65,12 +65,21 @@
   };
   [[nodiscard]] view View(time_point now) const;
 
+  /// Time after which a missing answer is a failure: a multiple of the usual latency and a margin.
+  [[nodiscard]] nanoseconds AnswerDue() const;
+
   /// A call is about to be sent.
   void Start(time_point now);
   /// The call has ended. Every Start has one Finish.
   void Finish(const call_report& report, time_point now);
 
  private:
+  static constexpr double kTimeoutFactor = 4;
+  static constexpr double kTimeoutMarginMs = 100;
+
+  [[nodiscard]] double AnswerDueMs() const {
+    return kTimeoutFactor * latency_ms_ + kTimeoutMarginMs;
+  }
   void OnFailure(time_point now);
   void AddPenalty(double penalty_ms, time_point now);
   [[nodiscard]] double Penalty(time_point now) const;
--- a/lib/balancing/endpoint_state.cpp
+++ b/lib/balancing/endpoint_state.cpp
@@ -16,9 +16,6 @@
 constexpr double kFailurePenaltyMs = 1000;
 /// A refusal costs the caller a retry or the answer, but the upstream works.
 constexpr double kRefusalPenaltyMs = 50;
-/// A timeout is a failure if it took longer than this many usual latencies and the margin.
-constexpr double kTimeoutFactor = 4;
-constexpr double kTimeoutMarginMs = 100;
 /// A smaller rest would still decide between two idle endpoints of equal latency.
 constexpr double kNegligiblePenaltyMs = 0.1;
 constexpr nanoseconds kPenaltyWindow = milliseconds(2000);
@@ -57,6 +54,12 @@
   if (failures_ > 0 && now >= closed_until_) trial_ = true;
 }
 
+nanoseconds endpoint_state::AnswerDue() const {
+  const std::lock_guard lock(mutex_);
+  return std::chrono::duration_cast<nanoseconds>(
+      std::chrono::duration<double, std::milli>(AnswerDueMs()));
+}
+
 void endpoint_state::Finish(const call_report& report, time_point now) {
   const std::lock_guard lock(mutex_);
   assert(in_flight_ > 0 && "Finish without Start");
@@ -79,7 +82,7 @@
       OnFailure(now);
       break;
     case call_outcome::kTimedOut:
-      if (Ms(report.latency) > kTimeoutFactor * latency_ms_ + kTimeoutMarginMs) OnFailure(now);
+      if (Ms(report.latency) > AnswerDueMs()) OnFailure(now);
       break;
     case call_outcome::kRefused:
       // The serving node answers, so the endpoint isn't broken.
--- a/lib/node/endpoint_cache.h
+++ b/lib/node/endpoint_cache.h
@@ -25,9 +25,9 @@
 };
 
 /// Endpoint lists by service and rank with parsed addresses and states, so that a request neither
-/// copies nor parses member records. Each rank has states of its own, because a flood of one rank
-/// gives it long waits and refusals that say nothing about the others. A list is made again when
-/// the member table hands out another one.
+/// copies nor parses member records. Each rank has states of its own, because an overload of one
+/// rank gives it long waits and refusals that say nothing about the others. A list is made again
+/// when the member table hands out another one.
 class endpoint_cache {
  public:
   explicit endpoint_cache(node_context& context) : context_(context) {}
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -186,7 +186,8 @@
   budget->AddRequest();
   const auto first = balancing::Choose(list->candidates, steady_clock::now(), Random());
   if (!first.index) return PausedAnswer(first.retry_after);
-  wire::call_answer_t answer = Attempt(*list, *first.index, call, deadline, cancel);
+  wire::call_answer_t answer = Attempt(
+      *list, *first.index, call, FirstAttemptEnd(*list, *first.index, call, deadline), cancel);
 
   const bool not_run = answer.outcome == wire::outcome_kind::not_run;
   const bool retry = balancing::MayRetry({call.attempt, call.idempotency_key.empty(), not_run,
@@ -205,6 +206,16 @@
   return retried;
 }
 
+net::steady_time entry_service::FirstAttemptEnd(const endpoint_list& list, std::size_t index,
+                                                const wire::call_request_t& call,
+                                                net::steady_time deadline) {
+  const bool may_retry = call.attempt == 0 && call.idempotency_key.empty();
+  if (!may_retry || list.endpoints.size() < 2) return deadline;
+  const auto now = steady_clock::now();
+  const auto half = now + (deadline - now) / 2;
+  return std::min(deadline, std::max(half, now + list.candidates[index].state->AnswerDue()));
+}
+
 wire::call_answer_t entry_service::Attempt(const endpoint_list& list, std::size_t index,
                                            wire::call_request_t& call, net::steady_time deadline,
                                            net::cancellation& cancel) {
--- a/lib/node/entry_service.h
+++ b/lib/node/entry_service.h
@@ -30,6 +30,11 @@
   /// Forwards to the chosen upstream and, where it's safe, once more to another one. A call with
   /// an idempotency key is not repeatable.
   wire::call_answer_t Forward(wire::call_request_t call, net::cancellation& cancel);
+  /// A repeatable call waits at its first endpoint until half of its time is over and an answer is
+  /// overdue, so that time for a retry is left if the endpoint is cut off.
+  static net::steady_time FirstAttemptEnd(const endpoint_list& list, std::size_t index,
+                                          const wire::call_request_t& call,
+                                          net::steady_time deadline);
   wire::call_answer_t Attempt(const endpoint_list& list, std::size_t index,
                               wire::call_request_t& call, net::steady_time deadline,
                               net::cancellation& cancel);
--- a/test/membership_simulation/simulated_mesh.h
+++ b/test/membership_fakes/fake_links.h
@@ -1,5 +1,5 @@
-#ifndef SISKINRACK_TEST_MEMBERSHIP_SIMULATION_SIMULATED_MESH_H_
-#define SISKINRACK_TEST_MEMBERSHIP_SIMULATION_SIMULATED_MESH_H_
+#ifndef SISKINRACK_TEST_MEMBERSHIP_FAKES_FAKE_LINKS_H_
+#define SISKINRACK_TEST_MEMBERSHIP_FAKES_FAKE_LINKS_H_
 
 #include <functional>
 #include <memory>
@@ -34,7 +34,7 @@
 };
 
 /// Bytes and state of one simulated member.
-struct simulated_member {
+struct fake_member {
   std::string node_id;
   std::string address;
   std::size_t domain = 0;
@@ -50,9 +50,9 @@
 
 /// Membership protocols of many members in one thread with virtual time. Every message passes
 /// through the real frame codec and is counted at both ends.
-class simulated_mesh {
+class fake_links {
  public:
-  explicit simulated_mesh(mesh_options options);
+  explicit fake_links(mesh_options options);
 
   /// Starts every member; the first member of each failure domain is a seed of the later ones.
   void StartAll();
@@ -73,8 +73,8 @@
 
   [[nodiscard]] time_ms now() const { return now_; }
   [[nodiscard]] std::size_t size() const { return members_.size(); }
-  simulated_member& at(std::size_t index) { return members_.at(index); }
-  [[nodiscard]] const simulated_member& at(std::size_t index) const { return members_.at(index); }
+  fake_member& at(std::size_t index) { return members_.at(index); }
+  [[nodiscard]] const fake_member& at(std::size_t index) const { return members_.at(index); }
   std::mt19937_64& random() { return random_; }
   /// True if all running members have equal tables with exactly the running members alive.
   [[nodiscard]] bool Agrees() const;
@@ -115,7 +115,7 @@
   time_ms now_{0};
   std::uint64_t next_order_ = 0;
   std::priority_queue<event> events_;
-  std::vector<simulated_member> members_;
+  std::vector<fake_member> members_;
   std::map<std::string, std::size_t> by_address_;
   std::function<bool(std::size_t, std::size_t)> cut_;
   std::array<std::size_t, 4> event_counts_{};
@@ -124,4 +124,4 @@
 
 }  // namespace siskinrack::test
 
-#endif  // SISKINRACK_TEST_MEMBERSHIP_SIMULATION_SIMULATED_MESH_H_
+#endif  // SISKINRACK_TEST_MEMBERSHIP_FAKES_FAKE_LINKS_H_
--- a/test/scenario_runner/runner.cpp
+++ b/test/scenario_runner/runner.cpp
@@ -262,7 +262,7 @@
                                       "--addresses=" + CallerList(step.Option("via", "all")),
                                       "--run-id=" + step.Option("run_id", name), "--copy=" + name,
                                       "--allow-refused"};
-  if (step.options.contains("run_id")) command.push_back("--repeat");
+  if (step.options.contains("repeat")) command.push_back("--repeat");
   for (const std::string option : {"requests", "targets", "ranks", "concurrency", "deadline-ms"}) {
     if (step.options.contains(option)) command.push_back("--" + option + '=' + step.Option(option));
   }
--- a/unittests/admission/controller_test.cpp
+++ b/unittests/admission/controller_test.cpp
@@ -121,7 +121,7 @@
   EXPECT_TRUE(Runs(subject.Finish(1, call_result::kAnswered, At(10)), 3));
 }
 
-// Guards against a flood of the most urgent rank that takes all slots: 20x of what fits.
+// Guards against an overload of the most urgent rank that takes all slots: 20x of what fits.
 TEST(AdmissionController, UrgentFloodLeavesTheFloorsOfOthers) {
   load_run run(6, 20);  // 300 calls/s fit
   run.Run({{"urgent", 6000}, {"normal", 55}, {"background", 27}}, 20'000);
@@ -227,7 +227,7 @@
   EXPECT_EQ(subject.Load(At(701)).limit, 8U);
 }
 
-// Guards against a flood of background work whose full queues hide where urgent calls wait.
+// Guards against an overload of background work whose full queues hide where urgent calls wait.
 TEST(AdmissionController, LoadOfARankCountsWhatPrecedesIt) {
   controller subject({1, milliseconds(0)}, kRanks);
   for (std::uint64_t i = 1; i <= 11; ++i) subject.Offer(Call(i, "background", 60'000), At(0));
--- a/unittests/membership/fault_schedule_test.cpp
+++ b/unittests/membership/fault_schedule_test.cpp
@@ -2,7 +2,7 @@
 
 #include <map>
 
-#include "simulated_mesh.h"
+#include "fake_links.h"
 
 namespace siskinrack::test {
 namespace {
@@ -111,7 +111,7 @@
   }
 
   void CheckMember(std::size_t index) {
-    const simulated_member& member = mesh_.at(index);
+    const fake_member& member = mesh_.at(index);
     const member_record self = member.gossip->self();
     const auto own = member.table->Find(member.node_id);
     ASSERT_TRUE(own.has_value());
@@ -142,7 +142,7 @@
            mesh_.now() - before.since + step >= membership::kRemovalDelay;
   }
 
-  simulated_mesh mesh_;
+  fake_links mesh_;
   std::map<std::size_t, std::map<std::string, known_record>> known_;
 };
 
--- a/utils/bench/overload_bench.cpp
+++ b/utils/bench/overload_bench.cpp
@@ -147,13 +147,13 @@
     const double base = 0.6 * capacity;
     const double own = base * setup_.ranks[rank].share;
     if (rank != flooded_ || !InFlood()) return own;
-    // The flood brings the sum of all calls to `factor` times the base.
+    // The overload brings the sum of all calls to `factor` times the base.
     return own + base * (factor_ - 1);
   }
 
   void ScheduleArrival(std::size_t rank) {
     const double gap = std::exponential_distribution<double>(Rate(rank))(random_);
-    // A flood begins and ends while an arrival is due; short steps follow the rate.
+    // An overload begins and ends while an arrival is due; short steps follow the rate.
     const bool long_gap = gap > 0.02;
     After(Ms(std::min(gap, 0.02) * 1000), [this, rank, long_gap] {
       if (!long_gap) Arrive(rank);
@@ -179,7 +179,7 @@
     Send(id, std::nullopt);
   }
 
-  /// The warm-up of one second and the time after the flood don't count.
+  /// The warm-up of one second and the time after the overload don't count.
   rank_total* Total(const call& item) {
     const auto age = item.start - Start();
     if (age >= kFloodStart && age < kFloodEnd) return &result_.during[item.rank];
@@ -311,7 +311,7 @@
              : 100 * static_cast<double>(total.in_target) / static_cast<double>(total.offered);
 }
 
-/// Time after the flood until goodput over half a second is back at 95% of its mean before it.
+/// Time after the overload until goodput over half a second is back at 95% of its mean before it.
 double RecoveryMs(const run_result& result) {
   constexpr std::size_t kWindow = 5;
   constexpr double kRecovered = 0.95;
