--- a/lib/control/session.cpp
+++ b/lib/control/session.cpp
@@ -51,7 +51,7 @@
 }  // namespace
 
 leaf::error_id PlatformError(std::string_view purpose, const store_error& error) {
-  return leaf::new_error(command_error{kExitFailed,
+  return leaf::new_error(command_error{support::kExitFindings,
                                        "platform: " + std::string(purpose) + ": " +
                                            std::string(platform::Name(error.code)) + " (" +
                                            error.message + ')',
