test: split the scenario runner's requests from its fleet commands

Change: runner_requests.cpp and step_checks.h; behaviour unchanged. Conclusion: one file per kind of command.

--- a/test/scenario_runner/runner.cpp
+++ b/test/scenario_runner/runner.cpp
@@ -9,48 +9,17 @@
 
 #include "event_lines.h"
 #include "invariants.h"
+#include "step_checks.h"
 
 namespace siskinrack::test {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kPoll{20};
 constexpr milliseconds kDefaultWait{10'000};
 constexpr milliseconds kControlTimeout{5'000};
 constexpr milliseconds kDefaultChaosInterval{300};
 
-[[noreturn]] void Fail(const std::string& message) { throw std::runtime_error(message); }
-
-const std::string& Word(const scenario_step& step, std::size_t index) {
-  if (index >= step.words.size()) Fail("a word is missing after '" + step.command + "'");
-  return step.words[index];
-}
-
-std::string ReadWhole(const std::string& file) {
-  std::ifstream in(file);
-  std::ostringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
-/// Compares `value` with a condition such as ">=190", "<=1" or "5".
-bool Holds(std::int64_t value, const std::string& condition) {
-  if (condition.starts_with(">=")) return value >= std::stol(condition.substr(2));
-  if (condition.starts_with("<=")) return value <= std::stol(condition.substr(2));
-  return value == std::stol(condition);
-}
-
-template <typename Condition>
-bool WaitUntil(milliseconds timeout, Condition condition) {
-  const auto end = std::chrono::steady_clock::now() + timeout;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() >= end) return false;
-    std::this_thread::sleep_for(kPoll);
-  }
-  return true;
-}
-
 }  // namespace
 
 runner::runner(fleet& processes, std::filesystem::path scenario_folder, std::uint64_t seed)
@@ -246,133 +215,6 @@
   fleet_.relay()->Cut(domain(0), domain(1));
 }
 
-std::string runner::CallerList(const std::string& selector) {
-  std::string list;
-  for (const fleet_node* node : fleet_.Select(selector)) {
-    if (!list.empty()) list += ',';
-    list += node->caller.ToText();
-  }
-  return list;
-}
-
-void runner::SendBatch(const scenario_step& step) {
-  const std::string& name = Word(step, 0);
-  const std::string log = (fleet_.work() / ("send-" + name + ".log")).string();
-  std::vector<std::string> command = {(fleet_.binaries() / "caller").string(),
-                                      "--addresses=" + CallerList(step.Option("via", "all")),
-                                      "--run-id=" + step.Option("run_id", name), "--copy=" + name,
-                                      "--allow-refused"};
-  if (step.options.contains("repeat")) command.push_back("--repeat");
-  for (const std::string option : {"requests", "targets", "ranks", "concurrency", "deadline-ms"}) {
-    if (step.options.contains(option)) command.push_back("--" + option + '=' + step.Option(option));
-  }
-  batches_[name] = {std::make_unique<child_process>(command, log), log};
-  if (!step.options.contains("background")) AwaitBatch(step);
-}
-
-void runner::AwaitBatch(const scenario_step& step) {
-  const auto found = batches_.find(Word(step, 0));
-  if (found == batches_.end()) Fail("no batch '" + Word(step, 0) + "'");
-  found->second.process->Wait();
-  const std::string text = ReadWhole(found->second.log);
-  for (const auto& [key, condition] : step.options) {
-    if (key != "answered_own" && key != "refused_not_run" && key != "unknown" &&
-        key != "unreached" && key != "wrong_answers") {
-      continue;
-    }
-    std::string total;
-    for (const std::string& line : ReadLines(found->second.log)) {
-      if (IsEvent(line, "totals")) total = FieldOf(line, key);
-    }
-    if (total.empty() || !Holds(std::stol(total), condition)) {
-      Fail(key + " is '" + total + "', expected " + condition);
-    }
-  }
-}
-
-void runner::Post(const scenario_step& step) {
-  net::http_request request{"POST", step.Option("target", "/"), {}, step.Option("body", "x")};
-  request.fields = {{"x-request-id", step.Option("key", "post")},
-                    {"x-siskinrack-deadline-ms", step.Option("deadline-ms", "5000")}};
-  if (step.options.contains("key")) {
-    request.fields.push_back({"idempotency-key", step.Option("key")});
-  }
-  if (step.options.contains("attempt")) {
-    request.fields.push_back({"x-siskinrack-attempt", step.Option("attempt")});
-  }
-  if (step.options.contains("rank")) {
-    request.fields.push_back({"x-siskinrack-rank", step.Option("rank")});
-  }
-  const auto nodes = fleet_.Select(step.Option("via", fleet_.nodes().front()->id));
-  const auto timeout = step.Time("timeout", milliseconds(8'000));
-  const auto result = fleet_.Send(nodes.front()->caller, request, timeout);
-  const std::string outcome(net::FindField(result.response.fields, "x-siskinrack-outcome"));
-  std::cout << "  status=" << result.response.status << " outcome=" << outcome
-            << " reason=" << net::FindField(result.response.fields, "x-siskinrack-reason") << '\n';
-  const std::string wanted = step.Option("outcome");
-  if (!wanted.empty() && outcome != wanted) Fail("outcome is '" + outcome + "'");
-  if (step.options.contains("status") &&
-      step.Number("status", 0) != static_cast<std::int64_t>(result.response.status)) {
-    Fail("status is " + std::to_string(result.response.status));
-  }
-}
-
-/// Writes a file over the platform's head, or hands it to a node as the operator program does.
-void runner::Push(const scenario_step& step) {
-  const std::string text = ReadWhole((folder_ / Word(step, 1)).string());
-  net::http_result result;
-  if (Word(step, 0) == "platform") {
-    const std::string target = "/objects/config/head";
-    const auto old = fleet_.Send(fleet_.platform(), {"GET", target, {}, {}}, kControlTimeout);
-    const std::string tag(net::FindField(old.response.fields, "ETag"));
-    result =
-        fleet_.Send(fleet_.platform(), {"PUT", target, {{"If-Match", tag}}, text}, kControlTimeout);
-  } else {
-    const auto nodes = fleet_.Select(Word(step, 0));
-    result = fleet_.Send(nodes.front()->admin, {"PUT", "/config", {}, text}, kControlTimeout);
-  }
-  if (step.Number("status", 200) != static_cast<std::int64_t>(result.response.status)) {
-    Fail("status is " + std::to_string(result.response.status));
-  }
-}
-
-void runner::ExpectObject(const scenario_step& step) {
-  const std::string target = "/objects/" + step.Option("object");
-  const std::string contains = step.Option("contains");
-  const auto found = [&] {
-    return fleet_.Get(fleet_.platform(), target).find(contains) != std::string::npos;
-  };
-  if (!WaitUntil(step.Time("within", milliseconds(0)), found)) {
-    Fail("object is: " + fleet_.Get(fleet_.platform(), target));
-  }
-}
-
-void runner::Expect(const scenario_step& step) {
-  if (step.options.contains("object")) return ExpectObject(step);
-  if (step.options.contains("executions")) {
-    const observed_history history = ReadHistory(fleet_.work());
-    const auto found = history.executions.find(step.Option("key"));
-    const std::int64_t count = found == history.executions.end() ? 0 : found->second;
-    if (!Holds(count, step.Option("executions"))) Fail(std::to_string(count) + " executions");
-    return;
-  }
-  if (step.options.contains("page")) {
-    const std::string page =
-        fleet_.Get(fleet_.Select(Word(step, 0)).front()->admin, step.Option("page"));
-    const bool found = page.find(step.Option("contains")) != std::string::npos;
-    const bool unwanted =
-        step.options.contains("lacks") && page.find(step.Option("lacks")) != std::string::npos;
-    if (!found || unwanted) Fail("page is: " + page);
-    return;
-  }
-  const std::string log = (fleet_.work() / (Word(step, 0) + ".log")).string();
-  std::int64_t count = 0;
-  for (const std::string& line : ReadLines(log)) {
-    if (IsEvent(line, step.Option("event"))) ++count;
-  }
-  if (!Holds(count, step.Option("count", ">=1"))) Fail(std::to_string(count) + " events");
-}
-
 /// Random kills, pauses, restarts and platform faults; everything is up again at the end.
 void runner::Chaos(const scenario_step& step) {
   const milliseconds interval = step.Time("interval", kDefaultChaosInterval);
