bench, node: one place for figures and quantiles; usual terms for lease reports

Change: utils/bench/report.h; lease_reports.h, holder_report, kIsolatedRejoinInterval. Behaviour unchanged.

--- a/include/siskinrack/distribution/watcher_lease.h
+++ b/include/siskinrack/distribution/watcher_lease.h
@@ -28,7 +28,7 @@
 /// A candidate reads the lease object once it hasn't heard of a renewal for kReadAfter, and writes
 /// with the version that it read after kConfirmTime at the earliest; a holder that renewed in
 /// between makes that write a conflict. So a lease isn't taken from a holder that renews, however
-/// late the news of its renewals arrives.
+/// late the reports of its renewals arrive.
 class watcher_lease {
  public:
   static constexpr milliseconds kDuration{3'000};
@@ -44,7 +44,7 @@
     std::uint64_t expected_version = 0;
     lease_record record;
   };
-  struct holder_news {
+  struct holder_report {
     std::string holder;
     milliseconds age{0};
   };
@@ -64,15 +64,15 @@
   void OnOutcomeUnknown(time_point now);
   /// The read or write did not take place.
   void OnFailure(time_point now, std::size_t rank);
-  /// A peer of the domain heard of a renewal `news.age` ago.
-  void OnPeerReport(time_point now, const holder_news& news);
+  /// A peer of the domain heard of a renewal `report.age` ago.
+  void OnPeerReport(time_point now, const holder_report& report);
 
   /// Measured from before the renewing write was sent, so a holder that was paused past the end of
   /// its lease isn't holder when it resumes.
   [[nodiscard]] bool IsHolder(time_point now) const { return now < held_until_; }
   [[nodiscard]] std::uint64_t epoch() const { return attempted_.epoch; }
-  /// What to tell peers; the holder is empty if none is known.
-  [[nodiscard]] holder_news News(time_point now) const;
+  /// What to report to peers; the holder is empty if none is known.
+  [[nodiscard]] holder_report Report(time_point now) const;
 
   /// The holder tells this many candidates of each renewal directly.
   static constexpr std::size_t kInformedRanks = 3;
--- a/lib/distribution/watcher_lease.cpp
+++ b/lib/distribution/watcher_lease.cpp
@@ -144,15 +144,15 @@
   retry_at_ = now + (IsHolder(now) ? kRetryBase / 2 : RetryDelay(rank));
 }
 
-void watcher_lease::OnPeerReport(time_point now, const holder_news& news) {
-  if (news.holder.empty() || news.holder == node_id_) return;
-  const time_point renewal = now - news.age;
+void watcher_lease::OnPeerReport(time_point now, const holder_report& report) {
+  if (report.holder.empty() || report.holder == node_id_) return;
+  const time_point renewal = now - report.age;
   if (renewal <= last_renewal_) return;
   last_renewal_ = renewal;
-  last_holder_ = news.holder;
+  last_holder_ = report.holder;
 }
 
-watcher_lease::holder_news watcher_lease::News(time_point now) const {
+watcher_lease::holder_report watcher_lease::Report(time_point now) const {
   if (last_holder_.empty()) return {};
   return {last_holder_, std::chrono::duration_cast<milliseconds>(now - last_renewal_)};
 }
--- a/lib/membership/gossip.cpp
+++ b/lib/membership/gossip.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kPushBytes = 150;
 /// Every fifth exchange goes to another failure domain.
 constexpr unsigned kOtherDomainPeriod = 5;
-constexpr time_ms kLonelyRejoinInterval{1'000};
+constexpr time_ms kIsolatedRejoinInterval{1'000};
 
 }  // namespace
 
@@ -111,7 +111,7 @@
 }
 
 void gossip::StartRejoin(turn& at) {
-  next_rejoin_ = at.now + (peers_.size() == 0 ? kLonelyRejoinInterval : kRejoinInterval);
+  next_rejoin_ = at.now + (peers_.size() == 0 ? kIsolatedRejoinInterval : kRejoinInterval);
   struct candidate {
     std::string node_id;
     std::string address;
--- a/lib/membership/gossip_repair.cpp
+++ b/lib/membership/gossip_repair.cpp
@@ -9,8 +9,8 @@
 constexpr std::size_t kSummaryBytes = sizeof(wire::record_summary);
 /// More don't fit into an answer of kMaxRecordBytes.
 constexpr std::size_t kMaxWanted = 8;
-/// A repair goes on while a round brings at least this much news, as for a node that joins or
-/// returns. Between tables that differ by changes in transit it ends after one round.
+/// A repair goes on while a round brings at least this many new records, as for a node that joins
+/// or returns. Between tables that differ by changes in transit it ends after one round.
 constexpr std::size_t kProductiveBytes = kMaxRecordBytes / 2;
 constexpr std::size_t kMaxRepairedPairs = 64;
 
--- a/lib/node/membership_service.cpp
+++ b/lib/node/membership_service.cpp
@@ -152,8 +152,8 @@
 void membership_service::HearWatcher(const std::string& sender, const Exchange& exchange) {
   const auto member = context_.members.Find(sender);
   if (!member || member->failure_domain != context_.settings.failure_domain) return;
-  context_.watcher.Hear({exchange.watcher_node, milliseconds(exchange.watcher_age_ms)},
-                        std::chrono::steady_clock::now());
+  context_.watcher.OnPeerReport({exchange.watcher_node, milliseconds(exchange.watcher_age_ms)},
+                                std::chrono::steady_clock::now());
 }
 
 template <typename Exchange>
@@ -200,7 +200,7 @@
     return std::nullopt;
   }
   const bool wants_reply = message.correlation_id != 0;
-  // A push of the lease's holder carries nothing but the news of its renewal.
+  // A push of the lease's holder carries nothing but the report of its renewal.
   const auto* push = wants_reply ? nullptr : message.message.Asexchange();
   if (push != nullptr) HearWatcher(message.sender, *push);
   auto step = gossip_.OnRequest(message.sender, message.message, wants_reply, Now(), Random());
--- a/lib/node/node_context.h
+++ b/lib/node/node_context.h
@@ -5,6 +5,7 @@
 #include <mutex>
 
 #include "config_holder.h"
+#include "lease_reports.h"
 #include "siskinrack/membership/member_table.h"
 #include "siskinrack/net/fiber_runtime.h"
 #include "siskinrack/net/http_client.h"
@@ -14,7 +15,6 @@
 #include "siskinrack/support/event_log.h"
 #include "siskinrack/support/hybrid_clock.h"
 #include "siskinrack/support/metrics.h"
-#include "watcher_news.h"
 
 namespace siskinrack::node {
 
@@ -42,7 +42,7 @@
   net::peer_pool peers;
   membership::member_table members;
   config_holder config;
-  watcher_news watcher;
+  lease_reports watcher;
   /// Set once the drain period is over: new requests are refused as not run.
   std::atomic<bool> refusing = false;
   std::atomic<bool> draining = false;
--- a/lib/node/watcher_service.cpp
+++ b/lib/node/watcher_service.cpp
@@ -91,17 +91,17 @@
   return distribution::RendezvousRank(context_.settings.node_id, lease_name_, Candidates());
 }
 
-/// An exchange without records, sent as a push, carries just the news of the renewal.
+/// An exchange without records, sent as a push, carries just the report of the renewal.
 void watcher_service::InformFirstCandidates() {
-  const auto news = context_.watcher.Current(Now());
+  const auto report = context_.watcher.Current(Now());
   for (const std::string& id :
        distribution::FirstByRank(lease_name_, Candidates(), watcher_lease::kInformedRanks)) {
     const auto member = context_.members.Find(id);
     const auto address = member ? support::ParseSocketAddress(member->peer_address) : std::nullopt;
     if (!address) continue;
     wire::exchange_t exchange;
-    exchange.watcher_node = news.holder;
-    exchange.watcher_age_ms = static_cast<std::uint32_t>(news.age.count());
+    exchange.watcher_node = report.holder;
+    exchange.watcher_age_ms = static_cast<std::uint32_t>(report.age.count());
     context_.peers.Send(*address, wire::MakeEnvelope(std::move(exchange)));
   }
 }
@@ -117,7 +117,8 @@
     watcher_lease::call call;
     {
       const std::lock_guard lock(mutex_);
-      if (const auto heard = context_.watcher.TakeHeard(Now())) lease_.OnPeerReport(Now(), *heard);
+      if (const auto heard = context_.watcher.TakeReceived(Now()))
+        lease_.OnPeerReport(Now(), *heard);
       call = lease_.Next(Now(), rank, RandomShare());
     }
     Call(call);
@@ -166,7 +167,7 @@
 void watcher_service::LogTransition() {
   const std::lock_guard lock(mutex_);
   const auto now = Now();
-  context_.watcher.Publish(lease_.News(now), now);
+  context_.watcher.Publish(lease_.Report(now), now);
   const bool holder = lease_.IsHolder(now);
   if (holder == was_holder_) return;
   was_holder_ = holder;
--- a/unittests/distribution/watcher_lease_test.cpp
+++ b/unittests/distribution/watcher_lease_test.cpp
@@ -83,8 +83,8 @@
       item& from = nodes_[i];
       item& to = nodes_[random_() % nodes_.size()];
       if (from.paused || to.paused) continue;
-      to.lease.OnPeerReport(now_, from.lease.News(now_));
-      from.lease.OnPeerReport(now_, to.lease.News(now_));
+      to.lease.OnPeerReport(now_, from.lease.Report(now_));
+      from.lease.OnPeerReport(now_, to.lease.Report(now_));
     }
   }
 
@@ -96,7 +96,7 @@
       if (i == holder) continue;
       ++informed;
       if (!nodes_[i].paused) {
-        nodes_[i].lease.OnPeerReport(now_, nodes_[holder].lease.News(now_));
+        nodes_[i].lease.OnPeerReport(now_, nodes_[holder].lease.Report(now_));
       }
     }
   }
--- a/utils/bench/claims_bench.cpp
+++ b/utils/bench/claims_bench.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "fake_store.h"
+#include "report.h"
 #include "siskinrack/idempotency/shard_owner.h"
 
 namespace siskinrack::bench {
@@ -35,16 +36,6 @@
 constexpr double kBaselineWritesPerSecond = 400;
 constexpr std::size_t kAnswerBytes = 200;
 
-void Print(const std::string& name, double value, std::string_view unit) {
-  std::cout << name << ' ' << value << ' ' << unit << std::endl;
-}
-
-double Quantile(std::vector<double>& values, double share) {
-  if (values.empty()) return 0;
-  std::sort(values.begin(), values.end());
-  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-}
-
 struct waiting_claim {
   idempotency::claim_ask ask;
   steady_time asked_at;
--- a/utils/bench/fleet_bench.cpp
+++ b/utils/bench/fleet_bench.cpp
@@ -16,6 +16,7 @@
 
 #include "event_lines.h"
 #include "fleet.h"
+#include "report.h"
 #include "siskinrack/platform/http_object_store.h"
 
 namespace siskinrack::bench {
@@ -36,16 +37,6 @@
 constexpr milliseconds kPoll{20};
 constexpr int kBaselineChanges = 5;
 
-void Print(const std::string& name, double value, std::string_view unit) {
-  std::cout << name << ' ' << value << ' ' << unit << std::endl;
-}
-
-double Quantile(std::vector<double> values, double share) {
-  if (values.empty()) return 0;
-  std::sort(values.begin(), values.end());
-  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-}
-
 double Number(const std::string& page, std::string_view key) {
   json::error_code error;
   const json::value body = json::parse(page, error);
@@ -58,20 +49,6 @@
   return Number(page, "read") + Number(page, "write") + Number(page, "watch");
 }
 
-/// Processor seconds used by a process of this run.
-double CpuSeconds(pid_t pid) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
-  std::string text((std::istreambuf_iterator<char>(in)), {});
-  std::istringstream fields(text.substr(text.rfind(')') + 2));
-  std::string skipped;
-  constexpr int kFieldsBeforeTimes = 11;
-  for (int i = 0; i < kFieldsBeforeTimes; ++i) fields >> skipped;
-  double user = 0;
-  double system = 0;
-  fields >> user >> system;
-  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 double ResidentMegabytes(pid_t pid) {
   std::ifstream in("/proc/" + std::to_string(pid) + "/statm");
   double size = 0;
--- a/utils/bench/membership_bench.cpp
+++ b/utils/bench/membership_bench.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "fake_links.h"
+#include "report.h"
 
 namespace siskinrack::bench {
 namespace {
@@ -29,14 +30,8 @@
 constexpr time_ms kStep{100};
 constexpr int kTrials = 3;
 
-void Print(const std::string& name, std::size_t members, double value, std::string_view unit) {
-  std::cout << name << '_' << members << ' ' << value << ' ' << unit << std::endl;
-}
-
-double Quantile(std::vector<double> values, double share) {
-  if (values.empty()) return 0;
-  std::sort(values.begin(), values.end());
-  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+void PrintFor(std::size_t members, const std::string& name, double value, std::string_view unit) {
+  Print(name + '_' + std::to_string(members), value, unit);
 }
 
 /// A change of one member and the members that don't know it yet.
@@ -59,20 +54,20 @@
   }
 
   void MeasureIdle() {
-    Print("control_bytes_per_node_s_idle", members_, WorstBytes([&] { mesh_.Run(kIdleTime); }),
-          "B/s");
+    PrintFor(members_, "control_bytes_per_node_s_idle", WorstBytes([&] { mesh_.Run(kIdleTime); }),
+             "B/s");
   }
 
   void MeasureChurn() {
-    Print("control_bytes_per_node_s_churn", members_, WorstBytes([&] { Churn(); }), "B/s");
-    Print("control_bytes_per_node_s_churn_not_restarted", members_, worst_not_restarted_, "B/s");
+    PrintFor(members_, "control_bytes_per_node_s_churn", WorstBytes([&] { Churn(); }), "B/s");
+    PrintFor(members_, "control_bytes_per_node_s_churn_not_restarted", worst_not_restarted_, "B/s");
     for (const time_ms end = mesh_.now() + kTailTime; mesh_.now() < end;) Advance();
     std::size_t missing = 0;
     for (const tracked_change& change : changes_) missing += change.waiting.size();
-    Print("endpoint_convergence_ms_p50", members_, Quantile(delays_, 0.5), "ms");
-    Print("endpoint_convergence_ms_p99", members_, Quantile(delays_, 0.99), "ms");
-    Print("endpoint_convergence_ms_max", members_, Quantile(delays_, 1), "ms");
-    Print("endpoint_convergence_unfinished", members_, static_cast<double>(missing), "count");
+    PrintFor(members_, "endpoint_convergence_ms_p50", Quantile(delays_, 0.5), "ms");
+    PrintFor(members_, "endpoint_convergence_ms_p99", Quantile(delays_, 0.99), "ms");
+    PrintFor(members_, "endpoint_convergence_ms_max", Quantile(delays_, 1), "ms");
+    PrintFor(members_, "endpoint_convergence_unfinished", static_cast<double>(missing), "count");
   }
 
   void MeasureKill() {
@@ -85,7 +80,7 @@
         return !record || membership::IsGone(*record);
       }));
     }
-    Print("killed_gone_everywhere_ms_max", members_, Quantile(times, 1), "ms");
+    PrintFor(members_, "killed_gone_everywhere_ms_max", Quantile(times, 1), "ms");
   }
 
   void MeasureDrain() {
@@ -98,7 +93,7 @@
         return !record || record->state == wire::upstream_state::draining;
       }));
     }
-    Print("draining_known_everywhere_ms_max", members_, Quantile(times, 1), "ms");
+    PrintFor(members_, "draining_known_everywhere_ms_max", Quantile(times, 1), "ms");
   }
 
  private:
@@ -247,7 +242,7 @@
     }
   }
   const auto worst = static_cast<double>(*std::max_element(bytes.begin(), bytes.end()));
-  Print("baseline_control_bytes_per_node_s", members, worst * kRoundsPerSecond / kRounds, "B/s");
+  PrintFor(members, "baseline_control_bytes_per_node_s", worst * kRoundsPerSecond / kRounds, "B/s");
 }
 
 void Main() {
--- a/utils/bench/overload_bench.cpp
+++ b/utils/bench/overload_bench.cpp
@@ -15,6 +15,7 @@
 #include <tuple>
 #include <unordered_map>
 
+#include "report.h"
 #include "siskinrack/admission/controller.h"
 #include "siskinrack/balancing/retry_budget.h"
 #include "siskinrack/balancing/selection.h"
@@ -301,10 +302,6 @@
   run_result result_;
 };
 
-void Print(const std::string& name, double value, std::string_view unit) {
-  std::cout << name << ' ' << value << ' ' << unit << '\n';
-}
-
 double Share(const rank_total& total) {
   return total.offered == 0
              ? 100
