control: steps of a plan are written as JSON in one place

Cause: the operator program repeated the plan's JSON form. Change: it takes the steps from config::ToJson. Measured: the command_line tests pass before and after. Conclusion: one form, one place.

--- a/lib/control/plan_commands.cpp
+++ b/lib/control/plan_commands.cpp
@@ -66,33 +66,15 @@
   return domains;
 }
 
-std::string_view ActionText(config::change_action action) {
-  if (action == config::change_action::kAdd) return "add";
-  return action == config::change_action::kChange ? "change" : "remove";
-}
-
 json::object StepsToJson(const config::plan& item, const std::set<std::string>& domains) {
-  json::array steps;
-  for (const config::plan_step& step : item.steps) {
-    json::array changes;
-    for (const config::resource_change& change : step.changes) {
-      changes.push_back(json::object{{"action", ActionText(change.action)},
-                                     {"kind", change.kind},
-                                     {"name", change.name},
-                                     {"detail", change.detail}});
-    }
-    steps.push_back(json::object{{"order", step.order},
-                                 {"version", step.version},
-                                 {"title", step.title},
-                                 {"changes", std::move(changes)}});
-  }
+  json::value stored = json::parse(config::ToJson(item));
   json::array domain_list;
   for (const std::string& domain : domains) domain_list.push_back(json::value(domain));
   return {{"id", item.id},
           {"base_version", item.base_version},
           {"version", item.result.version},
           {"failure_domains", std::move(domain_list)},
-          {"steps", std::move(steps)}};
+          {"steps", std::move(stored.at("steps"))}};
 }
 
 std::string StepsToText(const config::plan& item, const std::set<std::string>& domains) {
