--- a/include/siskinrack/balancing/retry_budget.h
+++ b/include/siskinrack/balancing/retry_budget.h
@@ -26,6 +26,9 @@
   bool repeatable = false;
   bool refused_not_run = false;
   bool outcome_unknown = false;
+  /// The upstream's connection broke while it worked on the request. The request may have crashed
+  /// it, and a retry would take the next upstream down.
+  bool upstream_broke = false;
 };
 
 /// True if the request may be sent once more without the risk of running it twice, or if running
--- a/lib/balancing/retry_budget.cpp
+++ b/lib/balancing/retry_budget.cpp
@@ -23,7 +23,7 @@
 }
 
 bool MayRetry(const attempt_result& result) {
-  if (result.attempt > 0) return false;
+  if (result.attempt > 0 || result.upstream_broke) return false;
   return result.refused_not_run || (result.outcome_unknown && result.repeatable);
 }
 
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -191,7 +191,8 @@
 
   const bool not_run = answer.outcome == wire::outcome_kind::not_run;
   const bool retry = balancing::MayRetry({call.attempt, call.idempotency_key.empty(), not_run,
-                                          answer.outcome == wire::outcome_kind::unknown});
+                                          answer.outcome == wire::outcome_kind::unknown,
+                                          answer.reason == kUpstreamBrokeReason});
   if (!retry || cancel.cancelled() || list->endpoints.size() < 2 ||
       steady_clock::now() >= deadline) {
     return answer;
--- a/lib/node/outcome.h
+++ b/lib/node/outcome.h
@@ -19,6 +19,7 @@
 
 /// Reason of a call that didn't reach its upstream; load balancing counts it as a failure.
 inline constexpr std::string_view kUnreachableReason = "upstream is unreachable";
+inline constexpr std::string_view kUpstreamBrokeReason = "connection to the upstream broke";
 
 inline constexpr std::string_view kAnsweredText = "answered";
 inline constexpr std::string_view kNotRunText = "not-run";
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -149,7 +149,7 @@
   }
   if (result.stage == net::exchange_stage::kSent) {
     return result.timed_out ? Unknown(kStatusGatewayTimeout, "upstream did not answer in time")
-                            : Unknown(kStatusBadGateway, "connection to the upstream broke");
+                            : Unknown(kStatusBadGateway, kUpstreamBrokeReason);
   }
   wire::call_answer_t answer;
   if (SaysNotRun(result.response)) answer = NotRun(kStatusUnavailable, "upstream sheds load");
--- a/unittests/balancing/selection_test.cpp
+++ b/unittests/balancing/selection_test.cpp
@@ -170,6 +170,8 @@
   EXPECT_FALSE(MayRetry({.repeatable = false, .outcome_unknown = true}));
   EXPECT_FALSE(MayRetry({.attempt = 1, .repeatable = true, .refused_not_run = true}));
   EXPECT_FALSE(MayRetry({.repeatable = true})) << "answered";
+  EXPECT_FALSE(MayRetry({.repeatable = true, .outcome_unknown = true, .upstream_broke = true}))
+      << "a retry of a request that crashes upstreams takes the next one down";
 }
 
 }  // namespace
