net, node: control bytes are summed in one place

Cause: the status page and the metrics page each summed the traffic counters over the message types; a membership function took a parameter that it did not use. Change: traffic_counters has control_sent and control_received; gossip::PublishSelf lost the parameter. Behaviour unchanged. Measured: unit tests of membership, node and net, command_line.nodes and scenario.join_by_platform pass; lint and format are clean. Conclusion: one sum, one place.

--- a/include/siskinrack/membership/gossip.h
+++ b/include/siskinrack/membership/gossip.h
@@ -132,7 +132,7 @@
     std::size_t learned_bytes = 0;
   };
   // gossip.cpp
-  void PublishSelf(turn& at, bool whole);
+  void PublishSelf(bool whole);
   void StartExchange(turn& at);
   void StartRejoin(turn& at);
   template <typename Exchange>
--- a/include/siskinrack/net/traffic.h
+++ b/include/siskinrack/net/traffic.h
@@ -10,6 +10,13 @@
 
 namespace siskinrack::net {
 
+/// True for the messages that carry requests; all others are control traffic.
+inline bool IsRequestTraffic(wire::message type) {
+  return type == wire::message::call_request || type == wire::message::call_answer ||
+         type == wire::message::call_cancel || type == wire::message::claim_request ||
+         type == wire::message::claim_reply || type == wire::message::claim_result;
+}
+
 /// Bytes of frames by message type, lengths included. Safe for use from several threads.
 class traffic_counters {
  public:
@@ -20,6 +27,9 @@
   [[nodiscard]] std::uint64_t received(wire::message type) const {
     return received_.at(Index(type));
   }
+  /// Bytes of all messages that carry no requests.
+  [[nodiscard]] std::uint64_t control_sent() const { return ControlTotal(sent_); }
+  [[nodiscard]] std::uint64_t control_received() const { return ControlTotal(received_); }
 
  private:
   static constexpr std::size_t kTypes = static_cast<std::size_t>(wire::message::MAX) + 1;
@@ -30,17 +40,18 @@
     list.at(Index(type)).fetch_add(bytes, std::memory_order_relaxed);
   }
 
+  static std::uint64_t ControlTotal(const counters& list) {
+    std::uint64_t total = 0;
+    for (std::size_t type = 1; type < kTypes; ++type) {
+      if (!IsRequestTraffic(static_cast<wire::message>(type))) total += list.at(type);
+    }
+    return total;
+  }
+
   counters sent_{};
   counters received_{};
 };
 
-/// True for the messages that carry requests; all others are control traffic.
-inline bool IsRequestTraffic(wire::message type) {
-  return type == wire::message::call_request || type == wire::message::call_answer ||
-         type == wire::message::call_cancel || type == wire::message::claim_request ||
-         type == wire::message::claim_reply || type == wire::message::claim_result;
-}
-
 }  // namespace siskinrack::net
 
 #endif  // SISKINRACK_NET_TRAFFIC_H_
--- a/lib/membership/gossip.cpp
+++ b/lib/membership/gossip.cpp
@@ -36,7 +36,7 @@
   next_rejoin_ = now;
   // Nodes that start together don't exchange together.
   next_exchange_ = now + time_ms(random() % static_cast<std::uint64_t>(kExchangeInterval.count()));
-  PublishSelf(at, true);
+  PublishSelf(true);
   return step;
 }
 
@@ -47,7 +47,7 @@
   if (self_.state == state) return step;
   self_.state = state;
   ++self_.sequence;
-  PublishSelf(at, false);
+  PublishSelf(false);
   if (state == wire::upstream_state::draining || state == wire::upstream_state::left) {
     Push(at, self_, kOwnPushFanout, self_.node_id);
   }
@@ -66,8 +66,7 @@
   queue_.Add(self_.node_id, false, false);
 }
 
-void gossip::PublishSelf(turn& at, bool whole) {
-  (void)at;
+void gossip::PublishSelf(bool whole) {
   table_.Merge(self_);
   queue_.Add(self_.node_id, whole, true);
 }
@@ -267,7 +266,7 @@
   }
   self_.incarnation = std::max(self_.incarnation, record.incarnation) + 1;
   self_.sequence = 1;
-  PublishSelf(at, false);
+  PublishSelf(false);
   Push(at, self_, kOwnPushFanout, self_.node_id);
 }
 
--- a/lib/node/admin_service.cpp
+++ b/lib/node/admin_service.cpp
@@ -36,12 +36,8 @@
 
 net::http_response admin_service::Status() const {
   const config_snapshot_ptr snapshot = context_.config.Current();
-  std::uint64_t control_bytes = 0;
-  for (int type = 1; type <= static_cast<int>(wire::message::MAX); ++type) {
-    const auto message = static_cast<wire::message>(type);
-    if (net::IsRequestTraffic(message)) continue;
-    control_bytes += context_.traffic.sent(message) + context_.traffic.received(message);
-  }
+  const std::uint64_t control_bytes =
+      context_.traffic.control_sent() + context_.traffic.control_received();
   return JsonResponse(
       json::object{{"node_id", context_.settings.node_id},
                    {"failure_domain", context_.settings.failure_domain},
--- a/lib/node/node_metrics.cpp
+++ b/lib/node/node_metrics.cpp
@@ -23,14 +23,8 @@
 }
 
 void AddTraffic(const node_context& context, metrics_page& page) {
-  double sent = 0;
-  double received = 0;
-  for (int type = 1; type <= static_cast<int>(wire::message::MAX); ++type) {
-    const auto message = static_cast<wire::message>(type);
-    if (net::IsRequestTraffic(message)) continue;
-    sent += static_cast<double>(context.traffic.sent(message));
-    received += static_cast<double>(context.traffic.received(message));
-  }
+  const auto sent = static_cast<double>(context.traffic.control_sent());
+  const auto received = static_cast<double>(context.traffic.control_received());
   page.Metric("siskinrack_control_bytes_total", "counter",
               "Bytes of frames between nodes that carry no requests.");
   page.Sample("siskinrack_control_bytes_total", {{"direction", "sent"}}, sent);
