--- a/include/siskinrack/net/http.h
+++ b/include/siskinrack/net/http.h
@@ -1,6 +1,7 @@
 #ifndef SISKINRACK_NET_HTTP_H_
 #define SISKINRACK_NET_HTTP_H_
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -22,6 +23,8 @@
   std::string target = "/";
   std::vector<http_field> fields;
   std::string body;
+  /// Value of the Host field; a client that leaves it empty sends the address it connects to.
+  std::string host;
 };
 
 struct http_response {
@@ -34,6 +37,21 @@
 inline constexpr std::size_t kMaxBodyBytes = 1U << 20U;
 /// Largest header section of a request or response.
 inline constexpr std::size_t kMaxHeaderBytes = 16U << 10U;
+/// Largest body that a client of this project reads; a list of the platform's objects has about
+/// 1 MB and its envelope.
+inline constexpr std::size_t kMaxResponseBytes = 4U << 20U;
+
+/// What clients may send, and how long they may take.
+struct http_limits {
+  std::size_t header_bytes = kMaxHeaderBytes;
+  std::size_t body_bytes = kMaxBodyBytes;
+  std::chrono::milliseconds idle_timeout{60'000};
+  /// Time for a header section, so that slow clients hold no connection for long.
+  std::chrono::milliseconds header_timeout{10'000};
+  std::chrono::milliseconds body_timeout{10'000};
+
+  bool operator==(const http_limits&) const = default;
+};
 
 }  // namespace siskinrack::net
 
--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -1,7 +1,9 @@
 #ifndef SISKINRACK_NET_HTTP_CLIENT_H_
 #define SISKINRACK_NET_HTTP_CLIENT_H_
 
+#include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -30,6 +32,15 @@
   bool timed_out = false;
 };
 
+/// How one exchange is made.
+struct exchange_options {
+  /// Tells whether a response belongs to the request. Others are skipped, and the connection is
+  /// closed after the exchange.
+  std::function<bool(const http_response&)> belongs;
+  /// A connection that was idle for longer isn't used: the server may be closing it.
+  std::chrono::milliseconds max_idle{60'000};
+};
+
 /// HTTP/1.1 client with keep-alive connections, one pool per thread. Use it from fibers of the
 /// runtime.
 class http_client {
@@ -41,7 +52,8 @@
   /// timed-out exchange closes its connection, so that a late response can't be taken for
   /// another's.
   http_result Send(const support::socket_address& address, http_request request,
-                   steady_time deadline, cancellation* cancel = nullptr);
+                   steady_time deadline, cancellation* cancel = nullptr,
+                   const exchange_options& options = {});
 
   /// Closes the idle connections of the calling thread.
   void CloseIdle();
--- a/include/siskinrack/net/http_server.h
+++ b/include/siskinrack/net/http_server.h
@@ -20,13 +20,12 @@
 
 struct http_server_options {
   support::socket_address address;
-  std::size_t max_body_bytes = kMaxBodyBytes;
+  http_limits limits = {};
   /// Open connections over all threads; further ones are closed at once.
   std::size_t max_connections = 4096;
-  std::chrono::milliseconds idle_timeout{60'000};
-  /// Time for a header section and for a body, so that slow clients hold no connection for long.
-  std::chrono::milliseconds read_timeout{10'000};
   std::chrono::milliseconds write_timeout{10'000};
+  /// Field that tells a client that an error of its own request was found before it ran.
+  http_field not_run_field = {"x-siskinrack-outcome", "not-run"};
 };
 
 /// HTTP/1.1 server. Requests of a connection are answered in order, so pipelining is safe.
@@ -44,6 +43,10 @@
   /// Requests whose response isn't written yet.
   [[nodiscard]] std::size_t in_flight() const;
 
+  /// Limits of the requests that are read from now on. Safe on every thread.
+  void SetLimits(const http_limits& limits);
+  /// Closes the connections on which no request was begun.
+  void CloseIdle();
   /// Closes every connection after its next response. Connections are still accepted, so that a
   /// request on its way gets an answer; the handler decides which one.
   void Drain();
--- a/include/siskinrack/net/peer.h
+++ b/include/siskinrack/net/peer.h
@@ -46,6 +46,10 @@
 struct peer_pool_options {
   /// Links without a frame for this long are closed. Longer than the longest deadline of a request.
   std::chrono::milliseconds idle_timeout{60'000};
+  /// Time for a connection to be established.
+  std::chrono::milliseconds dial_timeout{1'000};
+  /// Longest wait before a failed address is dialled again.
+  std::chrono::milliseconds backoff_max{10'000};
 };
 
 /// Outgoing links, at most one per address and thread, dialled on first use and closed
--- a/include/siskinrack/platform/call_budget.h
+++ b/include/siskinrack/platform/call_budget.h
@@ -18,8 +18,11 @@
  public:
   using time_point = std::chrono::steady_clock::time_point;
 
-  /// `per_second` and `burst` hold for each class of this process.
-  call_budget(double per_second, double burst) : per_second_(per_second), burst_(burst) {}
+  /// `per_second` and `burst` hold for each class of this process. `backoff_max` bounds the pause
+  /// after repeated failures.
+  call_budget(double per_second, double burst,
+              std::chrono::milliseconds backoff_max = std::chrono::milliseconds(5'000))
+      : per_second_(per_second), burst_(burst), backoff_max_(backoff_max) {}
 
   /// Takes a token and returns 0, or returns how long to wait before asking again.
   std::chrono::milliseconds Acquire(call_class kind, time_point now);
@@ -46,6 +49,7 @@
 
   double per_second_;
   double burst_;
+  std::chrono::milliseconds backoff_max_;
   std::array<class_state, kCallClasses> states_{};
 };
 
--- a/include/siskinrack/platform/object_store.h
+++ b/include/siskinrack/platform/object_store.h
@@ -30,6 +30,8 @@
   /// A write was sent and its answer lost; it may have taken effect.
   kOutcomeUnknown,
   kBadAnswer,
+  /// The changes since the revision of a watch are no longer known.
+  kHistoryGone,
 };
 
 struct store_error {
--- /dev/null
+++ b/include/siskinrack/routing/configuration.h
@@ -0,0 +1,66 @@
+#ifndef SISKINRACK_ROUTING_CONFIGURATION_H_
+#define SISKINRACK_ROUTING_CONFIGURATION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "siskinrack/net/http.h"
+
+namespace siskinrack::routing {
+
+/// Whether a request may run more than once.
+enum class repeatability { kRepeatable, kAtMostOnce };
+
+/// One part of a route's traffic.
+struct weighted_service {
+  std::string service;
+  std::uint32_t weight = 1;
+
+  bool operator==(const weighted_service&) const = default;
+};
+
+/// Sends the requests of a host and path prefix to one or several services.
+struct route {
+  std::string name;
+  std::string host;
+  /// Begins and ends with a slash; the longest matching prefix wins.
+  std::string prefix;
+  repeatability repeats = repeatability::kAtMostOnce;
+  /// An answer within this time earns its full worth.
+  std::chrono::milliseconds target_latency{0};
+  /// Longest time that a request may be kept waiting.
+  std::chrono::milliseconds timeout{0};
+  /// 0 is the most urgent.
+  std::uint32_t priority = 0;
+  /// Upstreams to which one request may be sent.
+  std::uint32_t attempts = 1;
+  std::vector<weighted_service> targets;
+
+  bool operator==(const route&) const = default;
+};
+
+/// A service that upstreams belong to.
+struct service {
+  std::string name;
+  std::string health_path;
+  /// Connections that one upstream accepts from all of its callers.
+  std::uint32_t max_connections = 0;
+
+  bool operator==(const service&) const = default;
+};
+
+/// One whole version of the operator's configuration.
+struct configuration {
+  std::uint64_t version = 0;
+  net::http_limits limits;
+  std::vector<route> routes;
+  std::vector<service> services;
+
+  bool operator==(const configuration&) const = default;
+};
+
+}  // namespace siskinrack::routing
+
+#endif  // SISKINRACK_ROUTING_CONFIGURATION_H_
--- /dev/null
+++ b/include/siskinrack/routing/route_table.h
@@ -0,0 +1,59 @@
+#ifndef SISKINRACK_ROUTING_ROUTE_TABLE_H_
+#define SISKINRACK_ROUTING_ROUTE_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "siskinrack/routing/configuration.h"
+
+namespace siskinrack::routing {
+
+/// Distributes requests over the targets of a route by smooth weighted round robin, so that the
+/// shares hold over short spans too. Not thread-safe.
+class weighted_split {
+ public:
+  /// `random` sets where the sequence starts; nodes that start together would else send their
+  /// first requests to the same target.
+  weighted_split(const std::vector<weighted_service>& targets, std::uint64_t random);
+
+  /// Index of the next target.
+  std::size_t Next();
+
+ private:
+  std::vector<std::int64_t> weights_;
+  std::vector<std::int64_t> credits_;
+  std::int64_t total_ = 0;
+};
+
+/// The routes of one configuration, prepared for look-ups.
+class route_table {
+ public:
+  explicit route_table(configuration config);
+
+  [[nodiscard]] const configuration& config() const { return config_; }
+  /// The route with the longest prefix of the path of `target` at `host`, or null. A port in `host`
+  /// and a query in `target` don't matter.
+  [[nodiscard]] const route* Match(std::string_view host, std::string_view target) const;
+  [[nodiscard]] const service* FindService(std::string_view name) const;
+
+ private:
+  struct text_hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>{}(text);
+    }
+  };
+  using prefix_map = std::unordered_map<std::string, std::size_t, text_hash, std::equal_to<>>;
+
+  configuration config_;
+  /// Indices into the routes, by lower-case host and prefix.
+  std::unordered_map<std::string, prefix_map, text_hash, std::equal_to<>> hosts_;
+};
+
+}  // namespace siskinrack::routing
+
+#endif  // SISKINRACK_ROUTING_ROUTE_TABLE_H_
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -32,6 +32,14 @@
 struct call_cancelBuilder;
 struct call_cancel_t;
 
+struct link_ping;
+struct link_pingBuilder;
+struct link_ping_t;
+
+struct link_pong;
+struct link_pongBuilder;
+struct link_pong_t;
+
 struct member_record;
 struct member_recordBuilder;
 struct member_record_t;
@@ -141,6 +149,60 @@
   return EnumNamesoutcome_kind()[index];
 }
 
+enum class answer_cause : uint8_t {
+  none = 0,
+  no_capacity = 1,
+  draining = 2,
+  wrong_instance = 3,
+  unreachable = 4,
+  refused_by_upstream = 5,
+  broken = 6,
+  timed_out = 7,
+  quarantined = 8,
+  cancelled = 9,
+  MIN = none,
+  MAX = cancelled
+};
+
+inline const answer_cause (&EnumValuesanswer_cause())[10] {
+  static const answer_cause values[] = {
+    answer_cause::none,
+    answer_cause::no_capacity,
+    answer_cause::draining,
+    answer_cause::wrong_instance,
+    answer_cause::unreachable,
+    answer_cause::refused_by_upstream,
+    answer_cause::broken,
+    answer_cause::timed_out,
+    answer_cause::quarantined,
+    answer_cause::cancelled
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesanswer_cause() {
+  static const char * const names[11] = {
+    "none",
+    "no_capacity",
+    "draining",
+    "wrong_instance",
+    "unreachable",
+    "refused_by_upstream",
+    "broken",
+    "timed_out",
+    "quarantined",
+    "cancelled",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameanswer_cause(answer_cause e) {
+  if (flatbuffers::IsOutRange(e, answer_cause::none, answer_cause::cancelled)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesanswer_cause()[index];
+}
+
 enum class upstream_state : uint8_t {
   none = 0,
   starting = 1,
@@ -276,11 +338,13 @@
   claim_result = 17,
   crash_evidence = 18,
   quarantine_release = 19,
+  link_ping = 20,
+  link_pong = 21,
   MIN = NONE,
-  MAX = quarantine_release
+  MAX = link_pong
 };
 
-inline const message (&EnumValuesmessage())[20] {
+inline const message (&EnumValuesmessage())[22] {
   static const message values[] = {
     message::NONE,
     message::call_request,
@@ -301,13 +365,15 @@
     message::claim_reply,
     message::claim_result,
     message::crash_evidence,
-    message::quarantine_release
+    message::quarantine_release,
+    message::link_ping,
+    message::link_pong
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[21] = {
+  static const char * const names[23] = {
     "NONE",
     "call_request",
     "call_answer",
@@ -328,13 +394,15 @@
     "claim_result",
     "crash_evidence",
     "quarantine_release",
+    "link_ping",
+    "link_pong",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::quarantine_release)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::link_pong)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -419,6 +487,14 @@
   static const message enum_value = message::quarantine_release;
 };
 
+template<> struct messageTraits<siskinrack::wire::link_ping> {
+  static const message enum_value = message::link_ping;
+};
+
+template<> struct messageTraits<siskinrack::wire::link_pong> {
+  static const message enum_value = message::link_pong;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -499,6 +575,14 @@
   static const message enum_value = message::quarantine_release;
 };
 
+template<> struct messageUnionTraits<siskinrack::wire::link_ping_t> {
+  static const message enum_value = message::link_ping;
+};
+
+template<> struct messageUnionTraits<siskinrack::wire::link_pong_t> {
+  static const message enum_value = message::link_pong;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -681,6 +765,22 @@
     return type == message::quarantine_release ?
       reinterpret_cast<const siskinrack::wire::quarantine_release_t *>(value) : nullptr;
   }
+  siskinrack::wire::link_ping_t *Aslink_ping() {
+    return type == message::link_ping ?
+      reinterpret_cast<siskinrack::wire::link_ping_t *>(value) : nullptr;
+  }
+  const siskinrack::wire::link_ping_t *Aslink_ping() const {
+    return type == message::link_ping ?
+      reinterpret_cast<const siskinrack::wire::link_ping_t *>(value) : nullptr;
+  }
+  siskinrack::wire::link_pong_t *Aslink_pong() {
+    return type == message::link_pong ?
+      reinterpret_cast<siskinrack::wire::link_pong_t *>(value) : nullptr;
+  }
+  const siskinrack::wire::link_pong_t *Aslink_pong() const {
+    return type == message::link_pong ?
+      reinterpret_cast<const siskinrack::wire::link_pong_t *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -872,6 +972,8 @@
   std::string idempotency_key{};
   uint64_t claim_epoch = 0;
   uint64_t config_version = 0;
+  std::string host{};
+  bool at_most_once = false;
   call_request_t() = default;
   call_request_t(const call_request_t &o);
   call_request_t(call_request_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -894,7 +996,9 @@
     VT_REQUEST_ID = 22,
     VT_IDEMPOTENCY_KEY = 24,
     VT_CLAIM_EPOCH = 26,
-    VT_CONFIG_VERSION = 28
+    VT_CONFIG_VERSION = 28,
+    VT_HOST = 30,
+    VT_AT_MOST_ONCE = 32
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -935,6 +1039,12 @@
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
   }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  bool at_most_once() const {
+    return GetField<uint8_t>(VT_AT_MOST_ONCE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -960,6 +1070,9 @@
            verifier.VerifyString(idempotency_key()) &&
            VerifyField<uint64_t>(verifier, VT_CLAIM_EPOCH, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyField<uint8_t>(verifier, VT_AT_MOST_ONCE, 1) &&
            verifier.EndTable();
   }
   call_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1010,6 +1123,12 @@
   void add_config_version(uint64_t config_version) {
     fbb_.AddElement<uint64_t>(call_request::VT_CONFIG_VERSION, config_version, 0);
   }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(call_request::VT_HOST, host);
+  }
+  void add_at_most_once(bool at_most_once) {
+    fbb_.AddElement<uint8_t>(call_request::VT_AT_MOST_ONCE, static_cast<uint8_t>(at_most_once), 0);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1035,10 +1154,13 @@
     flatbuffers::Offset<flatbuffers::String> request_id = 0,
     flatbuffers::Offset<flatbuffers::String> idempotency_key = 0,
     uint64_t claim_epoch = 0,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    bool at_most_once = false) {
   call_requestBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_claim_epoch(claim_epoch);
+  builder_.add_host(host);
   builder_.add_idempotency_key(idempotency_key);
   builder_.add_request_id(request_id);
   builder_.add_deadline_ms(deadline_ms);
@@ -1049,6 +1171,7 @@
   builder_.add_caller(caller);
   builder_.add_rank(rank);
   builder_.add_service(service);
+  builder_.add_at_most_once(at_most_once);
   builder_.add_attempt(attempt);
   return builder_.Finish();
 }
@@ -1067,7 +1190,9 @@
     const char *request_id = nullptr,
     const char *idempotency_key = nullptr,
     uint64_t claim_epoch = 0,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    const char *host = nullptr,
+    bool at_most_once = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto rank__ = rank ? _fbb.CreateString(rank) : 0;
   auto caller__ = caller ? _fbb.CreateString(caller) : 0;
@@ -1077,6 +1202,7 @@
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto idempotency_key__ = idempotency_key ? _fbb.CreateString(idempotency_key) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
   return siskinrack::wire::Createcall_request(
       _fbb,
       service__,
@@ -1091,7 +1217,9 @@
       request_id__,
       idempotency_key__,
       claim_epoch,
-      config_version);
+      config_version,
+      host__,
+      at_most_once);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1108,6 +1236,8 @@
   uint16_t queued = 0;
   uint16_t slots = 0;
   std::string node_id{};
+  siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none;
+  uint64_t config_version = 0;
   call_answer_t() = default;
   call_answer_t(const call_answer_t &o);
   call_answer_t(call_answer_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1127,7 +1257,9 @@
     VT_IN_FLIGHT = 16,
     VT_QUEUED = 18,
     VT_SLOTS = 20,
-    VT_NODE_ID = 22
+    VT_NODE_ID = 22,
+    VT_CAUSE = 24,
+    VT_CONFIG_VERSION = 26
   };
   siskinrack::wire::outcome_kind outcome() const {
     return static_cast<siskinrack::wire::outcome_kind>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -1159,6 +1291,12 @@
   const flatbuffers::String *node_id() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE_ID);
   }
+  siskinrack::wire::answer_cause cause() const {
+    return static_cast<siskinrack::wire::answer_cause>(GetField<uint8_t>(VT_CAUSE, 0));
+  }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -1176,6 +1314,8 @@
            VerifyField<uint16_t>(verifier, VT_SLOTS, 2) &&
            VerifyOffset(verifier, VT_NODE_ID) &&
            verifier.VerifyString(node_id()) &&
+           VerifyField<uint8_t>(verifier, VT_CAUSE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            verifier.EndTable();
   }
   call_answer_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1217,6 +1357,12 @@
   void add_node_id(flatbuffers::Offset<flatbuffers::String> node_id) {
     fbb_.AddOffset(call_answer::VT_NODE_ID, node_id);
   }
+  void add_cause(siskinrack::wire::answer_cause cause) {
+    fbb_.AddElement<uint8_t>(call_answer::VT_CAUSE, static_cast<uint8_t>(cause), 0);
+  }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(call_answer::VT_CONFIG_VERSION, config_version, 0);
+  }
   explicit call_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1239,8 +1385,11 @@
     uint16_t in_flight = 0,
     uint16_t queued = 0,
     uint16_t slots = 0,
-    flatbuffers::Offset<flatbuffers::String> node_id = 0) {
+    flatbuffers::Offset<flatbuffers::String> node_id = 0,
+    siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none,
+    uint64_t config_version = 0) {
   call_answerBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
   builder_.add_node_id(node_id);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_body(body);
@@ -1250,6 +1399,7 @@
   builder_.add_queued(queued);
   builder_.add_in_flight(in_flight);
   builder_.add_status(status);
+  builder_.add_cause(cause);
   builder_.add_outcome(outcome);
   return builder_.Finish();
 }
@@ -1265,7 +1415,9 @@
     uint16_t in_flight = 0,
     uint16_t queued = 0,
     uint16_t slots = 0,
-    const char *node_id = nullptr) {
+    const char *node_id = nullptr,
+    siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none,
+    uint64_t config_version = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::header_field>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -1281,7 +1433,9 @@
       in_flight,
       queued,
       slots,
-      node_id__);
+      node_id__,
+      cause,
+      config_version);
 }
 
 flatbuffers::Offset<call_answer> Createcall_answer(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1325,6 +1479,84 @@
 
 flatbuffers::Offset<call_cancel> Createcall_cancel(flatbuffers::FlatBufferBuilder &_fbb, const call_cancel_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct link_ping_t : public flatbuffers::NativeTable {
+  typedef link_ping TableType;
+};
+
+struct link_ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef link_ping_t NativeTableType;
+  typedef link_pingBuilder Builder;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  link_ping_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(link_ping_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<link_ping> Pack(flatbuffers::FlatBufferBuilder &_fbb, const link_ping_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct link_pingBuilder {
+  typedef link_ping Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit link_pingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<link_ping> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<link_ping>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<link_ping> Createlink_ping(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  link_pingBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<link_ping> Createlink_ping(flatbuffers::FlatBufferBuilder &_fbb, const link_ping_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct link_pong_t : public flatbuffers::NativeTable {
+  typedef link_pong TableType;
+};
+
+struct link_pong FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef link_pong_t NativeTableType;
+  typedef link_pongBuilder Builder;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  link_pong_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(link_pong_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<link_pong> Pack(flatbuffers::FlatBufferBuilder &_fbb, const link_pong_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct link_pongBuilder {
+  typedef link_pong Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit link_pongBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<link_pong> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<link_pong>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<link_pong> Createlink_pong(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  link_pongBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<link_pong> Createlink_pong(flatbuffers::FlatBufferBuilder &_fbb, const link_pong_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct member_record_t : public flatbuffers::NativeTable {
   typedef member_record TableType;
   std::string node_id{};
@@ -3292,6 +3524,12 @@
   const siskinrack::wire::quarantine_release *message_as_quarantine_release() const {
     return message_type() == siskinrack::wire::message::quarantine_release ? static_cast<const siskinrack::wire::quarantine_release *>(message()) : nullptr;
   }
+  const siskinrack::wire::link_ping *message_as_link_ping() const {
+    return message_type() == siskinrack::wire::message::link_ping ? static_cast<const siskinrack::wire::link_ping *>(message()) : nullptr;
+  }
+  const siskinrack::wire::link_pong *message_as_link_pong() const {
+    return message_type() == siskinrack::wire::message::link_pong ? static_cast<const siskinrack::wire::link_pong *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -3386,6 +3624,14 @@
   return message_as_quarantine_release();
 }
 
+template<> inline const siskinrack::wire::link_ping *envelope::message_as<siskinrack::wire::link_ping>() const {
+  return message_as_link_ping();
+}
+
+template<> inline const siskinrack::wire::link_pong *envelope::message_as<siskinrack::wire::link_pong>() const {
+  return message_as_link_pong();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3506,7 +3752,9 @@
         request_id(o.request_id),
         idempotency_key(o.idempotency_key),
         claim_epoch(o.claim_epoch),
-        config_version(o.config_version) {
+        config_version(o.config_version),
+        host(o.host),
+        at_most_once(o.at_most_once) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -3525,6 +3773,8 @@
   std::swap(idempotency_key, o.idempotency_key);
   std::swap(claim_epoch, o.claim_epoch);
   std::swap(config_version, o.config_version);
+  std::swap(host, o.host);
+  std::swap(at_most_once, o.at_most_once);
   return *this;
 }
 
@@ -3550,6 +3800,8 @@
   { auto _e = idempotency_key(); if (_e) _o->idempotency_key = _e->str(); }
   { auto _e = claim_epoch(); _o->claim_epoch = _e; }
   { auto _e = config_version(); _o->config_version = _e; }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = at_most_once(); _o->at_most_once = _e; }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3573,6 +3825,8 @@
   auto _idempotency_key = _o->idempotency_key.empty() ? 0 : _fbb.CreateString(_o->idempotency_key);
   auto _claim_epoch = _o->claim_epoch;
   auto _config_version = _o->config_version;
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _at_most_once = _o->at_most_once;
   return siskinrack::wire::Createcall_request(
       _fbb,
       _service,
@@ -3587,7 +3841,9 @@
       _request_id,
       _idempotency_key,
       _claim_epoch,
-      _config_version);
+      _config_version,
+      _host,
+      _at_most_once);
 }
 
 inline call_answer_t::call_answer_t(const call_answer_t &o)
@@ -3599,7 +3855,9 @@
         in_flight(o.in_flight),
         queued(o.queued),
         slots(o.slots),
-        node_id(o.node_id) {
+        node_id(o.node_id),
+        cause(o.cause),
+        config_version(o.config_version) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -3615,6 +3873,8 @@
   std::swap(queued, o.queued);
   std::swap(slots, o.slots);
   std::swap(node_id, o.node_id);
+  std::swap(cause, o.cause);
+  std::swap(config_version, o.config_version);
   return *this;
 }
 
@@ -3637,6 +3897,8 @@
   { auto _e = queued(); _o->queued = _e; }
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = node_id(); if (_e) _o->node_id = _e->str(); }
+  { auto _e = cause(); _o->cause = _e; }
+  { auto _e = config_version(); _o->config_version = _e; }
 }
 
 inline flatbuffers::Offset<call_answer> call_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3657,6 +3919,8 @@
   auto _queued = _o->queued;
   auto _slots = _o->slots;
   auto _node_id = _o->node_id.empty() ? 0 : _fbb.CreateString(_o->node_id);
+  auto _cause = _o->cause;
+  auto _config_version = _o->config_version;
   return siskinrack::wire::Createcall_answer(
       _fbb,
       _outcome,
@@ -3668,7 +3932,9 @@
       _in_flight,
       _queued,
       _slots,
-      _node_id);
+      _node_id,
+      _cause,
+      _config_version);
 }
 
 inline call_cancel_t *call_cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3694,6 +3960,52 @@
       _fbb);
 }
 
+inline link_ping_t *link_ping::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<link_ping_t>(new link_ping_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void link_ping::UnPackTo(link_ping_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<link_ping> link_ping::Pack(flatbuffers::FlatBufferBuilder &_fbb, const link_ping_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlink_ping(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<link_ping> Createlink_ping(flatbuffers::FlatBufferBuilder &_fbb, const link_ping_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const link_ping_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return siskinrack::wire::Createlink_ping(
+      _fbb);
+}
+
+inline link_pong_t *link_pong::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<link_pong_t>(new link_pong_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void link_pong::UnPackTo(link_pong_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<link_pong> link_pong::Pack(flatbuffers::FlatBufferBuilder &_fbb, const link_pong_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlink_pong(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<link_pong> Createlink_pong(flatbuffers::FlatBufferBuilder &_fbb, const link_pong_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const link_pong_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return siskinrack::wire::Createlink_pong(
+      _fbb);
+}
+
 inline member_record_t *member_record::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<member_record_t>(new member_record_t());
   UnPackTo(_o.get(), _resolver);
@@ -4526,6 +4838,14 @@
       auto ptr = reinterpret_cast<const siskinrack::wire::quarantine_release *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::link_ping: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::link_ping *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::link_pong: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::link_pong *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4621,6 +4941,14 @@
       auto ptr = reinterpret_cast<const siskinrack::wire::quarantine_release *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::link_ping: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::link_ping *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::link_pong: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::link_pong *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4704,6 +5032,14 @@
       auto ptr = reinterpret_cast<const siskinrack::wire::quarantine_release_t *>(value);
       return Createquarantine_release(_fbb, ptr, _rehasher).Union();
     }
+    case message::link_ping: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::link_ping_t *>(value);
+      return Createlink_ping(_fbb, ptr, _rehasher).Union();
+    }
+    case message::link_pong: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::link_pong_t *>(value);
+      return Createlink_pong(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4786,6 +5122,14 @@
       value = new siskinrack::wire::quarantine_release_t(*reinterpret_cast<siskinrack::wire::quarantine_release_t *>(u.value));
       break;
     }
+    case message::link_ping: {
+      value = new siskinrack::wire::link_ping_t(*reinterpret_cast<siskinrack::wire::link_ping_t *>(u.value));
+      break;
+    }
+    case message::link_pong: {
+      value = new siskinrack::wire::link_pong_t(*reinterpret_cast<siskinrack::wire::link_pong_t *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4888,6 +5232,16 @@
       delete ptr;
       break;
     }
+    case message::link_ping: {
+      auto ptr = reinterpret_cast<siskinrack::wire::link_ping_t *>(value);
+      delete ptr;
+      break;
+    }
+    case message::link_pong: {
+      auto ptr = reinterpret_cast<siskinrack::wire::link_pong_t *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/lib/mesh/call_answers.h
@@ -0,0 +1,24 @@
+#ifndef SISKINRACK_LIB_MESH_CALL_ANSWERS_H_
+#define SISKINRACK_LIB_MESH_CALL_ANSWERS_H_
+
+#include <chrono>
+#include <string_view>
+
+#include "siskinrack/wire/siskinrack_generated.h"
+
+namespace siskinrack::mesh {
+
+inline constexpr unsigned kStatusNotFound = 404;
+inline constexpr unsigned kStatusBadGateway = 502;
+inline constexpr unsigned kStatusUnavailable = 503;
+inline constexpr unsigned kStatusGatewayTimeout = 504;
+
+/// The request has not run and will not run.
+wire::call_answer_t NotRun(wire::answer_cause cause, std::string_view reason,
+                           std::chrono::milliseconds retry_after = std::chrono::milliseconds(0));
+/// The request may have run.
+wire::call_answer_t Unknown(wire::answer_cause cause, std::string_view reason);
+
+}  // namespace siskinrack::mesh
+
+#endif  // SISKINRACK_LIB_MESH_CALL_ANSWERS_H_
--- /dev/null
+++ b/lib/mesh/config_consumer.cpp
@@ -0,0 +1,40 @@
+#include "config_consumer.h"
+
+#include "configuration_codec.h"
+
+namespace siskinrack::mesh {
+
+void config_consumer::OnList(fleet::object_listing listing) {
+  for (const fleet::kept_object& object : listing.items) Offer(object);
+}
+
+void config_consumer::OnChange(fleet::object_change change) {
+  if (change.deleted) {
+    context_.log.Warn("config_object_deleted",
+                      {{"name", change.object.name}, {"kept_version", context_.version()}});
+    return;
+  }
+  Offer(change.object);
+}
+
+void config_consumer::Offer(const fleet::kept_object& object) {
+  if (object.name != fleet::kConfigurationName) return;
+  support::findings problems;
+  auto config = fleet::ReadConfiguration(object.content, problems);
+  if (!config) {
+    context_.log.Warn("config_rejected", {{"revision", object.revision},
+                                          {"kept_version", context_.version()},
+                                          {"findings", problems.ToText()}});
+    return;
+  }
+  if (config->version <= context_.version()) return;
+  const std::uint64_t previous = context_.version();
+  context_.routes = std::make_shared<const routing::route_table>(std::move(*config));
+  context_.log.Info("config_active", {{"version", context_.version()},
+                                      {"previous", previous},
+                                      {"revision", object.revision},
+                                      {"routes", context_.routes->config().routes.size()}});
+  on_active_();
+}
+
+}  // namespace siskinrack::mesh
--- /dev/null
+++ b/lib/mesh/endpoint_consumer.cpp
@@ -0,0 +1,50 @@
+#include "endpoint_consumer.h"
+
+#include "siskinrack/routing/endpoint_record.h"
+
+namespace siskinrack::mesh {
+
+std::optional<routing::endpoint> endpoint_consumer::Read(const fleet::kept_object& object) const {
+  support::findings problems;
+  auto item = routing::FromRecord(object.content, problems);
+  if (!item) {
+    context_.log.Warn(
+        "endpoint_record_unreadable",
+        {{"name", object.name}, {"revision", object.revision}, {"findings", problems.ToText()}});
+  }
+  return item;
+}
+
+void endpoint_consumer::OnList(fleet::object_listing listing) {
+  std::vector<routing::endpoint> all;
+  for (const fleet::kept_object& object : listing.items) {
+    auto item = Read(object);
+    if (!item) continue;
+    if (item->node_address == context_.settings.peer_address) on_own_(object.name, object.revision);
+    all.push_back(std::move(*item));
+  }
+  context_.log.Info("endpoints_listed",
+                    {{"endpoints", all.size()}, {"revision", listing.revision}});
+  context_.endpoints.Replace(std::move(all));
+}
+
+void endpoint_consumer::OnChange(fleet::object_change change) {
+  const std::string& id = change.object.name;
+  if (change.deleted) {
+    context_.log.Info("endpoint_gone", {{"instance", id}, {"revision", change.object.revision}});
+    context_.endpoints.Remove(id);
+    on_own_(id, 0);
+    return;
+  }
+  auto item = Read(change.object);
+  if (!item) return;
+  context_.log.Info("endpoint_changed", {{"instance", id},
+                                         {"service", item->service},
+                                         {"node", item->node_address.ToText()},
+                                         {"ready", item->state == routing::instance_state::kReady},
+                                         {"revision", change.object.revision}});
+  if (item->node_address == context_.settings.peer_address) on_own_(id, change.object.revision);
+  context_.endpoints.Upsert(std::move(*item));
+}
+
+}  // namespace siskinrack::mesh
--- /dev/null
+++ b/lib/mesh/entry_point.cpp
@@ -0,0 +1,249 @@
+#include "entry_point.h"
+
+#include <algorithm>
+
+#include "call_answers.h"
+#include "request_codec.h"
+
+namespace siskinrack::mesh {
+namespace {
+
+using balancing::call_outcome;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using wire::answer_cause;
+using wire::outcome_kind;
+
+/// Time for the serving node's verdict to travel back after the deadline.
+constexpr milliseconds kVerdictMargin{150};
+/// A request with less time left isn't sent to another endpoint: the answer would be late.
+constexpr milliseconds kMinTimeForRetry{20};
+/// Pause for a refused caller when no node named one: about the time in which a few slots turn
+/// over.
+constexpr milliseconds kRetryAfter{250};
+constexpr milliseconds kRetryAfterSpread{150};
+/// Deadline of callers that name none and of routes without a timeout.
+constexpr milliseconds kDefaultDeadline{30'000};
+constexpr unsigned kFirstServerError = 500;
+
+call_outcome OutcomeFor(const wire::call_answer_t& answer, bool cancelled) {
+  if (cancelled) return call_outcome::kAbandoned;
+  switch (answer.cause) {
+    case answer_cause::none:
+      return answer.status >= kFirstServerError ? call_outcome::kFailed : call_outcome::kAnswered;
+    case answer_cause::no_capacity:
+    case answer_cause::refused_by_upstream:
+      return call_outcome::kRefused;
+    case answer_cause::timed_out:
+      return call_outcome::kTimedOut;
+    case answer_cause::quarantined:
+    case answer_cause::cancelled:
+      return call_outcome::kAbandoned;
+    default:
+      return call_outcome::kFailed;
+  }
+}
+
+balancing::call_report ReportFor(const wire::call_answer_t& answer, bool cancelled,
+                                 steady_clock::duration latency) {
+  balancing::call_report report{OutcomeFor(answer, cancelled), latency, {}, {}};
+  if (answer.slots > 0) {
+    report.load = balancing::reported_load{answer.in_flight, answer.queued, answer.slots};
+  }
+  return report;
+}
+
+wire::call_request_t MakeCall(net::http_request request, const std::string& request_id,
+                              const routing::route& route, const std::string& service,
+                              const std::string& caller) {
+  wire::call_request_t call;
+  call.service = service;
+  call.rank = RankName(route.priority);
+  call.caller = caller;
+  call.request_id = request_id;
+  call.at_most_once = route.repeats == routing::repeatability::kAtMostOnce;
+  call.method = std::move(request.method);
+  call.target = std::move(request.target);
+  call.host = std::move(request.host);
+  call.headers.reserve(request.fields.size());
+  for (net::http_field& field : request.fields) {
+    auto copy = std::make_unique<wire::header_field_t>();
+    copy->name = std::move(field.name);
+    copy->value = std::move(field.value);
+    call.headers.push_back(std::move(copy));
+  }
+  call.body.assign(request.body.begin(), request.body.end());
+  return call;
+}
+
+std::string StateName(const routing::lifetime& life) {
+  return life.instance_id + '@' + std::to_string(life.born_ms);
+}
+
+}  // namespace
+
+net::http_response entry_point::Handle(net::http_request request, net::cancellation& cancel) {
+  const auto now = steady_clock::now();
+  const fleet::caller_request caller = fleet::TakeCallerFields(request);
+  request_state state;
+  state.started = now;
+  state.routes = context_.routes;
+  if (state.routes == nullptr) {
+    return Refuse(caller.id, kStatusUnavailable, "no configuration is in force yet");
+  }
+  state.route = state.routes->Match(request.host, request.target);
+  if (state.route == nullptr) return Refuse(caller.id, kStatusNotFound, "no route matches");
+  state.service = ChooseService(*state.route);
+  const milliseconds timeout =
+      state.route->timeout.count() > 0 ? state.route->timeout : kDefaultDeadline;
+  state.end = now + std::min(caller.deadline.value_or(timeout), timeout);
+  state.call = MakeCall(std::move(request), caller.id, *state.route, state.service,
+                        context_.settings.service);
+  return ToHttp(state, Run(state, cancel));
+}
+
+const std::string& entry_point::ChooseService(const routing::route& route) {
+  if (route.targets.size() == 1) return route.targets.front().service;
+  const auto [split, added] = splits_.try_emplace(&route, route.targets, random_());
+  return route.targets[split->second.Next()].service;
+}
+
+entry_point::service_view& entry_point::View(const std::string& service) {
+  service_view& view = views_[service];
+  if (view.endpoints != nullptr && view.generation == context_.endpoints.generation()) return view;
+  view.generation = context_.endpoints.generation();
+  view.endpoints = context_.endpoints.Of(service);
+  view.candidates.clear();
+  for (const routing::endpoint& item : *view.endpoints) {
+    view.candidates.push_back(
+        {tracker_.Get(StateName(item.life), item.slots), item.zone == context_.settings.zone});
+  }
+  return view;
+}
+
+std::optional<std::size_t> entry_point::Choose(const service_view& view,
+                                               const request_state& state) {
+  std::vector<std::size_t> indices;
+  std::vector<balancing::candidate> untried;
+  for (std::size_t i = 0; i < view.candidates.size(); ++i) {
+    if (state.tried.contains((*view.endpoints)[i].life.instance_id)) continue;
+    indices.push_back(i);
+    untried.push_back(view.candidates[i]);
+  }
+  const auto choice = balancing::Choose(untried, steady_clock::now(), random_());
+  if (!choice.index) return std::nullopt;
+  return indices[*choice.index];
+}
+
+wire::call_answer_t entry_point::Run(request_state& state, net::cancellation& cancel) {
+  auto& share = retries_.try_emplace(state.service, context_.settings.retries).first->second;
+  share.AddRequest(steady_clock::now());
+  wire::call_answer_t last = NotRun(answer_cause::unreachable, "no endpoint is known");
+  while (true) {
+    const service_view view = View(state.service);
+    const auto index = Choose(view, state);
+    if (!index) return last;
+    const routing::endpoint& target = (*view.endpoints)[*index];
+    state.tried.insert(target.life.instance_id);
+    const auto& endpoint_state = view.candidates[*index].state;
+    const auto sent_at = steady_clock::now();
+    endpoint_state->Start(sent_at);
+    last = Send(target, state, cancel);
+    const auto now = steady_clock::now();
+    endpoint_state->Finish(ReportFor(last, cancel.cancelled(), now - sent_at), now);
+    if (cancel.cancelled() || !MayGoOn(state, last)) return last;
+    context_.log.Info("call_resent", {{"request", state.call.request_id},
+                                      {"after", wire::EnumNameanswer_cause(last.cause)},
+                                      {"instance", target.life.instance_id},
+                                      {"runs", state.runs},
+                                      {"arrivals", state.arrivals}});
+  }
+}
+
+bool entry_point::MayGoOn(request_state& state, const wire::call_answer_t& answer) {
+  if (answer.outcome == outcome_kind::answered) return false;
+  if (answer.cause == answer_cause::quarantined) return false;
+  const auto now = steady_clock::now();
+  if (state.end - now < kMinTimeForRetry) return false;
+  if (answer.outcome == outcome_kind::unknown) {
+    ++state.runs;
+    if (state.call.at_most_once || state.runs >= state.route->attempts) return false;
+  }
+  const bool arrived =
+      answer.outcome == outcome_kind::unknown || answer.cause == answer_cause::refused_by_upstream;
+  if (arrived) ++state.arrivals;
+  if (state.arrivals == 0) return true;
+  return retries_.at(state.service).TakeRetry(context_.endpoints.Nodes().size(), now);
+}
+
+wire::call_answer_t entry_point::Send(const routing::endpoint& target, request_state& state,
+                                      net::cancellation& cancel) {
+  const auto remaining = std::chrono::floor<milliseconds>(state.end - steady_clock::now());
+  if (remaining.count() <= 0) return NotRun(answer_cause::no_capacity, "deadline has passed");
+  state.call.deadline_ms = static_cast<std::uint32_t>(remaining.count());
+  state.call.config_version = state.routes->config().version;
+  if (target.node_address == context_.settings.peer_address) {
+    return serving_.Serve(state.call, cancel);
+  }
+  auto result = context_.peers.Request(target.node_address,
+                                       wire::MakeEnvelope(wire::call_request_t(state.call)),
+                                       state.end + kVerdictMargin, &cancel);
+  if (result.stage == net::exchange_stage::kNotSent) {
+    return NotRun(answer_cause::unreachable, result.error);
+  }
+  if (result.reply == nullptr) {
+    if (cancel.cancelled()) return Unknown(answer_cause::cancelled, "caller left");
+    return Unknown(result.timed_out ? answer_cause::timed_out : answer_cause::broken,
+                   "no verdict of the serving node: " + result.error);
+  }
+  auto* answer = result.reply->message.Ascall_answer();
+  if (answer == nullptr) return Unknown(answer_cause::broken, "reply of another type");
+  return std::move(*answer);
+}
+
+milliseconds entry_point::RetryAfter(const wire::call_answer_t& answer) {
+  const milliseconds asked(answer.retry_after_ms);
+  const milliseconds spread(random_() % static_cast<std::uint64_t>(kRetryAfterSpread.count()));
+  return std::max(asked, kRetryAfter) + spread;
+}
+
+net::http_response entry_point::Refuse(const std::string& id, unsigned status,
+                                       std::string_view reason) {
+  context_.log.Info("request_refused", {{"request", id},
+                                        {"status", status},
+                                        {"reason", reason},
+                                        {"config_version", context_.version()}});
+  const bool come_back = status == kStatusUnavailable;
+  return fleet::OwnAnswer(status, id, reason, come_back ? RetryAfter({}) : milliseconds(0));
+}
+
+net::http_response entry_point::ToHttp(const request_state& state, wire::call_answer_t answer) {
+  const auto took = std::chrono::duration_cast<milliseconds>(steady_clock::now() - state.started);
+  const std::string_view outcome = wire::EnumNameoutcome_kind(answer.outcome);
+  context_.requests.Count(outcome, state.call.rank, took);
+  if (answer.outcome != outcome_kind::answered) {
+    context_.log.Info("request_failed", {{"request", state.call.request_id},
+                                         {"route", state.route->name},
+                                         {"service", state.service},
+                                         {"outcome", outcome},
+                                         {"cause", wire::EnumNameanswer_cause(answer.cause)},
+                                         {"reason", answer.reason},
+                                         {"node", answer.node_id},
+                                         {"tried", state.tried.size()},
+                                         {"took_ms", took.count()},
+                                         {"config_version", state.call.config_version}});
+    const bool come_back = answer.outcome == outcome_kind::not_run;
+    return fleet::OwnAnswer(answer.status, state.call.request_id, answer.reason,
+                            come_back ? RetryAfter(answer) : milliseconds(0));
+  }
+  net::http_response response;
+  response.status = answer.status;
+  response.fields.reserve(answer.headers.size());
+  for (auto& field : answer.headers) {
+    response.fields.push_back({std::move(field->name), std::move(field->value)});
+  }
+  response.body.assign(answer.body.begin(), answer.body.end());
+  return response;
+}
+
+}  // namespace siskinrack::mesh
--- /dev/null
+++ b/lib/mesh/mesh_node.cpp
@@ -0,0 +1,194 @@
+#include "siskinrack/mesh/mesh_node.h"
+
+#include <thread>
+
+#include "config_consumer.h"
+#include "endpoint_consumer.h"
+#include "entry_point.h"
+#include "instance_codec.h"
+#include "mesh_context.h"
+#include "object_feed.h"
+#include "registration.h"
+#include "serving_point.h"
+#include "siskinrack/net/http_server.h"
+
+namespace siskinrack::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr unsigned kStatusOk = 200;
+constexpr milliseconds kDrainPoll{20};
+/// The platform asks once a second and takes a node out after two misses.
+constexpr milliseconds kCallersLeave{2'300};
+/// Time before the end of the grace period at which the process ends by itself.
+constexpr milliseconds kGraceMargin{600};
+/// After this part of the shutdown, other nodes have to choose other upstreams.
+constexpr milliseconds kServePeers{1'000};
+/// Changes of the endpoints within this time arrive in one watch call.
+constexpr milliseconds kEndpointPause{250};
+
+}  // namespace
+
+std::optional<std::string> PlatformSettingsPath() { return fleet::SettingsPath(); }
+
+class mesh_node::impl {
+ public:
+  impl(std::string path, fleet::machine_settings settings)
+      : path_(std::move(path)),
+        context_(std::move(settings)),
+        registration_(context_),
+        serving_(context_, registration_),
+        entry_(context_, serving_),
+        configs_(context_, [this] { OnConfiguration(); }),
+        endpoints_(context_,
+                   [this](const std::string& id, std::uint64_t revision) {
+                     registration_.OnOwnRecord(id, revision);
+                   }),
+        config_feed_(context_, fleet::kConfigurationKind, configs_, milliseconds(0)),
+        endpoint_feed_(context_, kEndpointKind, endpoints_, kEndpointPause),
+        caller_server_(context_.runtime, {.address = context_.settings.caller_address},
+                       [this](net::http_request request, net::cancellation& cancel) {
+                         return entry_.Handle(std::move(request), cancel);
+                       }),
+        ready_server_(context_.runtime, {.address = context_.settings.ready_address},
+                      [this](const net::http_request& request, net::cancellation&) {
+                        return HandleReady(request);
+                      }),
+        heartbeat_server_(context_.runtime, {.address = context_.settings.heartbeat_address},
+                          [this](const net::http_request& request, net::cancellation&) {
+                            return registration_.Handle(request);
+                          }),
+        metrics_server_(context_.runtime, {.address = context_.settings.metrics_address},
+                        [this](const net::http_request& request, net::cancellation&) {
+                          return HandleMetrics(request);
+                        }),
+        peer_server_(context_.runtime, context_.peer, {.address = context_.settings.peer_address},
+                     [this](const wire::envelope_t& message, net::cancellation& cancel) {
+                       return HandlePeer(message, cancel);
+                     }) {}
+
+  void Start(support::findings& problems) {
+    Listen("caller", caller_server_, problems);
+    Listen("ready", ready_server_, problems);
+    Listen("heartbeat", heartbeat_server_, problems);
+    Listen("metrics", metrics_server_, problems);
+    Listen("peer", peer_server_, problems);
+    if (!problems.empty()) return;
+    context_.log.Info("started", {{"zone", context_.settings.zone},
+                                  {"service", context_.settings.service},
+                                  {"caller_address", context_.settings.caller_address.ToText()},
+                                  {"store", context_.settings.store_address.ToText()}});
+    context_.runtime.Post(0, [this] { config_feed_.Run(); });
+    context_.runtime.Post(0, [this] { endpoint_feed_.Run(); });
+    context_.runtime.Post(0, [this] { registration_.Run(); });
+  }
+
+  void Reload() {
+    support::findings problems;
+    const fleet::machine_settings next = fleet::ReadSettings(path_, problems);
+    if (!problems.empty()) {
+      context_.log.Warn("reload_rejected", {{"findings", problems.ToText()}});
+      return;
+    }
+    context_.log.Info("reloaded", {{"changed", !(next == context_.settings)}});
+  }
+
+  void Drain() {
+    const auto begun = steady_clock::now();
+    const auto last = begun + context_.settings.grace_period - kGraceMargin;
+    context_.stopping = true;
+    context_.log.Info("drain_started", {{"in_flight", OpenRequests()}});
+    caller_server_.Drain();
+    std::this_thread::sleep_until(std::min(begun + kServePeers, last));
+    serving_.StopServing();
+    std::this_thread::sleep_until(std::min(begun + kCallersLeave, last));
+    caller_server_.CloseIdle();
+    while (OpenRequests() > 0 && steady_clock::now() < last) {
+      std::this_thread::sleep_for(kDrainPoll);
+    }
+    context_.log.Info("stopped", {{"in_flight", OpenRequests()}});
+  }
+
+ private:
+  template <typename Server>
+  static void Listen(std::string_view name, Server& server, support::findings& problems) {
+    const std::string error = server.Start();
+    if (!error.empty()) problems.Add(std::string(name) + " address", error);
+  }
+
+  [[nodiscard]] std::size_t OpenRequests() const {
+    return caller_server_.in_flight() + serving_.in_flight() + context_.peer.unwritten_answers;
+  }
+
+  void OnConfiguration() {
+    caller_server_.SetLimits(context_.routes->config().limits);
+    serving_.OnConfiguration();
+    entry_.OnConfiguration();
+  }
+
+  net::http_response HandleReady(const net::http_request& request) {
+    if (!fleet::IsReadinessCheck(request)) return {404, {}, {}};
+    const bool ready = !context_.stopping && context_.routes != nullptr && endpoint_feed_.listed();
+    return {ready ? kStatusOk : 503U, {}, {}};
+  }
+
+  net::http_response HandleMetrics(const net::http_request& request) {
+    if (request.target != "/metrics") return {404, {}, {}};
+    support::metrics_page page;
+    page.Append(context_.requests.ToText());
+    page.Metric("siskinrack_platform_calls_total", "counter", "calls to the platform's store");
+    const auto calls = [this](platform::call_class kind) {
+      return static_cast<double>(context_.store.calls(kind));
+    };
+    page.Sample("siskinrack_platform_calls_total", {{"class", "read"}},
+                calls(platform::call_class::kRead));
+    page.Sample("siskinrack_platform_calls_total", {{"class", "write"}},
+                calls(platform::call_class::kWrite));
+    page.Sample("siskinrack_platform_calls_total", {{"class", "watch"}},
+                calls(platform::call_class::kWatch));
+    page.Metric("siskinrack_config_version", "gauge", "version in force");
+    page.Sample("siskinrack_config_version", {}, static_cast<double>(context_.version()));
+    page.Metric("siskinrack_resident_bytes", "gauge", "resident memory");
+    page.Sample("siskinrack_resident_bytes", {}, support::ProcessResidentBytes());
+    return {kStatusOk, {{"Content-Type", "text/plain"}}, page.text()};
+  }
+
+  std::optional<wire::envelope_t> HandlePeer(const wire::envelope_t& message,
+                                             net::cancellation& cancel) {
+    const auto* call = message.message.Ascall_request();
+    if (call == nullptr) return std::nullopt;
+    return wire::MakeEnvelope(serving_.Serve(*call, cancel));
+  }
+
+  std::string path_;
+  mesh_context context_;
+  registration registration_;
+  serving_point serving_;
+  entry_point entry_;
+  config_consumer configs_;
+  endpoint_consumer endpoints_;
+  object_feed<config_consumer> config_feed_;
+  object_feed<endpoint_consumer> endpoint_feed_;
+  net::http_server caller_server_;
+  net::http_server ready_server_;
+  net::http_server heartbeat_server_;
+  net::http_server metrics_server_;
+  net::peer_server peer_server_;
+};
+
+mesh_node::mesh_node(std::string settings_path, support::findings& problems) {
+  fleet::machine_settings settings = fleet::ReadSettings(settings_path, problems);
+  if (problems.empty()) {
+    impl_ = std::make_unique<impl>(std::move(settings_path), std::move(settings));
+  }
+}
+
+mesh_node::~mesh_node() = default;
+
+void mesh_node::Start(support::findings& problems) { impl_->Start(problems); }
+void mesh_node::Reload() { impl_->Reload(); }
+void mesh_node::Drain() { impl_->Drain(); }
+
+}  // namespace siskinrack::mesh
--- /dev/null
+++ b/lib/mesh/object_feed.h
@@ -0,0 +1,96 @@
+#ifndef SISKINRACK_LIB_MESH_OBJECT_FEED_H_
+#define SISKINRACK_LIB_MESH_OBJECT_FEED_H_
+
+#include <chrono>
+#include <string_view>
+
+#include "mesh_context.h"
+
+namespace siskinrack::mesh {
+
+/// Longest wait of one watch call. A connection that went silent without a close hides changes for
+/// this long at most.
+inline constexpr std::chrono::milliseconds kWatchWait{4'000};
+
+/// Keeps up with the objects of one kind: lists them, then watches for changes, and lists again
+/// when the store has forgotten its history. `Consumer` has OnList(object_listing) and
+/// OnChange(object_change).
+template <typename Consumer>
+class object_feed {
+ public:
+  /// `pause` is the time between two watch calls; changes in between arrive together.
+  object_feed(mesh_context& context, std::string_view kind, Consumer& consumer,
+              std::chrono::milliseconds pause)
+      : context_(context), kind_(kind), consumer_(consumer), pause_(pause) {}
+
+  /// Runs for the life of the process, in a fiber of its own.
+  void Run() {
+    while (true) {
+      if (listed_) {
+        Watch();
+      } else {
+        List();
+      }
+    }
+  }
+
+  [[nodiscard]] bool listed() const { return listed_; }
+
+ private:
+  void List() {
+    auto result = context_.store.List(kind_);
+    if (const auto* error = std::get_if<fleet::store_error>(&result)) return OnError(*error);
+    OnAnswer();
+    auto& listing = std::get<fleet::object_listing>(result);
+    revision_ = listing.revision;
+    listed_ = true;
+    consumer_.OnList(std::move(listing));
+  }
+
+  void Watch() {
+    auto result = context_.store.Watch(kind_, revision_, kWatchWait);
+    if (const auto* error = std::get_if<fleet::store_error>(&result)) {
+      if (error->code != fleet::store_errc::kHistoryGone) return OnError(*error);
+      context_.log.Info("history_gone", {{"kind", kind_}, {"revision", revision_}});
+      listed_ = false;
+      return;
+    }
+    OnAnswer();
+    auto& changes = std::get<fleet::object_changes>(result);
+    revision_ = std::max(revision_, changes.revision);
+    for (auto& change : changes.events) consumer_.OnChange(std::move(change));
+    if (!changes.events.empty() && pause_.count() > 0) net::SleepFor(pause_);
+  }
+
+  void OnError(const fleet::store_error& error) {
+    if (!lost_since_) {
+      lost_since_ = std::chrono::steady_clock::now();
+      context_.log.Warn("store_lost", {{"kind", kind_},
+                                       {"error", platform::Name(error.code)},
+                                       {"detail", error.message},
+                                       {"revision", revision_}});
+    }
+  }
+
+  void OnAnswer() {
+    if (!lost_since_) return;
+    const auto gone = std::chrono::steady_clock::now() - *lost_since_;
+    lost_since_.reset();
+    context_.log.Info(
+        "store_regained",
+        {{"kind", kind_},
+         {"away_ms", std::chrono::duration_cast<std::chrono::milliseconds>(gone).count()}});
+  }
+
+  mesh_context& context_;
+  std::string_view kind_;
+  Consumer& consumer_;
+  std::chrono::milliseconds pause_;
+  bool listed_ = false;
+  std::uint64_t revision_ = 0;
+  std::optional<std::chrono::steady_clock::time_point> lost_since_;
+};
+
+}  // namespace siskinrack::mesh
+
+#endif  // SISKINRACK_LIB_MESH_OBJECT_FEED_H_
--- /dev/null
+++ b/lib/mesh/registration.cpp
@@ -0,0 +1,181 @@
+#include "registration.h"
+
+#include "endpoint_consumer.h"
+#include "instance_codec.h"
+#include "siskinrack/routing/endpoint_record.h"
+
+namespace siskinrack::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr unsigned kStatusBadRequest = 400;
+constexpr unsigned kStatusNotFound = 404;
+/// An acknowledgement counts if it arrives within a second.
+constexpr milliseconds kPublishWait{500};
+constexpr milliseconds kRetryPause{150};
+/// Heartbeats missed before the upstream is taken as gone: one may be seconds late.
+constexpr int kMissedHeartbeats = 4;
+
+}  // namespace
+
+net::http_response registration::Handle(const net::http_request& request) {
+  support::findings problems;
+  const auto call = fleet::ReadInstanceCall(request, problems);
+  if (!problems.empty()) {
+    context_.log.Warn("heartbeat_unreadable",
+                      {{"target", request.target}, {"findings", problems.ToText()}});
+    return {kStatusBadRequest, {}, problems.ToText()};
+  }
+  const auto now = steady_clock::now();
+  if (const auto* report = std::get_if<routing::instance_report>(&call)) {
+    const auto before = instance_.current();
+    const bool was_leaving = instance_.leaving_since().has_value();
+    if (instance_.OnReport(*report, now) == routing::report_verdict::kOutdated) {
+      context_.log.Info("heartbeat_outdated", {{"instance", report->life.instance_id},
+                                               {"born_ms", report->life.born_ms},
+                                               {"sequence", report->sequence}});
+      return fleet::AcknowledgeInstance();
+    }
+    const bool new_life = !before || !(before->life == report->life);
+    const bool leaving = instance_.leaving_since().has_value();
+    if (new_life || leaving != was_leaving) {
+      context_.log.Info("instance_state", {{"instance", report->life.instance_id},
+                                           {"born_ms", report->life.born_ms},
+                                           {"service", report->service},
+                                           {"slots", report->slots},
+                                           {"draining", leaving}});
+    }
+    if (!UpToDate()) Wake();
+    if (leaving) AwaitPublished();
+    return fleet::AcknowledgeInstance();
+  }
+  if (const auto* departure = std::get_if<fleet::instance_departure>(&call)) {
+    const bool known = instance_.OnLeave(departure->instance_id, departure->born_ms, now);
+    context_.log.Info("instance_left", {{"instance", departure->instance_id}, {"current", known}});
+    Wake();
+    AwaitPublished();
+    return fleet::AcknowledgeInstance();
+  }
+  return {kStatusNotFound, {}, "no such resource\n"};
+}
+
+bool registration::Alive() const {
+  if (!instance_.current() || instance_.left()) return false;
+  return steady_clock::now() - instance_.last_report() <
+         kMissedHeartbeats * context_.settings.heartbeat_interval;
+}
+
+std::optional<routing::endpoint> registration::Wanted() const {
+  if (!Alive()) return std::nullopt;
+  const routing::instance_report& report = *instance_.current();
+  const bool leaving = instance_.leaving_since().has_value();
+  return routing::endpoint{
+      report.life,
+      report.service,
+      context_.settings.zone,
+      context_.settings.peer_address,
+      report.slots,
+      leaving ? routing::instance_state::kDraining : routing::instance_state::kReady};
+}
+
+bool registration::UpToDate() const {
+  // Until the first heartbeat it is not known which record is the right one.
+  if (!instance_.current()) return true;
+  const auto wanted = Wanted();
+  if (!wanted) return known_.empty();
+  return published_ == wanted && known_.size() == 1 && known_.contains(wanted->life.instance_id);
+}
+
+void registration::OnOwnRecord(const std::string& instance_id, std::uint64_t revision) {
+  if (revision != 0) {
+    known_[instance_id] = std::max(known_[instance_id], revision);
+  } else if (known_.erase(instance_id) > 0) {
+    published_.reset();
+  }
+  if (!UpToDate()) Wake();
+}
+
+void registration::Wake() { changed_.notify_all(); }
+
+void registration::AwaitPublished() {
+  const auto end = steady_clock::now() + kPublishWait;
+  std::unique_lock lock(mutex_);
+  while (!UpToDate()) {
+    if (changed_.wait_until(lock, end) == boost::fibers::cv_status::timeout) break;
+  }
+}
+
+void registration::Run() {
+  while (true) {
+    {
+      std::unique_lock lock(mutex_);
+      while (UpToDate()) changed_.wait_for(lock, context_.settings.heartbeat_interval);
+    }
+    if (!Advance()) net::SleepFor(kRetryPause);
+    Wake();
+  }
+}
+
+bool registration::Advance() {
+  const auto wanted = Wanted();
+  for (const auto& [id, revision] : known_) {
+    if (!wanted || id != wanted->life.instance_id) return Remove(id, revision);
+  }
+  return !wanted || Write(*wanted);
+}
+
+bool registration::Write(const routing::endpoint& wanted) {
+  const std::string id = wanted.life.instance_id;
+  const auto known = known_.find(id);
+  auto result =
+      known == known_.end()
+          ? context_.store.Create(kEndpointKind, id, routing::ToRecord(wanted))
+          : context_.store.Replace(kEndpointKind, id, routing::ToRecord(wanted), known->second);
+  if (const auto* object = std::get_if<fleet::kept_object>(&result)) {
+    known_[id] = std::max(known_[id], object->revision);
+    published_ = wanted;
+    context_.endpoints.Upsert(wanted);
+    return true;
+  }
+  const auto& error = std::get<fleet::store_error>(result);
+  context_.log.Warn(
+      "endpoint_write_failed",
+      {{"instance", id}, {"error", platform::Name(error.code)}, {"detail", error.message}});
+  // The record may have been written after all, or by an earlier run of this process.
+  Learn(id);
+  return false;
+}
+
+bool registration::Remove(const std::string& instance_id, std::uint64_t revision) {
+  // A copy: the map changes while the call is under way.
+  const std::string id = instance_id;
+  const auto result = context_.store.Remove(kEndpointKind, id, revision);
+  const auto* error = std::get_if<fleet::store_error>(&result);
+  if (error == nullptr || error->code == fleet::store_errc::kNotFound) {
+    known_.erase(id);
+    published_.reset();
+    context_.endpoints.Remove(id);
+    return true;
+  }
+  context_.log.Warn(
+      "endpoint_removal_failed",
+      {{"instance", id}, {"error", platform::Name(error->code)}, {"detail", error->message}});
+  Learn(id);
+  return false;
+}
+
+void registration::Learn(const std::string& instance_id) {
+  const auto result = context_.store.Get(kEndpointKind, instance_id);
+  if (const auto* object = std::get_if<fleet::kept_object>(&result)) {
+    known_[instance_id] = object->revision;
+    return;
+  }
+  if (std::get<fleet::store_error>(result).code == fleet::store_errc::kNotFound) {
+    known_.erase(instance_id);
+    published_.reset();
+  }
+}
+
+}  // namespace siskinrack::mesh
--- /dev/null
+++ b/lib/mesh/serving_point.cpp
@@ -0,0 +1,215 @@
+#include "serving_point.h"
+
+#include <map>
+
+#include "call_answers.h"
+#include "request_codec.h"
+
+namespace siskinrack::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using wire::answer_cause;
+
+/// Worth of the most urgent rank; each priority below it is worth one less.
+constexpr std::uint32_t kTopWorth = 1'000;
+/// The upstream ends its work at the deadline that it is given; its answer needs this long.
+constexpr milliseconds kAnswerMargin{60};
+/// Part of the drain period in which a leaving upstream still takes calls, so that the other nodes
+/// learn of the departure without refusals.
+constexpr int kDrainServingDivisor = 2;
+/// Upstreams close idle connections after seconds, some without notice.
+constexpr milliseconds kMaxIdleRepeatable{5'000};
+constexpr milliseconds kMaxIdleAtMostOnce{3'000};
+
+class in_flight_count {
+ public:
+  explicit in_flight_count(std::atomic<std::size_t>& counter) : counter_(counter) { ++counter_; }
+  ~in_flight_count() { --counter_; }
+  in_flight_count(const in_flight_count&) = delete;
+  in_flight_count& operator=(const in_flight_count&) = delete;
+
+ private:
+  std::atomic<std::size_t>& counter_;
+};
+
+std::string_view RefusalText(admission::refusal reason) {
+  switch (reason) {
+    case admission::refusal::kDeadline:
+      return "deadline can't be met";
+    case admission::refusal::kRankTarget:
+      return "wait would exceed the timeout";
+    case admission::refusal::kQueueFull:
+      return "queue is full";
+    case admission::refusal::kUpstreamPause:
+      break;
+  }
+  return "upstream asked for a pause";
+}
+
+admission::call_result ResultOf(const wire::call_answer_t& answer) {
+  switch (answer.cause) {
+    case answer_cause::none:
+      return admission::call_result::kAnswered;
+    case answer_cause::refused_by_upstream:
+      return admission::call_result::kShed;
+    case answer_cause::broken:
+    case answer_cause::timed_out:
+      return admission::call_result::kFailed;
+    default:
+      return admission::call_result::kAbandoned;
+  }
+}
+
+wire::call_answer_t Forwarded(net::http_response response) {
+  wire::call_answer_t answer;
+  answer.outcome = wire::outcome_kind::answered;
+  answer.status = static_cast<std::uint16_t>(response.status);
+  answer.headers.reserve(response.fields.size());
+  for (net::http_field& field : response.fields) {
+    auto copy = std::make_unique<wire::header_field_t>();
+    copy->name = std::move(field.name);
+    copy->value = std::move(field.value);
+    answer.headers.push_back(std::move(copy));
+  }
+  answer.body.assign(response.body.begin(), response.body.end());
+  return answer;
+}
+
+bool IsSuccess(unsigned status) { return status / 100 == 2; }
+
+wire::call_answer_t ReadResult(net::http_result result, bool cancelled) {
+  if (result.stage == net::exchange_stage::kNotSent) {
+    return NotRun(answer_cause::unreachable, "no connection to the upstream: " + result.error);
+  }
+  if (result.stage == net::exchange_stage::kSent) {
+    if (cancelled) return Unknown(answer_cause::cancelled, "caller left");
+    return result.timed_out
+               ? Unknown(answer_cause::timed_out, "upstream did not answer in time")
+               : Unknown(answer_cause::broken, "exchange with the upstream broke: " + result.error);
+  }
+  const auto read = fleet::ReadUpstreamAnswer(result.response);
+  if (read.not_run) {
+    return NotRun(
+        read.wrong_instance ? answer_cause::wrong_instance : answer_cause::refused_by_upstream,
+        "upstream refused with status " + std::to_string(result.response.status), read.retry_after);
+  }
+  if (!read.stamped && IsSuccess(result.response.status)) {
+    return Unknown(answer_cause::broken, "success without the upstream's proof");
+  }
+  return Forwarded(std::move(result.response));
+}
+
+}  // namespace
+
+std::string RankName(std::uint32_t priority) { return 'p' + std::to_string(priority); }
+
+serving_point::serving_point(mesh_context& context, const registration& instance)
+    : context_(context),
+      registration_(instance),
+      gate_(
+          std::make_shared<admission::slot_gate>(admission::upstream_limits{slots_, {}}, ranks_)) {}
+
+void serving_point::OnConfiguration() {
+  std::map<std::uint32_t, milliseconds> timeouts;
+  for (const routing::route& route : context_.routes->config().routes) {
+    auto& timeout = timeouts[route.priority];
+    timeout = std::max(timeout, route.timeout);
+  }
+  ranks_.clear();
+  for (const auto& [priority, timeout] : timeouts) {
+    ranks_.push_back({RankName(priority), static_cast<std::uint32_t>(timeout.count()),
+                      kTopWorth - std::min(priority, kTopWorth - 1), 0});
+  }
+  gate_->Configure({slots_, milliseconds(0)}, ranks_);
+}
+
+void serving_point::AdaptSlots() {
+  const std::uint32_t slots = registration_.instance().current()->slots;
+  if (slots == slots_) return;
+  slots_ = slots;
+  gate_->Configure({slots_, milliseconds(0)}, ranks_);
+}
+
+std::optional<wire::call_answer_t> serving_point::Refusal(const wire::call_request_t& call) const {
+  if (stopped_) return NotRun(answer_cause::draining, "node is shutting down");
+  const routing::local_instance& local = registration_.instance();
+  if (!registration_.Alive()) {
+    return NotRun(answer_cause::wrong_instance, "no upstream is known here");
+  }
+  if (local.current()->service != call.service) {
+    return NotRun(answer_cause::wrong_instance, "another service is served here");
+  }
+  const auto leaving = local.leaving_since();
+  if (leaving &&
+      steady_clock::now() >= *leaving + context_.settings.drain_period / kDrainServingDivisor) {
+    return NotRun(answer_cause::draining, "upstream is leaving");
+  }
+  return std::nullopt;
+}
+
+wire::call_answer_t serving_point::Serve(const wire::call_request_t& call,
+                                         net::cancellation& cancel) {
+  const in_flight_count count(in_flight_);
+  const auto deadline = steady_clock::now() + milliseconds(call.deadline_ms);
+  auto refusal = Refusal(call);
+  wire::call_answer_t answer = refusal ? std::move(*refusal) : Admit(call, deadline, cancel);
+  const admission::upstream_load load = gate_->Load(call.rank);
+  answer.in_flight = static_cast<std::uint16_t>(load.in_flight);
+  answer.queued = static_cast<std::uint16_t>(load.queued);
+  answer.slots = static_cast<std::uint16_t>(load.limit);
+  answer.node_id = context_.settings.node_id;
+  answer.config_version = context_.version();
+  if (answer.outcome != wire::outcome_kind::answered) {
+    context_.log.Info("call_failed", {{"request", call.request_id},
+                                      {"caller", call.caller},
+                                      {"cause", wire::EnumNameanswer_cause(answer.cause)},
+                                      {"reason", answer.reason},
+                                      {"deadline_ms", call.deadline_ms},
+                                      {"in_flight", load.in_flight},
+                                      {"queued", load.queued}});
+  }
+  return answer;
+}
+
+wire::call_answer_t serving_point::Admit(const wire::call_request_t& call,
+                                         net::steady_time deadline, net::cancellation& cancel) {
+  AdaptSlots();
+  const admission::decision decision = gate_->Enter(call.rank, call.caller, deadline, cancel);
+  if (!decision.run) {
+    return NotRun(answer_cause::no_capacity, RefusalText(decision.reason),
+                  std::chrono::ceil<milliseconds>(decision.retry_after));
+  }
+  // The upstream may have announced its departure while the call waited.
+  auto refusal = Refusal(call);
+  wire::call_answer_t answer = refusal ? std::move(*refusal) : Exchange(call, deadline, cancel);
+  gate_->Leave(decision.ticket, ResultOf(answer), milliseconds(0));
+  return answer;
+}
+
+wire::call_answer_t serving_point::Exchange(const wire::call_request_t& call,
+                                            net::steady_time deadline, net::cancellation& cancel) {
+  net::http_request request{
+      call.method, call.target, {}, {call.body.begin(), call.body.end()}, call.host};
+  request.fields.reserve(call.headers.size() + 3);
+  for (const auto& field : call.headers) request.fields.push_back({field->name, field->value});
+  const auto remaining = std::chrono::floor<milliseconds>(deadline - steady_clock::now());
+  if (remaining.count() <= 0) return NotRun(answer_cause::no_capacity, "deadline has passed");
+  fleet::AddUpstreamFields({.remaining = remaining,
+                            .instance_id = registration_.instance().current()->life.instance_id,
+                            .caller_service = call.caller},
+                           request.fields);
+  const net::exchange_options options{
+      .belongs =
+          [&call](const net::http_response& response) {
+            return fleet::Answers(response, call.request_id);
+          },
+      .max_idle = call.at_most_once ? kMaxIdleAtMostOnce : kMaxIdleRepeatable};
+  return ReadResult(
+      context_.upstream_client.Send(context_.settings.upstream_address, std::move(request),
+                                    deadline + kAnswerMargin, &cancel, options),
+      cancel.cancelled());
+}
+
+}  // namespace siskinrack::mesh
--- /dev/null
+++ b/lib/mesh/serving_point.h
@@ -0,0 +1,52 @@
+#ifndef SISKINRACK_LIB_MESH_SERVING_POINT_H_
+#define SISKINRACK_LIB_MESH_SERVING_POINT_H_
+
+#include <memory>
+
+#include "mesh_context.h"
+#include "registration.h"
+#include "siskinrack/admission/slot_gate.h"
+
+namespace siskinrack::mesh {
+
+/// Serves calls with the upstream on this machine. No other process can reach the upstream, so what
+/// is decided here about departure, capacity and lifetimes holds for the whole mesh.
+class serving_point {
+ public:
+  serving_point(mesh_context& context, const registration& instance);
+
+  /// Runs one call; every outcome is typed. May suspend the calling fiber.
+  wire::call_answer_t Serve(const wire::call_request_t& call, net::cancellation& cancel);
+
+  /// Takes over the ranks of a new configuration.
+  void OnConfiguration();
+  /// Refuses new calls: the node is about to end.
+  void StopServing() { stopped_ = true; }
+
+  /// Calls that run or wait for a slot.
+  [[nodiscard]] std::size_t in_flight() const { return in_flight_; }
+
+ private:
+  /// The refusal of a call that can't be served here; nothing if it can.
+  [[nodiscard]] std::optional<wire::call_answer_t> Refusal(const wire::call_request_t& call) const;
+  wire::call_answer_t Admit(const wire::call_request_t& call, net::steady_time deadline,
+                            net::cancellation& cancel);
+  wire::call_answer_t Exchange(const wire::call_request_t& call, net::steady_time deadline,
+                               net::cancellation& cancel);
+  void AdaptSlots();
+
+  mesh_context& context_;
+  const registration& registration_;
+  std::vector<config::rank_policy> ranks_;
+  std::uint32_t slots_ = 1;
+  std::shared_ptr<admission::slot_gate> gate_;
+  std::atomic<std::size_t> in_flight_ = 0;
+  std::atomic<bool> stopped_ = false;
+};
+
+/// Name of the admission rank of a route's priority.
+std::string RankName(std::uint32_t priority);
+
+}  // namespace siskinrack::mesh
+
+#endif  // SISKINRACK_LIB_MESH_SERVING_POINT_H_
--- a/lib/net/http_fields.cpp
+++ b/lib/net/http_fields.cpp
@@ -23,8 +23,10 @@
 template <typename Message>
 std::vector<http_field> CopyFields(const Message& message) {
   std::vector<http_field> fields;
+  // RFC 9110, 7.6.1: the Connection field names further fields of one connection.
+  http::token_list nominated(message[http::field::connection]);
   for (const auto& field : message) {
-    if (IsConnectionField(field.name())) continue;
+    if (IsConnectionField(field.name()) || nominated.exists(field.name_string())) continue;
     fields.push_back({std::string(field.name_string()), std::string(field.value())});
   }
   return fields;
@@ -52,6 +54,7 @@
   http_request request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
+  request.host = std::string(message[http::field::host]);
   request.fields = CopyFields(message);
   request.body = std::move(message.body());
   return request;
@@ -71,7 +74,7 @@
   message.target(request.target);
   message.version(kHttp11);
   InsertFields(message, request.fields);
-  message.set(http::field::host, host);
+  message.set(http::field::host, request.host.empty() ? host : request.host);
   message.keep_alive(true);
   message.body() = std::move(request.body);
   message.prepare_payload();
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -12,6 +12,7 @@
 
 #include "await.h"
 #include "http_fields.h"
+#include "http_framing.h"
 #include "listener.h"
 
 namespace siskinrack::net {
@@ -54,6 +55,7 @@
       : options_(std::move(options)),
         handler_(std::move(handler)),
         runtime_(runtime),
+        limits_(std::make_shared<const http_limits>(options_.limits)),
         listener_(runtime, [this](tcp::socket socket) { Serve(std::move(socket)); }),
         open_(runtime.thread_count()) {}
 
@@ -63,6 +65,16 @@
 
   void Drain() { draining_ = true; }
 
+  void SetLimits(const http_limits& limits) {
+    limits_ = std::make_shared<const http_limits>(limits);
+  }
+
+  void CloseIdle() {
+    ForEachConnection([](connection& item) {
+      if (item.idle) detail::CloseQuietly(item.stream.socket());
+    });
+  }
+
   void StopAccepting() { listener_.StopAccepting(); }
 
   void Stop() {
@@ -77,7 +89,9 @@
   struct connection {
     explicit connection(tcp::socket socket) : stream(std::move(socket)) {}
     beast::tcp_stream stream;
-    beast::flat_buffer buffer{kMaxHeaderBytes + kMaxBodyBytes};
+    beast::flat_buffer buffer;
+    /// Waits for the first byte of a request.
+    bool idle = false;
   };
 
   template <typename Visit>
@@ -102,14 +116,17 @@
 
   /// Returns whether the connection can take another request.
   bool ServeOne(connection& item) {
+    const std::shared_ptr<const http_limits> limits = limits_.load();
     request_parser parser;
-    parser.header_limit(kMaxHeaderBytes);
-    parser.body_limit(options_.max_body_bytes);
-    boost::system::error_code error = ReadRequest(item, parser);
-    if (error) {
-      if (IsClientError(error)) WriteError(item, StatusForReadError(error), error.message());
-      return false;
+    parser.header_limit(static_cast<std::uint32_t>(limits->header_bytes));
+    parser.body_limit(limits->body_bytes);
+    std::string_view problem;
+    boost::system::error_code error = ReadRequest(item, parser, *limits, problem);
+    if (!problem.empty()) return WriteError(item, kStatusBadRequest, std::string(problem));
+    if (error && IsClientError(error)) {
+      return WriteError(item, StatusForReadError(error), error.message());
     }
+    if (error) return false;
     ++in_flight_;
     const bool keep_alive = parser.get().keep_alive();
     const unsigned version = parser.get().version();
@@ -120,31 +137,63 @@
     return !error && stay_open;
   }
 
-  boost::system::error_code ReadRequest(connection& item, request_parser& parser) {
+  boost::system::error_code ReadRequest(connection& item, request_parser& parser,
+                                        const http_limits& limits, std::string_view& problem) {
     if (item.buffer.size() == 0) {
-      item.stream.expires_after(options_.idle_timeout);
-      const auto first = Await<std::size_t>([&](auto handler) {
-        item.stream.async_read_some(item.buffer.prepare(kReadChunkBytes), handler);
-      });
+      item.stream.expires_after(limits.idle_timeout);
+      item.idle = true;
+      const auto first = ReadSome(item);
+      item.idle = false;
       // Nothing was sent, so neither an idle close nor an idle timeout gets an answer.
-      if (first.error) return http::error::end_of_stream;
-      item.buffer.commit(first.value);
+      if (first) return http::error::end_of_stream;
+    }
+    item.stream.expires_after(limits.header_timeout);
+    if (const auto error = ReadHeader(item, parser, limits, problem); error || !problem.empty()) {
+      return error;
     }
-    item.stream.expires_after(options_.read_timeout);
-    auto read = Await<std::size_t>(
-        [&](auto handler) { http::async_read_header(item.stream, item.buffer, parser, handler); });
-    if (read.error) return read.error;
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       http::response<http::empty_body> proceed{http::status::continue_, parser.get().version()};
       Await<std::size_t>([&](auto handler) { http::async_write(item.stream, proceed, handler); });
     }
-    item.stream.expires_after(options_.read_timeout);
-    read = Await<std::size_t>(
+    item.stream.expires_after(limits.body_timeout);
+    const auto read = Await<std::size_t>(
         [&](auto handler) { http::async_read(item.stream, item.buffer, parser, handler); });
     item.stream.expires_never();
     return read.error;
   }
 
+  /// Reads the header section as a whole, so that its bytes can be checked before they are parsed.
+  static boost::system::error_code ReadHeader(connection& item, request_parser& parser,
+                                              const http_limits& limits,
+                                              std::string_view& problem) {
+    constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+    std::size_t end = std::string_view::npos;
+    while ((end = Bytes(item.buffer).find(kHeaderEnd)) == std::string_view::npos) {
+      if (item.buffer.size() > limits.header_bytes) return http::error::header_limit;
+      if (const auto error = ReadSome(item)) return error;
+    }
+    const std::size_t size = end + kHeaderEnd.size();
+    boost::system::error_code error;
+    parser.put(asio::buffer(item.buffer.cdata().data(), size), error);
+    if (error == http::error::need_more) error = {};
+    if (error) return error;
+    problem = detail::FramingProblem(Bytes(item.buffer).substr(0, size), parser.get().base());
+    item.buffer.consume(size);
+    return {};
+  }
+
+  static std::string_view Bytes(const beast::flat_buffer& buffer) {
+    return {static_cast<const char*>(buffer.cdata().data()), buffer.size()};
+  }
+
+  static boost::system::error_code ReadSome(connection& item) {
+    const auto read = Await<std::size_t>([&](auto handler) {
+      item.stream.async_read_some(item.buffer.prepare(kReadChunkBytes), handler);
+    });
+    if (!read.error) item.buffer.commit(read.value);
+    return read.error;
+  }
+
   http_response Handle(connection& item, http_request request) {
     auto cancel = std::make_shared<cancellation>();
     tcp::socket& socket = item.stream.socket();
@@ -170,17 +219,20 @@
         .error;
   }
 
-  void WriteError(connection& item, unsigned status, const std::string& text) {
-    WriteResponse(item, {status, {{"x-siskinrack-outcome", "not-run"}}, text + '\n'}, kHttp11,
-                  false);
+  /// Answers a request that can't be read; the connection ends.
+  bool WriteError(connection& item, unsigned status, const std::string& text) {
+    WriteResponse(item, {status, {options_.not_run_field}, text + '\n'}, kHttp11, false);
+    return false;
   }
 
   static constexpr unsigned kHttp11 = 11;
+  static constexpr unsigned kStatusBadRequest = 400;
   static constexpr std::size_t kReadChunkBytes = 4096;
 
   http_server_options options_;
   http_handler handler_;
   fiber_runtime& runtime_;
+  std::atomic<std::shared_ptr<const http_limits>> limits_;
   detail::listener listener_;
   std::atomic<bool> draining_ = false;
   std::atomic<bool> stopped_ = false;
@@ -197,6 +249,8 @@
 std::string http_server::Start() { return impl_->Start(); }
 std::uint16_t http_server::port() const { return impl_->port(); }
 std::size_t http_server::in_flight() const { return impl_->in_flight(); }
+void http_server::SetLimits(const http_limits& limits) { impl_->SetLimits(limits); }
+void http_server::CloseIdle() { impl_->CloseIdle(); }
 void http_server::Drain() { impl_->Drain(); }
 void http_server::StopAccepting() { impl_->StopAccepting(); }
 void http_server::Stop() { impl_->Stop(); }
--- a/lib/net/listener.cpp
+++ b/lib/net/listener.cpp
@@ -1,6 +1,7 @@
 #include "listener.h"
 
 #include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
@@ -140,4 +141,19 @@
   socket.close(ignored);
 }
 
+void EnableKeepAlive(tcp::socket& socket) {
+  constexpr int kIdleSeconds = 1;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr unsigned kUnacknowledgedMs = 2'500;
+  const int descriptor = socket.native_handle();
+  boost::system::error_code ignored;
+  socket.set_option(tcp::socket::keep_alive(true), ignored);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds, sizeof kIdleSeconds);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &kIntervalSeconds, sizeof kIntervalSeconds);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof kProbes);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs,
+             sizeof kUnacknowledgedMs);
+}
+
 }  // namespace siskinrack::net::detail
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -52,6 +52,10 @@
 /// Closes a socket without waiting; errors don't matter because the peer may be gone.
 void CloseQuietly(boost::asio::ip::tcp::socket& socket);
 
+/// Lets the kernel find out that the other end is gone although nothing is sent. Failures don't
+/// matter: every exchange has a timeout of its own.
+void EnableKeepAlive(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace siskinrack::net::detail
 
 #endif  // SISKINRACK_LIB_NET_LISTENER_H_
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -16,7 +16,10 @@
 
 /// Frames behind a slow peer; a longer queue closes the link, so that memory stays bounded.
 constexpr std::size_t kMaxQueuedFrames = 4096;
-constexpr std::size_t kReadChunkBytes = 64U << 10U;
+constexpr std::size_t kReadChunkBytes = 16U << 10U;
+/// Silence after which a link is asked for a sign of life, and after which it is given up. Several
+/// round trips between failure domains, plus the pauses of a node that is short of processor time.
+constexpr std::chrono::milliseconds kSilenceInterval{600};
 
 }  // namespace
 
@@ -25,7 +28,9 @@
       context_(context),
       on_request_(std::move(on_request)),
       last_used_(std::chrono::steady_clock::now()),
-      idle_timer_(CurrentContext()) {}
+      last_received_(last_used_),
+      idle_timer_(CurrentContext()),
+      silence_timer_(CurrentContext()) {}
 
 void peer_link::ReadLoop() {
   const auto self = shared_from_this();
@@ -37,6 +42,8 @@
       socket_.async_read_some(asio::buffer(buffer.data() + used, buffer.size() - used), handler);
     });
     if (read.error) break;
+    last_received_ = std::chrono::steady_clock::now();
+    ping_pending_ = false;
     used += read.value;
     std::size_t offset = 0;
     while (used - offset >= wire::kLengthBytes) {
@@ -58,6 +65,11 @@
   if (message == nullptr) return false;
   context_.clock->Observe({message->hlc_wall_us, message->hlc_logical});
   context_.traffic->CountReceived(message->message.type, bytes.size() + wire::kLengthBytes);
+  if (message->message.type == wire::message::link_pong) return true;
+  if (message->message.type == wire::message::link_ping) {
+    Send(wire::MakeEnvelope(wire::link_pong_t{}));
+    return true;
+  }
   last_used_ = std::chrono::steady_clock::now();
   if (!message->is_reply) {
     on_request_(shared_from_this(), std::move(message));
@@ -129,6 +141,7 @@
     waiters_.erase(id);
     return {exchange_stage::kNotSent, nullptr, "link is closed", false};
   }
+  WatchSilence();
 
   std::uint64_t cancel_handle = 0;
   if (cancel != nullptr) {
@@ -153,6 +166,34 @@
   return {exchange_stage::kSent, nullptr, closed_ ? "link broke" : "no reply in time", !waited};
 }
 
+void peer_link::WatchSilence() {
+  if (watching_silence_) return;
+  watching_silence_ = true;
+  // What came before the first waiter says nothing about now.
+  last_received_ = std::chrono::steady_clock::now();
+  OnSilenceCheck();
+}
+
+void peer_link::OnSilenceCheck() {
+  if (closed_ || waiters_.empty()) {
+    watching_silence_ = false;
+    return;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  if (now - last_received_ >= kSilenceInterval) {
+    if (ping_pending_) {
+      watching_silence_ = false;
+      return Close();
+    }
+    ping_pending_ = true;
+    Send(wire::MakeEnvelope(wire::link_ping_t{}));
+  }
+  silence_timer_.expires_at(now + kSilenceInterval);
+  silence_timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+    if (!error) self->OnSilenceCheck();
+  });
+}
+
 void peer_link::SendCancel(std::uint64_t correlation_id) {
   if (closed_) return;
   auto message = wire::MakeEnvelope(wire::call_cancel_t{});
@@ -179,6 +220,7 @@
   closed_ = true;
   context_.unwritten_answers -= std::exchange(queued_answers_, 0);
   idle_timer_.cancel();
+  silence_timer_.cancel();
   CloseQuietly(socket_);
   for (auto& [id, pending] : waiters_) pending->timer.cancel();
 }
--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -56,6 +56,10 @@
   void OnWritten(const boost::system::error_code& error);
   bool Dispatch(std::span<const std::uint8_t> bytes);
   void SendCancel(std::uint64_t correlation_id);
+  /// Closes a link that is silent while requests wait for replies: a connection whose other end
+  /// lost power or its state gives no error by itself.
+  void WatchSilence();
+  void OnSilenceCheck();
 
   boost::asio::ip::tcp::socket socket_;
   peer_context& context_;
@@ -63,7 +67,12 @@
   bool closed_ = false;
   bool closed_as_idle_ = false;
   steady_time last_used_;
+  steady_time last_received_;
   boost::asio::steady_timer idle_timer_;
+  boost::asio::steady_timer silence_timer_;
+  bool watching_silence_ = false;
+  /// A ping was sent and no byte came since.
+  bool ping_pending_ = false;
   std::uint64_t next_correlation_id_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters_;
   std::deque<queued_frame> queue_;
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -18,16 +18,14 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::chrono::milliseconds kBackoffBase{100};
-constexpr std::chrono::milliseconds kBackoffMax{10'000};
-constexpr std::chrono::milliseconds kDialTimeout{1'000};
 constexpr unsigned kMaxBackoffDoublings = 7;
 constexpr std::chrono::seconds kForgetInterval{5};
 
 /// Full-jitter exponential backoff: uniform between 0 and the exponential bound.
-std::chrono::milliseconds Backoff(unsigned failures) {
+std::chrono::milliseconds Backoff(unsigned failures, std::chrono::milliseconds longest) {
   thread_local std::mt19937_64 random{std::random_device{}()};
   const auto bound =
-      std::min(kBackoffMax, kBackoffBase * (1U << std::min(failures, kMaxBackoffDoublings)));
+      std::min(longest, kBackoffBase * (1U << std::min(failures, kMaxBackoffDoublings)));
   return std::chrono::milliseconds(
       std::uniform_int_distribution<std::int64_t>(0, bound.count())(random));
 }
@@ -49,7 +47,7 @@
   void Send(const support::socket_address& address, wire::envelope_t message) {
     auto shared = std::make_shared<wire::envelope_t>(std::move(message));
     Spawn([this, address, shared] {
-      const auto link = Acquire(address, std::chrono::steady_clock::now() + kDialTimeout);
+      const auto link = Acquire(address, std::chrono::steady_clock::now() + options_.dial_timeout);
       if (link != nullptr) link->Send(std::move(*shared));
     });
   }
@@ -102,10 +100,10 @@
     const auto now = std::chrono::steady_clock::now();
     if (own.stopping || now < item.retry_at) return nullptr;
     item.dialling = true;
-    item.link = Dial(address, std::min(deadline, now + kDialTimeout));
+    item.link = Dial(address, std::min(deadline, now + options_.dial_timeout));
     item.dialling = false;
     item.failures = item.link == nullptr ? item.failures + 1 : 0;
-    if (item.link == nullptr) item.retry_at = now + Backoff(item.failures);
+    if (item.link == nullptr) item.retry_at = now + Backoff(item.failures, options_.backoff_max);
     if (own.stopping && item.link != nullptr) item.link->Close();
     item.dialled.notify_all();
     return item.link;
@@ -129,6 +127,7 @@
     timer.cancel();
     if (error || !socket->is_open()) return nullptr;
     socket->set_option(tcp::no_delay(true), error);
+    detail::EnableKeepAlive(*socket);
     auto link =
         std::make_shared<peer_link>(std::move(*socket), context_, [](const auto&, const auto&) {});
     link->CloseWhenIdle(options_.idle_timeout);
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -102,6 +102,28 @@
   return answer;
 }
 
+serving_service::serving_service(node_context& context, quarantine_service& quarantine)
+    : context_(context),
+      quarantine_(quarantine),
+      configured_(context.config.Current()),
+      gate_(std::make_shared<admission::slot_gate>(Limits(*configured_),
+                                                   configured_->config.resources.ranks)) {}
+
+void serving_service::Reconfigure() {
+  config_snapshot_ptr current = context_.config.Current();
+  const std::lock_guard lock(configure_mutex_);
+  if (current == configured_) return;
+  configured_ = std::move(current);
+  gate_->Configure(Limits(*configured_), configured_->config.resources.ranks);
+}
+
+admission::upstream_limits serving_service::Limits(const config_snapshot& snapshot) const {
+  const node_settings& settings = context_.settings;
+  const auto* service = snapshot.config.resources.FindService(settings.service);
+  if (service == nullptr) return {std::max<std::uint32_t>(1, settings.slots), milliseconds(0)};
+  return {service->slots, milliseconds(service->ramp_ms)};
+}
+
 wire::call_answer_t serving_service::Serve(const wire::call_request_t& call,
                                            net::cancellation& cancel) {
   // Counted before the check, so that a shutdown which sees no call in flight misses none.
@@ -127,7 +149,8 @@
 
 wire::call_answer_t serving_service::Admit(const wire::call_request_t& call,
                                            net::steady_time deadline, net::cancellation& cancel) {
-  const admission::decision decision = gate_->Enter(call, deadline, cancel);
+  Reconfigure();
+  const admission::decision decision = gate_->Enter(call.rank, call.caller, deadline, cancel);
   if (!decision.run) return Refused(decision);
   wire::call_answer_t answer = SendToUpstream(call, deadline, cancel);
   gate_->Leave(decision.ticket, ResultOf(answer, cancel.cancelled()),
@@ -174,7 +197,10 @@
   if (result.stage == net::exchange_stage::kNotSent) upstream_away_ = true;
   const bool healthy =
       result.stage == net::exchange_stage::kAnswered && result.response.status == kStatusOk;
-  if (healthy && upstream_away_.exchange(false)) gate_->StartRamp();
+  if (healthy && upstream_away_.exchange(false)) {
+    Reconfigure();
+    gate_->StartRamp();
+  }
   return healthy;
 }
 
--- a/lib/node/serving_service.h
+++ b/lib/node/serving_service.h
@@ -2,20 +2,18 @@
 #define SISKINRACK_LIB_NODE_SERVING_SERVICE_H_
 
 #include <atomic>
+#include <mutex>
 
 #include "node_context.h"
 #include "quarantine_service.h"
-#include "upstream_gate.h"
+#include "siskinrack/admission/slot_gate.h"
 
 namespace siskinrack::node {
 
 /// Serves calls with this VM's upstream.
 class serving_service {
  public:
-  serving_service(node_context& context, quarantine_service& quarantine)
-      : context_(context),
-        quarantine_(quarantine),
-        gate_(std::make_shared<upstream_gate>(context)) {}
+  serving_service(node_context& context, quarantine_service& quarantine);
 
   /// Runs one call; every outcome is typed. Runs in a fiber and may suspend.
   wire::call_answer_t Serve(const wire::call_request_t& call, net::cancellation& cancel);
@@ -30,12 +28,18 @@
  private:
   wire::call_answer_t SendToUpstream(const wire::call_request_t& call, net::steady_time deadline,
                                      net::cancellation& cancel);
+  /// Brings a new configuration to the gate.
+  void Reconfigure();
+  [[nodiscard]] admission::upstream_limits Limits(const config_snapshot& snapshot) const;
   wire::call_answer_t Admit(const wire::call_request_t& call, net::steady_time deadline,
                             net::cancellation& cancel);
 
   node_context& context_;
   quarantine_service& quarantine_;
-  std::shared_ptr<upstream_gate> gate_;
+  std::mutex configure_mutex_;
+  /// The configuration that the gate was last set up with.
+  config_snapshot_ptr configured_;
+  std::shared_ptr<admission::slot_gate> gate_;
   std::atomic<std::size_t> in_flight_ = 0;
   std::atomic<bool> upstream_away_ = true;
 };
--- a/lib/platform/call_budget.cpp
+++ b/lib/platform/call_budget.cpp
@@ -9,7 +9,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kBackoffBase{100};
-constexpr milliseconds kBackoffMax{5'000};
 constexpr unsigned kMaxDoublings = 6;
 /// Jitter on top of Retry-After, as a share of it, so that waiting clients don't return together.
 constexpr double kRetryAfterJitter = 0.5;
@@ -48,7 +47,7 @@
 void call_budget::OnFailure(call_class kind, time_point now, double random) {
   class_state& own = state(kind);
   const milliseconds bound =
-      std::min(kBackoffMax, kBackoffBase * (1U << std::min(own.failures, kMaxDoublings)));
+      std::min(backoff_max_, kBackoffBase * (1U << std::min(own.failures, kMaxDoublings)));
   ++own.failures;
   own.blocked_until = std::max(own.blocked_until, now + Scale(bound, random));
 }
--- a/lib/platform/http_object_store.cpp
+++ b/lib/platform/http_object_store.cpp
@@ -88,6 +88,8 @@
       return "not_found";
     case store_errc::kOutcomeUnknown:
       return "outcome_unknown";
+    case store_errc::kHistoryGone:
+      return "history_gone";
     case store_errc::kBadAnswer:
       break;
   }
--- a/tools/siskinrack-node/main.cpp
+++ b/tools/siskinrack-node/main.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "siskinrack/mesh/mesh_node.h"
 #include "siskinrack/node/node.h"
 
 namespace {
@@ -16,6 +17,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   return signals;
 }
@@ -33,6 +35,36 @@
   });
 }
 
+/// Waits for the signal that ends the process; SIGHUP runs `reload`.
+template <typename Reload>
+void AwaitEnd(const sigset_t& signals, Reload reload) {
+  int received = 0;
+  while (sigwait(&signals, &received) == 0 && received == SIGHUP) reload();
+}
+
+/// Ends without destructors: loops that wait for peers or the platform are still suspended, and
+/// there is nothing left to save.
+[[noreturn]] void End() {
+  std::cout.flush();
+  std::_Exit(EXIT_SUCCESS);
+}
+
+/// The node as the users' platform starts it.
+int RunOnPlatform(const std::string& settings_path) {
+  findings problems;
+  const sigset_t signals = BlockEndSignals();
+  siskinrack::mesh::mesh_node process(settings_path, problems);
+  if (!problems.empty()) return Fail(problems);
+  process.Start(problems);
+  if (!problems.empty()) {
+    Fail(problems);
+    std::_Exit(kExitFindings);
+  }
+  AwaitEnd(signals, [&process] { process.Reload(); });
+  process.Drain();
+  End();
+}
+
 int Main(std::span<const std::string> arguments) {
   namespace node = siskinrack::node;
   namespace support = siskinrack::support;
@@ -65,17 +97,17 @@
     Fail(problems);
     std::_Exit(kExitFindings);
   }
-  int received = 0;
-  sigwait(&signals, &received);
+  // Flags and environment don't change while the process runs.
+  AwaitEnd(signals, [] {});
   process.Drain();
-  // Loops that wait for peers or the platform are still suspended; there is nothing left to save.
-  std::cout.flush();
-  std::_Exit(EXIT_SUCCESS);
+  End();
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
   const std::vector<std::string> arguments(argv + 1, argv + argc);
+  const auto settings_path = siskinrack::mesh::PlatformSettingsPath();
+  if (settings_path && arguments.empty()) return RunOnPlatform(*settings_path);
   return Main(arguments);
 }
--- a/unittests/net/http_test.cpp
+++ b/unittests/net/http_test.cpp
@@ -46,7 +46,7 @@
 
   fiber_runtime runtime_{2};
   http_server server_{runtime_,
-                      {.address = {"127.0.0.1", 0}, .max_body_bytes = 1000},
+                      {.address = {"127.0.0.1", 0}, .limits = {.body_bytes = 1000}},
                       [](const http_request& request, cancellation&) {
                         if (request.target == "/slow") SleepFor(milliseconds(100));
                         return http_response{200, {}, request.target + request.body};
--- a/unittests/property/network_test.cpp
+++ b/unittests/property/network_test.cpp
@@ -76,7 +76,7 @@
 // requests.
 TEST(Property, HttpServerSurvivesDamagedRequests) {
   net::fiber_runtime runtime(2);
-  net::http_server server(runtime, {.address = {"127.0.0.1", 0}, .max_body_bytes = 1000},
+  net::http_server server(runtime, {.address = {"127.0.0.1", 0}, .limits = {.body_bytes = 1000}},
                           [](const net::http_request& request, net::cancellation&) {
                             return net::http_response{200, {}, request.body};
                           });
