mesh: calls stay in their failure domain while they are in time there

Change: an endpoint's answer time is predicted from its service time and load; another domain gets a call only if the own one is late. The node refuses new requests as not run for the last 2.2 s of the grace time.

--- a/include/siskinrack/balancing/endpoint_state.h
+++ b/include/siskinrack/balancing/endpoint_state.h
@@ -37,6 +37,8 @@
   call_outcome outcome = call_outcome::kAnswered;
   nanoseconds latency{0};
   std::optional<reported_load> load;
+  /// Time that the upstream itself took; zero if not known.
+  nanoseconds service{0};
   /// Pause that the upstream asked for; zero for none.
   nanoseconds retry_after{0};
 };
@@ -61,6 +63,8 @@
     readiness ready = readiness::kOpen;
     /// Smoothed latency x (own in-flight + reported load + 1) / slots, in milliseconds.
     double cost_ms = 0;
+    /// Time until a call sent now would be answered: wait for a slot and service time.
+    double predicted_ms = 0;
     time_point paused_until;
   };
   [[nodiscard]] view View(time_point now) const;
@@ -77,6 +81,7 @@
   static constexpr double kTimeoutFactor = 4;
   static constexpr double kTimeoutMarginMs = 100;
 
+  [[nodiscard]] double PredictedMs(time_point now) const;
   [[nodiscard]] double AnswerDueMs() const {
     return kTimeoutFactor * latency_ms_ + kTimeoutMarginMs;
   }
@@ -88,6 +93,9 @@
   std::uint32_t slots_;
   std::size_t in_flight_ = 0;
   double latency_ms_ = 0;
+  double service_ms_ = 0;
+  /// Own calls in flight when the load was reported.
+  std::size_t in_flight_at_load_ = 0;
   double penalty_ms_ = 0;
   time_point penalty_at_;
   double load_ = 0;
--- a/include/siskinrack/balancing/selection.h
+++ b/include/siskinrack/balancing/selection.h
@@ -18,6 +18,15 @@
   bool same_domain = false;
 };
 
+/// Where a call goes if its answer is wanted within a time.
+struct completion_goal {
+  /// Time left in which an answer has its full worth.
+  double in_time_ms = 0;
+  /// Least gain that justifies a call to another failure domain when no answer would be in time:
+  /// traffic between domains is dear.
+  double remote_gain_ms = 0;
+};
+
 struct selection {
   /// Index of the chosen candidate; nothing if all of them have asked for a pause.
   std::optional<std::size_t> index;
@@ -32,6 +41,13 @@
 selection Choose(std::span<const candidate> candidates, time_point now, std::uint64_t random,
                  std::optional<std::size_t> exclude = std::nullopt);
 
+/// Chooses the endpoint whose answer is expected first, among those of the own failure domain as
+/// long as the answer is expected in time there. Endpoints of other domains get the call if only
+/// they are in time, or if they gain much. An endpoint that is due for a trial gets it first if
+/// `may_try`.
+selection ChooseByCompletion(std::span<const candidate> candidates, const completion_goal& goal,
+                             bool may_try, time_point now, std::uint64_t random);
+
 }  // namespace siskinrack::balancing
 
 #endif  // SISKINRACK_BALANCING_SELECTION_H_
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -1238,6 +1238,7 @@
   std::string node_id{};
   siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none;
   uint64_t config_version = 0;
+  uint16_t service_ms = 0;
   call_answer_t() = default;
   call_answer_t(const call_answer_t &o);
   call_answer_t(call_answer_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1259,7 +1260,8 @@
     VT_SLOTS = 20,
     VT_NODE_ID = 22,
     VT_CAUSE = 24,
-    VT_CONFIG_VERSION = 26
+    VT_CONFIG_VERSION = 26,
+    VT_SERVICE_MS = 28
   };
   siskinrack::wire::outcome_kind outcome() const {
     return static_cast<siskinrack::wire::outcome_kind>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -1297,6 +1299,9 @@
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
   }
+  uint16_t service_ms() const {
+    return GetField<uint16_t>(VT_SERVICE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -1316,6 +1321,7 @@
            verifier.VerifyString(node_id()) &&
            VerifyField<uint8_t>(verifier, VT_CAUSE, 1) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyField<uint16_t>(verifier, VT_SERVICE_MS, 2) &&
            verifier.EndTable();
   }
   call_answer_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1363,6 +1369,9 @@
   void add_config_version(uint64_t config_version) {
     fbb_.AddElement<uint64_t>(call_answer::VT_CONFIG_VERSION, config_version, 0);
   }
+  void add_service_ms(uint16_t service_ms) {
+    fbb_.AddElement<uint16_t>(call_answer::VT_SERVICE_MS, service_ms, 0);
+  }
   explicit call_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1387,7 +1396,8 @@
     uint16_t slots = 0,
     flatbuffers::Offset<flatbuffers::String> node_id = 0,
     siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    uint16_t service_ms = 0) {
   call_answerBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_node_id(node_id);
@@ -1395,6 +1405,7 @@
   builder_.add_body(body);
   builder_.add_headers(headers);
   builder_.add_reason(reason);
+  builder_.add_service_ms(service_ms);
   builder_.add_slots(slots);
   builder_.add_queued(queued);
   builder_.add_in_flight(in_flight);
@@ -1417,7 +1428,8 @@
     uint16_t slots = 0,
     const char *node_id = nullptr,
     siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    uint16_t service_ms = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::header_field>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -1435,7 +1447,8 @@
       slots,
       node_id__,
       cause,
-      config_version);
+      config_version,
+      service_ms);
 }
 
 flatbuffers::Offset<call_answer> Createcall_answer(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3857,7 +3870,8 @@
         slots(o.slots),
         node_id(o.node_id),
         cause(o.cause),
-        config_version(o.config_version) {
+        config_version(o.config_version),
+        service_ms(o.service_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -3875,6 +3889,7 @@
   std::swap(node_id, o.node_id);
   std::swap(cause, o.cause);
   std::swap(config_version, o.config_version);
+  std::swap(service_ms, o.service_ms);
   return *this;
 }
 
@@ -3899,6 +3914,7 @@
   { auto _e = node_id(); if (_e) _o->node_id = _e->str(); }
   { auto _e = cause(); _o->cause = _e; }
   { auto _e = config_version(); _o->config_version = _e; }
+  { auto _e = service_ms(); _o->service_ms = _e; }
 }
 
 inline flatbuffers::Offset<call_answer> call_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3921,6 +3937,7 @@
   auto _node_id = _o->node_id.empty() ? 0 : _fbb.CreateString(_o->node_id);
   auto _cause = _o->cause;
   auto _config_version = _o->config_version;
+  auto _service_ms = _o->service_ms;
   return siskinrack::wire::Createcall_answer(
       _fbb,
       _outcome,
@@ -3934,7 +3951,8 @@
       _slots,
       _node_id,
       _cause,
-      _config_version);
+      _config_version,
+      _service_ms);
 }
 
 inline call_cancel_t *call_cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/lib/balancing/endpoint_state.cpp
+++ b/lib/balancing/endpoint_state.cpp
@@ -39,6 +39,7 @@
   const double latency = (latency_ms_ > 0 ? latency_ms_ : kFirstLatencyMs) + Penalty(now);
   const double load = Decayed(load_, now - load_at_, kLoadWindow);
   result.cost_ms = latency * (static_cast<double>(in_flight_) + load + 1) / slots_;
+  result.predicted_ms = PredictedMs(now);
   result.paused_until = paused_until_;
   if (now < paused_until_) {
     result.ready = readiness::kPaused;
@@ -48,6 +49,17 @@
   return result;
 }
 
+double endpoint_state::PredictedMs(time_point now) const {
+  const double service = service_ms_ > 0 ? service_ms_ : kFirstLatencyMs;
+  // Calls of other nodes as reported, own calls as they are now.
+  const double others =
+      std::max(0.0, load_ - static_cast<double>(in_flight_at_load_));
+  const double busy = Decayed(others, now - load_at_, kLoadWindow) +
+                      static_cast<double>(in_flight_) + 1 - static_cast<double>(slots_);
+  const double wait = busy > 0 ? busy * service / slots_ : 0;
+  return wait + service + Penalty(now);
+}
+
 void endpoint_state::Start(time_point now) {
   const std::lock_guard lock(mutex_);
   ++in_flight_;
@@ -65,9 +77,13 @@
   assert(in_flight_ > 0 && "Finish without Start");
   --in_flight_;
   paused_until_ = std::max(paused_until_, now + report.retry_after);
+  if (report.service.count() > 0) {
+    service_ms_ += (Ms(report.service) - service_ms_) * (service_ms_ > 0 ? kLatencyWeight : 1);
+  }
   if (report.load) {
     load_ = report.load->in_flight + report.load->queued;
     load_at_ = now;
+    in_flight_at_load_ = in_flight_;
     if (report.load->slots > 0) slots_ = report.load->slots;
   }
   switch (report.outcome) {
--- a/lib/balancing/selection.cpp
+++ b/lib/balancing/selection.cpp
@@ -88,8 +88,83 @@
   time_point first_pause_end_ = time_point::max();
 };
 
+/// Keeps the candidate with the smallest prediction; ties are decided at random.
+class first_answer {
+ public:
+  explicit first_answer(std::uint64_t random) : seed_(random | 1U) {}
+
+  void Offer(std::size_t index, double predicted_ms) {
+    // Predictions are no better than this; always taking the least would send the calls of all
+    // nodes to the same endpoint at once.
+    const double jittered = predicted_ms * (1 + kPredictionError * Fraction());
+    if (empty_ || jittered < best_) {
+      best_ = jittered;
+      predicted_ms_ = predicted_ms;
+      index_ = index;
+    }
+    empty_ = false;
+  }
+  [[nodiscard]] bool empty() const { return empty_; }
+  [[nodiscard]] std::size_t index() const { return index_; }
+  [[nodiscard]] double predicted_ms() const { return predicted_ms_; }
+
+ private:
+  static constexpr double kPredictionError = 0.15;
+
+  double Fraction() {
+    seed_ ^= seed_ >> 12U;
+    seed_ ^= seed_ << 25U;
+    seed_ ^= seed_ >> 27U;
+    constexpr double kRange = 4294967296.0;
+    return static_cast<double>((seed_ * 0x2545f4914f6cdd1dULL) >> kHalfBits) / kRange;
+  }
+
+  std::uint64_t seed_;
+  bool empty_ = true;
+  double best_ = 0;
+  double predicted_ms_ = 0;
+  std::size_t index_ = 0;
+};
+
 }  // namespace
 
+selection ChooseByCompletion(std::span<const candidate> candidates, const completion_goal& goal,
+                             bool may_try, time_point now, std::uint64_t random) {
+  first_answer local(random);
+  first_answer remote(~random);
+  first_answer closed(random * 3);
+  time_point first_pause_end = time_point::max();
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const endpoint_state::view view = candidates[i].state->View(now);
+    switch (view.ready) {
+      case readiness::kOpen:
+        (candidates[i].same_domain ? local : remote).Offer(i, view.predicted_ms);
+        break;
+      case readiness::kTrial:
+        if (may_try) return {i, {}};
+        [[fallthrough]];
+      case readiness::kClosed:
+        closed.Offer(i, view.predicted_ms);
+        break;
+      case readiness::kPaused:
+        first_pause_end = std::min(first_pause_end, view.paused_until);
+        break;
+    }
+  }
+  if (!local.empty() && !remote.empty()) {
+    const double remote_ms = remote.predicted_ms() + 2 * kCrossDomainDelayMs;
+    const bool local_in_time = local.predicted_ms() <= goal.in_time_ms;
+    const bool only_remote_in_time = !local_in_time && remote_ms <= goal.in_time_ms;
+    const bool much_sooner = !local_in_time && remote_ms + goal.remote_gain_ms < local.predicted_ms();
+    return {only_remote_in_time || much_sooner ? remote.index() : local.index(), {}};
+  }
+  for (const first_answer* best : {&local, &remote, &closed}) {
+    if (!best->empty()) return {best->index(), {}};
+  }
+  if (first_pause_end == time_point::max()) return {};
+  return {std::nullopt, first_pause_end - now};
+}
+
 selection Choose(std::span<const candidate> candidates, time_point now, std::uint64_t random,
                  std::optional<std::size_t> exclude) {
   chooser choice(now, random);
--- a/lib/mesh/entry_point.cpp
+++ b/lib/mesh/entry_point.cpp
@@ -25,6 +25,8 @@
 /// Deadline of callers that name none and of routes without a timeout.
 constexpr milliseconds kDefaultDeadline{30'000};
 constexpr unsigned kFirstServerError = 500;
+/// Part of the time left in which an answer is expected to be in time: service times vary.
+constexpr double kInTimePart = 0.8;
 
 call_outcome OutcomeFor(const wire::call_answer_t& answer, bool cancelled) {
   if (cancelled) return call_outcome::kAbandoned;
@@ -50,6 +52,7 @@
   if (answer.slots > 0) {
     report.load = balancing::reported_load{answer.in_flight, answer.queued, answer.slots};
   }
+  report.service = milliseconds(answer.service_ms);
   return report;
 }
 
@@ -88,6 +91,7 @@
   request_state state;
   state.started = now;
   state.routes = context_.routes;
+  if (context_.refusing) return Refuse(caller.id, kStatusUnavailable, "node is shutting down");
   if (state.routes == nullptr) {
     return Refuse(caller.id, kStatusUnavailable, "no configuration is in force yet");
   }
@@ -130,7 +134,13 @@
     indices.push_back(i);
     untried.push_back(view.candidates[i]);
   }
-  const auto choice = balancing::Choose(untried, steady_clock::now(), random_());
+  const auto now = steady_clock::now();
+  const auto left = std::chrono::duration<double, std::milli>(
+      state.started + state.route->target_latency - now);
+  const balancing::completion_goal goal{left.count() * kInTimePart,
+                                        static_cast<double>(state.route->target_latency.count())};
+  const auto choice =
+      balancing::ChooseByCompletion(untried, goal, /*may_try=*/true, now, random_());
   if (!choice.index) return std::nullopt;
   return indices[*choice.index];
 }
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -24,10 +24,14 @@
 constexpr milliseconds kCallersLeave{2'300};
 /// Time before the end of the grace period at which the process ends by itself.
 constexpr milliseconds kGraceMargin{600};
+/// Time before the end in which no new request is begun: the longest route timeouts take 2 s.
+constexpr milliseconds kLastRequests{2'200};
 /// After this part of the shutdown, other nodes have to choose other upstreams.
 constexpr milliseconds kServePeers{1'000};
-/// Changes of the endpoints within this time arrive in one watch call.
-constexpr milliseconds kEndpointPause{250};
+/// Changes within this time arrive in one watch call. Configurations and departures have to be known
+/// within 2 s.
+constexpr milliseconds kConfigPause{500};
+constexpr milliseconds kEndpointPause{400};
 
 }  // namespace
 
@@ -46,7 +50,7 @@
                    [this](const std::string& id, std::uint64_t revision) {
                      registration_.OnOwnRecord(id, revision);
                    }),
-        config_feed_(context_, fleet::kConfigurationKind, configs_, milliseconds(0)),
+        config_feed_(context_, fleet::kConfigurationKind, configs_, kConfigPause),
         endpoint_feed_(context_, kEndpointKind, endpoints_, kEndpointPause),
         caller_server_(context_.runtime, {.address = context_.settings.caller_address},
                        [this](net::http_request request, net::cancellation& cancel) {
@@ -103,7 +107,8 @@
     caller_server_.Drain();
     std::this_thread::sleep_until(std::min(begun + kServePeers, last));
     serving_.StopServing();
-    std::this_thread::sleep_until(std::min(begun + kCallersLeave, last));
+    std::this_thread::sleep_until(std::min(begun + kCallersLeave, last - kLastRequests));
+    context_.refusing = true;
     caller_server_.CloseIdle();
     while (OpenRequests() > 0 && steady_clock::now() < last) {
       std::this_thread::sleep_for(kDrainPoll);
--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -10,7 +10,7 @@
 
 /// Longest wait of one watch call. A connection that went silent without a close hides changes for
 /// this long at most.
-inline constexpr std::chrono::milliseconds kWatchWait{4'000};
+inline constexpr std::chrono::milliseconds kWatchWait{10'000};
 
 /// Keeps up with the objects of one kind: lists them, then watches for changes, and lists again
 /// when the store has forgotten its history. `Consumer` has OnList(object_listing) and
--- a/lib/mesh/serving_point.cpp
+++ b/lib/mesh/serving_point.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds kMaxIdleRepeatable{5'000};
 constexpr milliseconds kMaxIdleAtMostOnce{3'000};
 
+constexpr std::int64_t kMaxServiceMs = 60'000;
+
 class in_flight_count {
  public:
   explicit in_flight_count(std::atomic<std::size_t>& counter) : counter_(counter) { ++counter_; }
@@ -183,7 +185,12 @@
   }
   // The upstream may have announced its departure while the call waited.
   auto refusal = Refusal(call);
+  const auto sent_at = steady_clock::now();
   wire::call_answer_t answer = refusal ? std::move(*refusal) : Exchange(call, deadline, cancel);
+  if (answer.outcome == wire::outcome_kind::answered) {
+    const auto took = std::chrono::ceil<milliseconds>(steady_clock::now() - sent_at);
+    answer.service_ms = static_cast<std::uint16_t>(std::min<std::int64_t>(took.count(), kMaxServiceMs));
+  }
   gate_->Leave(decision.ticket, ResultOf(answer), milliseconds(0));
   return answer;
 }
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -197,16 +197,35 @@
       steady_clock::now() >= deadline) {
     return answer;
   }
-  const auto second =
-      balancing::Choose(list->candidates, steady_clock::now(), Random(), first.index);
-  if (!second.index || !budget->TakeRetry()) return answer;
+  const auto second = ChooseForRetry(*list, *first.index, answer.outcome);
+  if (!second || !budget->TakeRetry()) return answer;
   ++call.attempt;
-  wire::call_answer_t retried = Attempt(*list, *second.index, call, deadline, cancel);
+  wire::call_answer_t retried = Attempt(*list, *second, call, deadline, cancel);
   // The first attempt may have run, whatever the second one says.
   if (!not_run && retried.outcome == wire::outcome_kind::not_run) return answer;
   return retried;
 }
 
+std::optional<std::size_t> entry_service::ChooseForRetry(const endpoint_list& list,
+                                                         std::size_t first,
+                                                         wire::outcome_kind outcome) {
+  const auto now = steady_clock::now();
+  const bool domain_may_be_cut =
+      outcome == wire::outcome_kind::unknown && !list.candidates[first].same_domain;
+  if (domain_may_be_cut) {
+    std::vector<std::size_t> indices;
+    std::vector<balancing::candidate> own_domain;
+    for (std::size_t i = 0; i < list.candidates.size(); ++i) {
+      if (!list.candidates[i].same_domain) continue;
+      indices.push_back(i);
+      own_domain.push_back(list.candidates[i]);
+    }
+    const auto choice = balancing::Choose(own_domain, now, Random());
+    if (choice.index) return indices[*choice.index];
+  }
+  return balancing::Choose(list.candidates, now, Random(), first).index;
+}
+
 net::steady_time entry_service::FirstAttemptEnd(const endpoint_list& list, std::size_t index,
                                                 const wire::call_request_t& call,
                                                 net::steady_time deadline) {
--- a/lib/node/entry_service.h
+++ b/lib/node/entry_service.h
@@ -30,6 +30,10 @@
   /// Forwards to the chosen upstream and, where it's safe, once more to another one. A call with
   /// an idempotency key is not repeatable.
   wire::call_answer_t Forward(wire::call_request_t call, net::cancellation& cancel);
+  /// Another endpoint for a call whose first endpoint gave no result. If that one is in another
+  /// failure domain, the whole domain may be cut off: the own domain goes first then.
+  static std::optional<std::size_t> ChooseForRetry(const endpoint_list& list, std::size_t first,
+                                                   wire::outcome_kind outcome);
   /// A repeatable call waits at its first endpoint until half of its time is over and an answer is
   /// overdue, so that time for a retry is left if the endpoint is cut off.
   static net::steady_time FirstAttemptEnd(const endpoint_list& list, std::size_t index,
