mesh: a silent store or connection is noticed within 3 s

Ruled out: kernel keep-alive alone; it ended the cut connections after 3 s, but a silent store acknowledges packets. Change: store_monitor makes a stale read when nothing was answered for 1.5 s, and interrupts the watch calls if it gets no answer or shows changes that no watch has brought; connections are given 0.6 s.

--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -39,6 +39,9 @@
   std::function<bool(const http_response&)> belongs;
   /// A connection that was idle for longer isn't used: the server may be closing it.
   std::chrono::milliseconds max_idle{60'000};
+  /// Time for a connection to be established. A first packet that is lost is sent again after
+  /// seconds only, so a new attempt is quicker.
+  std::chrono::milliseconds connect_timeout{600};
 };
 
 /// HTTP/1.1 client with keep-alive connections, one pool per thread. Use it from fibers of the
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -11,6 +11,7 @@
 #include "registration.h"
 #include "serving_point.h"
 #include "siskinrack/net/http_server.h"
+#include "store_monitor.h"
 
 namespace siskinrack::mesh {
 namespace {
@@ -52,6 +53,13 @@
                    }),
         config_feed_(context_, fleet::kConfigurationKind, configs_, kConfigPause),
         endpoint_feed_(context_, kEndpointKind, endpoints_, kEndpointPause),
+        monitor_(
+            context_,
+            [this] { return std::max(config_feed_.revision(), endpoint_feed_.revision()); },
+            [this] {
+              config_feed_.Interrupt();
+              endpoint_feed_.Interrupt();
+            }),
         caller_server_(context_.runtime, {.address = context_.settings.caller_address},
                        [this](net::http_request request, net::cancellation& cancel) {
                          return entry_.Handle(std::move(request), cancel);
@@ -87,6 +95,7 @@
     context_.runtime.Post(0, [this] { config_feed_.Run(); });
     context_.runtime.Post(0, [this] { endpoint_feed_.Run(); });
     context_.runtime.Post(0, [this] { registration_.Run(); });
+    context_.runtime.Post(0, [this] { monitor_.Run(); });
   }
 
   void Reload() {
@@ -176,6 +185,7 @@
   endpoint_consumer endpoints_;
   object_feed<config_consumer> config_feed_;
   object_feed<endpoint_consumer> endpoint_feed_;
+  store_monitor monitor_;
   net::http_server caller_server_;
   net::http_server ready_server_;
   net::http_server heartbeat_server_;
--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -8,9 +8,11 @@
 
 namespace siskinrack::mesh {
 
-/// Longest wait of one watch call. A connection that went silent without a close hides changes for
-/// this long at most.
-inline constexpr std::chrono::milliseconds kWatchWait{10'000};
+/// Longest wait of one watch call. Each call has its price; store_monitor finds out sooner if the
+/// store has gone silent.
+inline constexpr std::chrono::milliseconds kWatchWait{15'000};
+/// Wait of the first watch call after a failure: its answer shows that the store is back.
+inline constexpr std::chrono::milliseconds kFirstWatchWait{1};
 
 /// Keeps up with the objects of one kind: lists them, then watches for changes, and lists again
 /// when the store has forgotten its history. `Consumer` has OnList(object_listing) and
@@ -35,6 +37,14 @@
   }
 
   [[nodiscard]] bool listed() const { return listed_; }
+  /// State of the store that the consumer has seen.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+
+  /// Ends a watch call that may never be answered; the next one follows at once.
+  void Interrupt() {
+    suspect_ = true;
+    if (watch_cancel_ != nullptr) watch_cancel_->Cancel();
+  }
 
  private:
   void List() {
@@ -48,7 +58,11 @@
   }
 
   void Watch() {
-    auto result = context_.store.Watch(kind_, revision_, kWatchWait);
+    net::cancellation cancel;
+    watch_cancel_ = &cancel;
+    auto result = context_.store.Watch(kind_, revision_, suspect_ ? kFirstWatchWait : kWatchWait,
+                                       &cancel);
+    watch_cancel_ = nullptr;
     if (const auto* error = std::get_if<fleet::store_error>(&result)) {
       if (error->code != fleet::store_errc::kHistoryGone) return OnError(*error);
       context_.log.Info("history_gone", {{"kind", kind_}, {"revision", revision_}});
@@ -58,11 +72,22 @@
     OnAnswer();
     auto& changes = std::get<fleet::object_changes>(result);
     revision_ = std::max(revision_, changes.revision);
-    for (auto& change : changes.events) consumer_.OnChange(std::move(change));
+    for (std::size_t i = 0; i < changes.events.size(); ++i) {
+      if (!IsSuperseded(changes.events, i)) consumer_.OnChange(std::move(changes.events[i]));
+    }
     if (!changes.events.empty() && pause_.count() > 0) net::SleepFor(pause_);
   }
 
+  /// Whether a later event of the batch concerns the same object.
+  static bool IsSuperseded(const std::vector<fleet::object_change>& events, std::size_t index) {
+    for (std::size_t i = index + 1; i < events.size(); ++i) {
+      if (events[i].object.name == events[index].object.name) return true;
+    }
+    return false;
+  }
+
   void OnError(const fleet::store_error& error) {
+    suspect_ = true;
     if (!lost_since_) {
       lost_since_ = std::chrono::steady_clock::now();
       context_.log.Warn("store_lost", {{"kind", kind_},
@@ -73,6 +98,7 @@
   }
 
   void OnAnswer() {
+    suspect_ = false;
     if (!lost_since_) return;
     const auto gone = std::chrono::steady_clock::now() - *lost_since_;
     lost_since_.reset();
@@ -87,6 +113,9 @@
   Consumer& consumer_;
   std::chrono::milliseconds pause_;
   bool listed_ = false;
+  /// The store gave no answer when one was due.
+  bool suspect_ = false;
+  net::cancellation* watch_cancel_ = nullptr;
   std::uint64_t revision_ = 0;
   std::optional<std::chrono::steady_clock::time_point> lost_since_;
 };
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -84,11 +84,13 @@
     const bool reused = item != nullptr;
     if (!reused) item = std::make_shared<connection>(detail::CurrentContext());
     const cancel_guard guard(cancel, item);
-    item->stream.expires_at(deadline);
     if (!reused) {
+      item->stream.expires_at(
+          std::min(deadline, std::chrono::steady_clock::now() + options.connect_timeout));
       const auto error = Connect(*item, address);
       if (error) return Failure(exchange_stage::kNotSent, error);
     }
+    item->stream.expires_at(deadline);
     bool keep_alive = false;
     http_result result = Exchange(
         item, detail::ToBeastRequest(std::move(request), address.ToText()), options, keep_alive);
