admission: calls are admitted by what their answers are still worth

Change: deadline_controller runs calls that can be in time first, by priority, then late ones, and refuses at once what can't end; a request asks two nodes for capacity; a refused caller is told to come back after most of a third of its time. slot_gate takes the controller as a template parameter.

--- a/include/siskinrack/admission/slot_gate.h
+++ b/include/siskinrack/admission/slot_gate.h
@@ -1,11 +1,12 @@
 #ifndef SISKINRACK_ADMISSION_SLOT_GATE_H_
 #define SISKINRACK_ADMISSION_SLOT_GATE_H_
 
+#include <algorithm>
+#include <boost/fiber/future/future.hpp>
+#include <boost/fiber/future/future_status.hpp>
 #include <boost/fiber/future/promise.hpp>
 #include <memory>
 #include <mutex>
-#include <span>
-#include <string_view>
 #include <unordered_map>
 
 #include "siskinrack/admission/controller.h"
@@ -14,45 +15,100 @@
 
 namespace siskinrack::admission {
 
-/// Lets calls through to one upstream as the admission controller decides. A waiting call is a
-/// suspended fiber; the fiber that frees a slot wakes it, on whichever thread it is. Held by a
-/// shared pointer, because a fiber that waits for the end of a pause may outlive its owner.
-class slot_gate : public std::enable_shared_from_this<slot_gate> {
+/// What a gate needs of the controller that decides for it.
+template <typename Controller, typename Arrival>
+concept slot_controller = requires(Controller& controller, const Arrival& call, time_point now) {
+  { controller.Offer(call, now) } -> std::same_as<decisions>;
+  {
+    controller.Finish(call.ticket, call_result::kAnswered, now, nanoseconds(0))
+    } -> std::same_as<decisions>;
+  { controller.Withdraw(call.ticket) } -> std::same_as<bool>;
+  { controller.Advance(now) } -> std::same_as<decisions>;
+};
+
+/// Lets calls through to one upstream as a controller decides. A waiting call is a suspended fiber;
+/// the fiber that frees a slot wakes it, on whichever thread it is. Held by a shared pointer,
+/// because a fiber that waits for the end of a pause may outlive its owner.
+template <typename Controller>
+class slot_gate : public std::enable_shared_from_this<slot_gate<Controller>> {
  public:
-  slot_gate(upstream_limits limits, std::span<const config::rank_policy> ranks);
+  explicit slot_gate(Controller controller) : controller_(std::move(controller)) {}
 
-  /// Takes over new limits and ranks.
-  void Configure(upstream_limits limits, std::span<const config::rank_policy> ranks);
+  /// Asks for a slot and suspends the calling fiber until it is granted or refused; a call that
+  /// waits after `give_up_at` is refused. A granted ticket needs one Leave. The gate sets the
+  /// ticket of `call`.
+  template <typename Arrival>
+  requires slot_controller<Controller, Arrival> decision Enter(Arrival call,
+                                                               net::steady_time give_up_at,
+                                                               net::cancellation& cancel) {
+    std::unique_lock lock(mutex_);
+    call.ticket = ++last_ticket_;
+    const auto list = controller_.Offer(call, std::chrono::steady_clock::now());
+    const auto own = std::find_if(list.begin(), list.end(),
+                                  [&](const auto& item) { return item.ticket == call.ticket; });
+    if (list.size() > 1 || own == list.end()) Deliver(list);
+    if (own != list.end()) return *own;
+    const auto answer = std::make_shared<promise>();
+    waiting_.emplace(call.ticket, answer);
+    lock.unlock();
+    return Await(call.ticket, answer->get_future(), give_up_at, cancel);
+  }
 
-  /// Asks for a slot and suspends the calling fiber until it is granted or refused. A granted
-  /// ticket needs one Leave.
-  decision Enter(std::string_view rank, std::string_view caller, net::steady_time deadline,
-                 net::cancellation& cancel);
   /// Frees the slot of `ticket`.
-  void Leave(std::uint64_t ticket, call_result result, std::chrono::milliseconds retry_after);
+  void Leave(std::uint64_t ticket, call_result result, std::chrono::milliseconds retry_after) {
+    {
+      const std::lock_guard lock(mutex_);
+      Deliver(controller_.Finish(ticket, result, std::chrono::steady_clock::now(), retry_after));
+    }
+    if (retry_after.count() > 0) AdvanceAfter(retry_after);
+  }
 
-  /// The upstream has started.
-  void StartRamp();
-  /// Load as a call of `rank` meets it.
-  [[nodiscard]] upstream_load Load(std::string_view rank) const;
+  /// Runs `visit` with the controller under the gate's lock.
+  template <typename Visit>
+  auto WithController(Visit visit) {
+    const std::lock_guard lock(mutex_);
+    return visit(controller_);
+  }
 
  private:
   using promise = boost::fibers::promise<decision>;
 
+  decision Await(std::uint64_t ticket, boost::fibers::future<decision> answer,
+                 net::steady_time give_up_at, net::cancellation& cancel) {
+    const std::uint64_t handle = cancel.OnCancel([this, ticket] { Withdraw(ticket); });
+    if (answer.wait_until(give_up_at) == boost::fibers::future_status::timeout) Withdraw(ticket);
+    cancel.Remove(handle);
+    return answer.get();
+  }
+
+  void Withdraw(std::uint64_t ticket) {
+    const std::lock_guard lock(mutex_);
+    // A call that no longer waits has its decision already.
+    if (!controller_.Withdraw(ticket)) return;
+    Deliver({{.ticket = ticket, .run = false, .reason = refusal::kDeadline}});
+  }
+
+  void AdvanceAfter(std::chrono::milliseconds pause) {
+    net::Spawn([self = this->shared_from_this(), pause] {
+      net::SleepFor(pause);
+      const std::lock_guard lock(self->mutex_);
+      self->Deliver(self->controller_.Advance(std::chrono::steady_clock::now()));
+    });
+  }
+
   /// Needs the lock.
-  void Deliver(const decisions& list);
+  void Deliver(const decisions& list) {
+    for (const decision& item : list) {
+      const auto found = waiting_.find(item.ticket);
+      if (found == waiting_.end()) continue;
+      const auto answer = std::move(found->second);
+      waiting_.erase(found);
+      answer->set_value(item);
+    }
+  }
 
-  decision Await(std::uint64_t ticket, boost::fibers::future<decision> answer,
-                 net::steady_time end_by, net::cancellation& cancel);
-  void Withdraw(std::uint64_t ticket);
-  void AdvanceAfter(std::chrono::milliseconds pause);
-  /// Latest time at which a call of the rank may start.
-  [[nodiscard]] net::steady_time EndBy(std::string_view rank, net::steady_time deadline,
-                                       net::steady_time now) const;
-
-  mutable std::mutex mutex_;
-  controller controller_;
-  std::unordered_map<std::string, std::chrono::milliseconds> targets_;
+  std::mutex mutex_;
+  Controller controller_;
   std::uint64_t last_ticket_ = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<promise>> waiting_;
 };
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -974,6 +974,8 @@
   uint64_t config_version = 0;
   std::string host{};
   bool at_most_once = false;
+  uint32_t priority = 0;
+  uint32_t in_time_ms = 0;
   call_request_t() = default;
   call_request_t(const call_request_t &o);
   call_request_t(call_request_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -998,7 +1000,9 @@
     VT_CLAIM_EPOCH = 26,
     VT_CONFIG_VERSION = 28,
     VT_HOST = 30,
-    VT_AT_MOST_ONCE = 32
+    VT_AT_MOST_ONCE = 32,
+    VT_PRIORITY = 34,
+    VT_IN_TIME_MS = 36
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1045,6 +1049,12 @@
   bool at_most_once() const {
     return GetField<uint8_t>(VT_AT_MOST_ONCE, 0) != 0;
   }
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  uint32_t in_time_ms() const {
+    return GetField<uint32_t>(VT_IN_TIME_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -1073,6 +1083,8 @@
            VerifyOffset(verifier, VT_HOST) &&
            verifier.VerifyString(host()) &&
            VerifyField<uint8_t>(verifier, VT_AT_MOST_ONCE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_IN_TIME_MS, 4) &&
            verifier.EndTable();
   }
   call_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1129,6 +1141,12 @@
   void add_at_most_once(bool at_most_once) {
     fbb_.AddElement<uint8_t>(call_request::VT_AT_MOST_ONCE, static_cast<uint8_t>(at_most_once), 0);
   }
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(call_request::VT_PRIORITY, priority, 0);
+  }
+  void add_in_time_ms(uint32_t in_time_ms) {
+    fbb_.AddElement<uint32_t>(call_request::VT_IN_TIME_MS, in_time_ms, 0);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1156,10 +1174,14 @@
     uint64_t claim_epoch = 0,
     uint64_t config_version = 0,
     flatbuffers::Offset<flatbuffers::String> host = 0,
-    bool at_most_once = false) {
+    bool at_most_once = false,
+    uint32_t priority = 0,
+    uint32_t in_time_ms = 0) {
   call_requestBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_claim_epoch(claim_epoch);
+  builder_.add_in_time_ms(in_time_ms);
+  builder_.add_priority(priority);
   builder_.add_host(host);
   builder_.add_idempotency_key(idempotency_key);
   builder_.add_request_id(request_id);
@@ -1192,7 +1214,9 @@
     uint64_t claim_epoch = 0,
     uint64_t config_version = 0,
     const char *host = nullptr,
-    bool at_most_once = false) {
+    bool at_most_once = false,
+    uint32_t priority = 0,
+    uint32_t in_time_ms = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto rank__ = rank ? _fbb.CreateString(rank) : 0;
   auto caller__ = caller ? _fbb.CreateString(caller) : 0;
@@ -1219,7 +1243,9 @@
       claim_epoch,
       config_version,
       host__,
-      at_most_once);
+      at_most_once,
+      priority,
+      in_time_ms);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3767,7 +3793,9 @@
         claim_epoch(o.claim_epoch),
         config_version(o.config_version),
         host(o.host),
-        at_most_once(o.at_most_once) {
+        at_most_once(o.at_most_once),
+        priority(o.priority),
+        in_time_ms(o.in_time_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -3788,6 +3816,8 @@
   std::swap(config_version, o.config_version);
   std::swap(host, o.host);
   std::swap(at_most_once, o.at_most_once);
+  std::swap(priority, o.priority);
+  std::swap(in_time_ms, o.in_time_ms);
   return *this;
 }
 
@@ -3815,6 +3845,8 @@
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = host(); if (_e) _o->host = _e->str(); }
   { auto _e = at_most_once(); _o->at_most_once = _e; }
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = in_time_ms(); _o->in_time_ms = _e; }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3840,6 +3872,8 @@
   auto _config_version = _o->config_version;
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
   auto _at_most_once = _o->at_most_once;
+  auto _priority = _o->priority;
+  auto _in_time_ms = _o->in_time_ms;
   return siskinrack::wire::Createcall_request(
       _fbb,
       _service,
@@ -3856,7 +3890,9 @@
       _claim_epoch,
       _config_version,
       _host,
-      _at_most_once);
+      _at_most_once,
+      _priority,
+      _in_time_ms);
 }
 
 inline call_answer_t::call_answer_t(const call_answer_t &o)
--- a/lib/mesh/entry_point.cpp
+++ b/lib/mesh/entry_point.cpp
@@ -1,6 +1,7 @@
 #include "entry_point.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "call_answers.h"
 #include "request_codec.h"
@@ -18,10 +19,16 @@
 constexpr milliseconds kVerdictMargin{150};
 /// A request with less time left isn't sent to another endpoint: the answer would be late.
 constexpr milliseconds kMinTimeForRetry{20};
-/// Pause for a refused caller when no node named one: about the time in which a few slots turn
-/// over.
-constexpr milliseconds kRetryAfter{250};
-constexpr milliseconds kRetryAfterSpread{150};
+/// Serving nodes without capacity that one request asks: the best two by prediction. More would
+/// add to the load of an overload without finding a free slot.
+constexpr std::uint32_t kMaxRefusals = 2;
+/// Refused callers honour a pause of up to a third of the time that they have left. Most of that
+/// lets an overload pass and leaves time for two more attempts.
+constexpr double kPausePart = 0.32;
+constexpr double kPauseSpread = 0.4;
+constexpr milliseconds kMinPause{50};
+/// Time left of a caller that names no deadline.
+constexpr milliseconds kUnknownTimeLeft{1'000};
 /// Deadline of callers that name none and of routes without a timeout.
 constexpr milliseconds kDefaultDeadline{30'000};
 constexpr unsigned kFirstServerError = 500;
@@ -61,7 +68,7 @@
                               const std::string& caller) {
   wire::call_request_t call;
   call.service = service;
-  call.rank = RankName(route.priority);
+  call.priority = route.priority;
   call.caller = caller;
   call.request_id = request_id;
   call.at_most_once = route.repeats == routing::repeatability::kAtMostOnce;
@@ -101,11 +108,25 @@
   const milliseconds timeout =
       state.route->timeout.count() > 0 ? state.route->timeout : kDefaultDeadline;
   state.end = now + std::min(caller.deadline.value_or(timeout), timeout);
+  const milliseconds deadline = caller.deadline.value_or(timeout);
+  state.caller_end = now + deadline;
+  state.in_time_by = now + state.route->target_latency - Waited(*state.route, deadline);
   state.call = MakeCall(std::move(request), caller.id, *state.route, state.service,
                         context_.settings.service);
   return ToHttp(state, Run(state, cancel));
 }
 
+void entry_point::OnConfiguration() {
+  splits_.clear();
+  longest_deadlines_.clear();
+}
+
+milliseconds entry_point::Waited(const routing::route& route, milliseconds deadline) {
+  milliseconds& longest = longest_deadlines_[&route];
+  longest = std::max(longest, deadline);
+  return longest - deadline;
+}
+
 const std::string& entry_point::ChooseService(const routing::route& route) {
   if (route.targets.size() == 1) return route.targets.front().service;
   const auto [split, added] = splits_.try_emplace(&route, route.targets, random_());
@@ -135,8 +156,7 @@
     untried.push_back(view.candidates[i]);
   }
   const auto now = steady_clock::now();
-  const auto left = std::chrono::duration<double, std::milli>(
-      state.started + state.route->target_latency - now);
+  const auto left = std::chrono::duration<double, std::milli>(state.in_time_by - now);
   const balancing::completion_goal goal{left.count() * kInTimePart,
                                         static_cast<double>(state.route->target_latency.count())};
   const auto choice =
@@ -173,6 +193,7 @@
 bool entry_point::MayGoOn(request_state& state, const wire::call_answer_t& answer) {
   if (answer.outcome == outcome_kind::answered) return false;
   if (answer.cause == answer_cause::quarantined) return false;
+  if (answer.cause == answer_cause::no_capacity && ++state.refusals >= kMaxRefusals) return false;
   const auto now = steady_clock::now();
   if (state.end - now < kMinTimeForRetry) return false;
   if (answer.outcome == outcome_kind::unknown) {
@@ -191,6 +212,8 @@
   const auto remaining = std::chrono::floor<milliseconds>(state.end - steady_clock::now());
   if (remaining.count() <= 0) return NotRun(answer_cause::no_capacity, "deadline has passed");
   state.call.deadline_ms = static_cast<std::uint32_t>(remaining.count());
+  const auto in_time = std::chrono::floor<milliseconds>(state.in_time_by - steady_clock::now());
+  state.call.in_time_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, in_time.count()));
   state.call.config_version = state.routes->config().version;
   if (target.node_address == context_.settings.peer_address) {
     return serving_.Serve(state.call, cancel);
@@ -211,10 +234,10 @@
   return std::move(*answer);
 }
 
-milliseconds entry_point::RetryAfter(const wire::call_answer_t& answer) {
-  const milliseconds asked(answer.retry_after_ms);
-  const milliseconds spread(random_() % static_cast<std::uint64_t>(kRetryAfterSpread.count()));
-  return std::max(asked, kRetryAfter) + spread;
+milliseconds entry_point::RetryAfter(milliseconds left) {
+  const double random = std::uniform_real_distribution<double>(1 - kPauseSpread, 1)(random_);
+  const auto pause = static_cast<double>(left.count()) * kPausePart * random;
+  return std::max(kMinPause, milliseconds(std::llround(pause)));
 }
 
 net::http_response entry_point::Refuse(const std::string& id, unsigned status,
@@ -224,13 +247,14 @@
                                         {"reason", reason},
                                         {"config_version", context_.version()}});
   const bool come_back = status == kStatusUnavailable;
-  return fleet::OwnAnswer(status, id, reason, come_back ? RetryAfter({}) : milliseconds(0));
+  return fleet::OwnAnswer(status, id, reason,
+                          come_back ? RetryAfter(kUnknownTimeLeft) : milliseconds(0));
 }
 
 net::http_response entry_point::ToHttp(const request_state& state, wire::call_answer_t answer) {
   const auto took = std::chrono::duration_cast<milliseconds>(steady_clock::now() - state.started);
   const std::string_view outcome = wire::EnumNameoutcome_kind(answer.outcome);
-  context_.requests.Count(outcome, state.call.rank, took);
+  context_.requests.Count(outcome, std::to_string(state.call.priority), took);
   if (answer.outcome != outcome_kind::answered) {
     context_.log.Info("request_failed", {{"request", state.call.request_id},
                                          {"route", state.route->name},
@@ -243,8 +267,9 @@
                                          {"took_ms", took.count()},
                                          {"config_version", state.call.config_version}});
     const bool come_back = answer.outcome == outcome_kind::not_run;
+    const auto left = std::chrono::floor<milliseconds>(state.caller_end - steady_clock::now());
     return fleet::OwnAnswer(answer.status, state.call.request_id, answer.reason,
-                            come_back ? RetryAfter(answer) : milliseconds(0));
+                            come_back ? RetryAfter(left) : milliseconds(0));
   }
   net::http_response response;
   response.status = answer.status;
--- a/lib/mesh/entry_point.h
+++ b/lib/mesh/entry_point.h
@@ -24,7 +24,7 @@
   net::http_response Handle(net::http_request request, net::cancellation& cancel);
 
   /// The configuration has changed.
-  void OnConfiguration() { splits_.clear(); }
+  void OnConfiguration();
 
  private:
   /// One request on its way.
@@ -35,6 +35,12 @@
     wire::call_request_t call;
     net::steady_time started;
     net::steady_time end;
+    /// Until then an answer has its full worth.
+    net::steady_time in_time_by;
+    /// When the caller gives up, as far as it said so.
+    net::steady_time caller_end;
+    /// Serving nodes that had no capacity.
+    std::uint32_t refusals = 0;
     /// Instances that may have run the request.
     std::uint32_t runs = 0;
     /// Arrivals at an instance, also rejected ones.
@@ -60,12 +66,17 @@
                            net::cancellation& cancel);
   net::http_response ToHttp(const request_state& state, wire::call_answer_t answer);
   net::http_response Refuse(const std::string& id, unsigned status, std::string_view reason);
-  std::chrono::milliseconds RetryAfter(const wire::call_answer_t& answer);
+  /// Pause for a caller that is refused and has `left` to wait.
+  std::chrono::milliseconds RetryAfter(std::chrono::milliseconds left);
+  /// Time that the caller has waited before this attempt: callers give what is left of the time
+  /// that they had at first, which is the longest seen on the route.
+  std::chrono::milliseconds Waited(const routing::route& route, std::chrono::milliseconds deadline);
 
   mesh_context& context_;
   serving_point& serving_;
   std::map<std::string, service_view> views_;
   std::map<const routing::route*, routing::weighted_split> splits_;
+  std::map<const routing::route*, std::chrono::milliseconds> longest_deadlines_;
   std::map<std::string, routing::retry_share> retries_;
   balancing::endpoint_tracker tracker_;
   std::mt19937_64 random_{std::random_device{}()};
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -29,8 +29,8 @@
 constexpr milliseconds kLastRequests{2'200};
 /// After this part of the shutdown, other nodes have to choose other upstreams.
 constexpr milliseconds kServePeers{1'000};
-/// Changes within this time arrive in one watch call. Configurations and departures have to be known
-/// within 2 s.
+/// Changes within this time arrive in one watch call. Configurations and departures have to be
+/// known within 2 s.
 constexpr milliseconds kConfigPause{500};
 constexpr milliseconds kEndpointPause{400};
 
@@ -138,7 +138,6 @@
 
   void OnConfiguration() {
     caller_server_.SetLimits(context_.routes->config().limits);
-    serving_.OnConfiguration();
     entry_.OnConfiguration();
   }
 
--- a/lib/mesh/serving_point.cpp
+++ b/lib/mesh/serving_point.cpp
@@ -1,7 +1,5 @@
 #include "serving_point.h"
 
-#include <map>
-
 #include "call_answers.h"
 #include "request_codec.h"
 
@@ -12,8 +10,6 @@
 using std::chrono::steady_clock;
 using wire::answer_cause;
 
-/// Worth of the most urgent rank; each priority below it is worth one less.
-constexpr std::uint32_t kTopWorth = 1'000;
 /// The upstream ends its work at the deadline that it is given; its answer needs this long.
 constexpr milliseconds kAnswerMargin{60};
 /// Part of the drain period in which a leaving upstream still takes calls, so that the other nodes
@@ -105,33 +101,17 @@
 
 }  // namespace
 
-std::string RankName(std::uint32_t priority) { return 'p' + std::to_string(priority); }
-
 serving_point::serving_point(mesh_context& context, const registration& instance)
     : context_(context),
       registration_(instance),
-      gate_(
-          std::make_shared<admission::slot_gate>(admission::upstream_limits{slots_, {}}, ranks_)) {}
-
-void serving_point::OnConfiguration() {
-  std::map<std::uint32_t, milliseconds> timeouts;
-  for (const routing::route& route : context_.routes->config().routes) {
-    auto& timeout = timeouts[route.priority];
-    timeout = std::max(timeout, route.timeout);
-  }
-  ranks_.clear();
-  for (const auto& [priority, timeout] : timeouts) {
-    ranks_.push_back({RankName(priority), static_cast<std::uint32_t>(timeout.count()),
-                      kTopWorth - std::min(priority, kTopWorth - 1), 0});
-  }
-  gate_->Configure({slots_, milliseconds(0)}, ranks_);
-}
+      gate_(std::make_shared<gate>(admission::deadline_controller(slots_))) {}
 
 void serving_point::AdaptSlots() {
   const std::uint32_t slots = registration_.instance().current()->slots;
   if (slots == slots_) return;
   slots_ = slots;
-  gate_->Configure({slots_, milliseconds(0)}, ranks_);
+  gate_->WithController(
+      [slots](admission::deadline_controller& controller) { controller.SetSlots(slots); });
 }
 
 std::optional<wire::call_answer_t> serving_point::Refusal(const wire::call_request_t& call) const {
@@ -157,7 +137,8 @@
   const auto deadline = steady_clock::now() + milliseconds(call.deadline_ms);
   auto refusal = Refusal(call);
   wire::call_answer_t answer = refusal ? std::move(*refusal) : Admit(call, deadline, cancel);
-  const admission::upstream_load load = gate_->Load(call.rank);
+  const admission::upstream_load load = gate_->WithController(
+      [](const admission::deadline_controller& controller) { return controller.Load(); });
   answer.in_flight = static_cast<std::uint16_t>(load.in_flight);
   answer.queued = static_cast<std::uint16_t>(load.queued);
   answer.slots = static_cast<std::uint16_t>(load.limit);
@@ -168,7 +149,9 @@
                                       {"caller", call.caller},
                                       {"cause", wire::EnumNameanswer_cause(answer.cause)},
                                       {"reason", answer.reason},
+                                      {"priority", call.priority},
                                       {"deadline_ms", call.deadline_ms},
+                                      {"in_time_ms", call.in_time_ms},
                                       {"in_flight", load.in_flight},
                                       {"queued", load.queued}});
   }
@@ -178,7 +161,10 @@
 wire::call_answer_t serving_point::Admit(const wire::call_request_t& call,
                                          net::steady_time deadline, net::cancellation& cancel) {
   AdaptSlots();
-  const admission::decision decision = gate_->Enter(call.rank, call.caller, deadline, cancel);
+  const admission::decision decision = gate_->Enter(
+      admission::timed_arrival{0, call.priority,
+                               steady_clock::now() + milliseconds(call.in_time_ms), deadline},
+      deadline, cancel);
   if (!decision.run) {
     return NotRun(answer_cause::no_capacity, RefusalText(decision.reason),
                   std::chrono::ceil<milliseconds>(decision.retry_after));
@@ -189,7 +175,8 @@
   wire::call_answer_t answer = refusal ? std::move(*refusal) : Exchange(call, deadline, cancel);
   if (answer.outcome == wire::outcome_kind::answered) {
     const auto took = std::chrono::ceil<milliseconds>(steady_clock::now() - sent_at);
-    answer.service_ms = static_cast<std::uint16_t>(std::min<std::int64_t>(took.count(), kMaxServiceMs));
+    answer.service_ms =
+        static_cast<std::uint16_t>(std::min<std::int64_t>(took.count(), kMaxServiceMs));
   }
   gate_->Leave(decision.ticket, ResultOf(answer), milliseconds(0));
   return answer;
--- a/lib/mesh/serving_point.h
+++ b/lib/mesh/serving_point.h
@@ -5,6 +5,7 @@
 
 #include "mesh_context.h"
 #include "registration.h"
+#include "siskinrack/admission/deadline_controller.h"
 #include "siskinrack/admission/slot_gate.h"
 
 namespace siskinrack::mesh {
@@ -18,8 +19,6 @@
   /// Runs one call; every outcome is typed. May suspend the calling fiber.
   wire::call_answer_t Serve(const wire::call_request_t& call, net::cancellation& cancel);
 
-  /// Takes over the ranks of a new configuration.
-  void OnConfiguration();
   /// Refuses new calls: the node is about to end.
   void StopServing() { stopped_ = true; }
 
@@ -37,16 +36,13 @@
 
   mesh_context& context_;
   const registration& registration_;
-  std::vector<config::rank_policy> ranks_;
+  using gate = admission::slot_gate<admission::deadline_controller>;
   std::uint32_t slots_ = 1;
-  std::shared_ptr<admission::slot_gate> gate_;
+  std::shared_ptr<gate> gate_;
   std::atomic<std::size_t> in_flight_ = 0;
   std::atomic<bool> stopped_ = false;
 };
 
-/// Name of the admission rank of a route's priority.
-std::string RankName(std::uint32_t priority);
-
 }  // namespace siskinrack::mesh
 
 #endif  // SISKINRACK_LIB_MESH_SERVING_POINT_H_
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -106,15 +106,17 @@
     : context_(context),
       quarantine_(quarantine),
       configured_(context.config.Current()),
-      gate_(std::make_shared<admission::slot_gate>(Limits(*configured_),
-                                                   configured_->config.resources.ranks)) {}
+      gate_(std::make_shared<admission::slot_gate<admission::controller>>(
+          admission::controller(Limits(*configured_), configured_->config.resources.ranks))) {}
 
 void serving_service::Reconfigure() {
   config_snapshot_ptr current = context_.config.Current();
   const std::lock_guard lock(configure_mutex_);
   if (current == configured_) return;
   configured_ = std::move(current);
-  gate_->Configure(Limits(*configured_), configured_->config.resources.ranks);
+  gate_->WithController([this](admission::controller& controller) {
+    controller.Configure(Limits(*configured_), configured_->config.resources.ranks);
+  });
 }
 
 admission::upstream_limits serving_service::Limits(const config_snapshot& snapshot) const {
@@ -139,7 +141,10 @@
   // Before admission, which takes a refusal of the upstream as a sign of overload.
   auto refusal = quarantine_.Refusal(call);
   wire::call_answer_t answer = refusal ? std::move(*refusal) : Admit(call, deadline, cancel);
-  const admission::upstream_load load = gate_->Load(call.rank);
+  const admission::upstream_load load =
+      gate_->WithController([&call](const admission::controller& controller) {
+        return controller.LoadFor(call.rank, std::chrono::steady_clock::now());
+      });
   answer.in_flight = static_cast<std::uint16_t>(load.in_flight);
   answer.queued = static_cast<std::uint16_t>(load.queued);
   answer.slots = static_cast<std::uint16_t>(load.limit);
@@ -150,7 +155,12 @@
 wire::call_answer_t serving_service::Admit(const wire::call_request_t& call,
                                            net::steady_time deadline, net::cancellation& cancel) {
   Reconfigure();
-  const admission::decision decision = gate_->Enter(call.rank, call.caller, deadline, cancel);
+  const auto* rank = context_.config.Current()->config.resources.FindRank(call.rank);
+  const auto now = std::chrono::steady_clock::now();
+  const auto give_up_at =
+      rank == nullptr ? deadline : std::min(deadline, now + milliseconds(rank->target_ms));
+  const admission::decision decision =
+      gate_->Enter(admission::arrival{0, call.rank, call.caller, deadline}, give_up_at, cancel);
   if (!decision.run) return Refused(decision);
   wire::call_answer_t answer = SendToUpstream(call, deadline, cancel);
   gate_->Leave(decision.ticket, ResultOf(answer, cancel.cancelled()),
@@ -199,7 +209,9 @@
       result.stage == net::exchange_stage::kAnswered && result.response.status == kStatusOk;
   if (healthy && upstream_away_.exchange(false)) {
     Reconfigure();
-    gate_->StartRamp();
+    gate_->WithController([](admission::controller& controller) {
+      controller.StartRamp(std::chrono::steady_clock::now());
+    });
   }
   return healthy;
 }
--- a/lib/node/serving_service.h
+++ b/lib/node/serving_service.h
@@ -39,7 +39,7 @@
   std::mutex configure_mutex_;
   /// The configuration that the gate was last set up with.
   config_snapshot_ptr configured_;
-  std::shared_ptr<admission::slot_gate> gate_;
+  std::shared_ptr<admission::slot_gate<admission::controller>> gate_;
   std::atomic<std::size_t> in_flight_ = 0;
   std::atomic<bool> upstream_away_ = true;
 };
