--- a/lib/mesh/registration.cpp
+++ b/lib/mesh/registration.cpp
@@ -120,10 +120,16 @@
 
 bool registration::Advance() {
   const auto wanted = Wanted();
+  if (const auto outdated = Outdated(wanted)) return Remove(outdated->first, outdated->second);
+  return !wanted || Write(*wanted);
+}
+
+std::optional<std::pair<std::string, std::uint64_t>> registration::Outdated(
+    const std::optional<routing::endpoint>& wanted) const {
   for (const auto& [id, revision] : known_) {
-    if (!wanted || id != wanted->life.instance_id) return Remove(id, revision);
+    if (!wanted || id != wanted->life.instance_id) return std::pair(id, revision);
   }
-  return !wanted || Write(*wanted);
+  return std::nullopt;
 }
 
 bool registration::Write(const routing::endpoint& wanted) {
@@ -148,9 +154,7 @@
   return false;
 }
 
-bool registration::Remove(const std::string& instance_id, std::uint64_t revision) {
-  // A copy: the map changes while the call is under way.
-  const std::string id = instance_id;
+bool registration::Remove(const std::string& id, std::uint64_t revision) {
   const auto result = context_.store.Remove(kEndpointKind, id, revision);
   const auto* error = std::get_if<fleet::store_error>(&result);
   if (error == nullptr || error->code == fleet::store_errc::kNotFound) {
--- a/lib/mesh/registration.h
+++ b/lib/mesh/registration.h
@@ -37,7 +37,10 @@
   /// Makes one write towards the wanted state; false if it failed.
   bool Advance();
   bool Write(const routing::endpoint& wanted);
-  bool Remove(const std::string& instance_id, std::uint64_t revision);
+  bool Remove(const std::string& id, std::uint64_t revision);
+  /// A record of this node that should not be in the store, with its revision.
+  [[nodiscard]] std::optional<std::pair<std::string, std::uint64_t>> Outdated(
+      const std::optional<routing::endpoint>& wanted) const;
   void Learn(const std::string& instance_id);
   void AwaitPublished();
   void Wake();
--- /dev/null
+++ b/test/mesh/mesh_fleet.cpp
@@ -0,0 +1,244 @@
+#include "mesh_fleet.h"
+
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace siskinrack::test {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::uint16_t kCallerPort = 18141;
+constexpr std::uint16_t kPeerPort = 18145;
+constexpr std::uint16_t kReadyPort = 18140;
+constexpr std::uint16_t kHeartbeatPort = 18146;
+constexpr std::uint16_t kMetricsPort = 17660;
+constexpr std::uint16_t kUpstreamPort = 18147;
+constexpr std::uint16_t kStorePort = 18142;
+constexpr std::string_view kConfigKind = "config";
+constexpr std::string_view kEndpointKind = "siskinrack-endpoints";
+constexpr milliseconds kReadyTimeout{15'000};
+constexpr milliseconds kSlowAnswer{500};
+constexpr milliseconds kHeartbeat{200};
+constexpr std::int64_t kBornMs = 1'700'000'000'000;
+
+/// A network of its own for each fleet, so that fixed ports never meet those of another process.
+std::string PickNetwork() {
+  std::random_device random;
+  std::uniform_int_distribution<int> octet(1, 250);
+  return "127." + std::to_string(octet(random)) + '.' + std::to_string(octet(random)) + '.';
+}
+
+json::object Route(const std::string& prefix, const std::string& service, bool repeatable) {
+  return {{"name", prefix},
+          {"kind", repeatable ? "idempotent" : "non_idempotent"},
+          {"targetLatencyS", 1},
+          {"priority", 1},
+          {"match", {{"pathPrefix", prefix}}},
+          {"action", {{"service", service}, {"timeoutS", 3}, {"attempts", 2}}}};
+}
+
+}  // namespace
+
+instance_stand_in::instance_stand_in(net::fiber_runtime& runtime, std::string ip, std::string id)
+    : id_(std::move(id)),
+      server_(runtime, {.address = {std::move(ip), kUpstreamPort}},
+              [this](const net::http_request& request, net::cancellation& cancel) {
+                return Handle(request, cancel);
+              }) {
+  server_.Start();
+}
+
+instance_stand_in::~instance_stand_in() { server_.Stop(); }
+
+std::vector<observed_run> instance_stand_in::runs() const {
+  const std::lock_guard lock(mutex_);
+  return runs_;
+}
+
+net::http_response instance_stand_in::Handle(const net::http_request& request,
+                                             net::cancellation& cancel) {
+  const std::string request_id(net::FindField(request.fields, "Request-Id"));
+  if (net::FindField(request.fields, "Expect-Instance") != id_) {
+    return {421, {{"Request-Id", request_id}, {"Instance-Id", id_}}, {}};
+  }
+  if (refusing_ || request.target.ends_with("/refuse")) {
+    return {503, {{"Request-Id", request_id}, {"Not-Run", "1"}}, {}};
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    runs_.push_back({request_id, std::string(net::FindField(request.fields, "Caller")),
+                     request.method, request.target, request.body, steady_clock::now()});
+  }
+  if (request.target.ends_with("/slow")) net::SleepFor(kSlowAnswer);
+  if (request.target.ends_with("/break")) {
+    // The node can't use it, and its own answer never comes.
+    return {200, {{"Request-Id", "another"}, {"Server-Stamp", "stamp"}}, {}};
+  }
+  if (cancel.cancelled()) return {500, {}, {}};
+  net::http_response response{200, {{"Request-Id", request_id}}, "by " + id_};
+  if (!request.target.ends_with("/unstamped")) {
+    response.fields.push_back({"Server-Stamp", "stamp"});
+  }
+  return response;
+}
+
+mesh_fleet::mesh_fleet(const std::vector<std::string>& services)
+    : services_(services),
+      network_(PickNetwork()),
+      sequences_(services.size()),
+      states_(services.size(), "ready") {
+  std::string work = (std::filesystem::temp_directory_path() / "siskinrack-mesh-XXXXXX").string();
+  if (mkdtemp(work.data()) == nullptr) throw std::runtime_error("no work folder: " + work);
+  work_ = work;
+  store_ = std::make_unique<object_store_stand_in>(
+      runtime_, support::socket_address{network_ + "251", kStorePort});
+  nodes_.resize(services.size());
+  for (std::size_t i = 0; i < services.size(); ++i) {
+    instances_.push_back(
+        std::make_unique<instance_stand_in>(runtime_, Ip(i), "i-" + std::to_string(i)));
+    WriteSettings(i);
+  }
+  heartbeats_ = std::thread([this] {
+    while (!stopped_) {
+      for (std::size_t i = 0; i < services_.size(); ++i) Beat(i, {});
+      std::this_thread::sleep_for(kHeartbeat);
+    }
+  });
+}
+
+mesh_fleet::~mesh_fleet() {
+  stopped_ = true;
+  heartbeats_.join();
+  nodes_.clear();
+  instances_.clear();
+  store_.reset();
+  std::filesystem::remove_all(work_);
+}
+
+std::string mesh_fleet::Ip(std::size_t machine) const {
+  return network_ + std::to_string(machine + 1);
+}
+
+std::filesystem::path mesh_fleet::File(std::size_t machine, const std::string& suffix) const {
+  return work_ / ("node-" + std::to_string(machine) + suffix);
+}
+
+void mesh_fleet::WriteSettings(std::size_t machine) {
+  const std::string ip = Ip(machine);
+  const auto at = [&ip](std::uint16_t port) { return ip + ':' + std::to_string(port); };
+  const json::object settings{
+      {"node", "node-" + std::to_string(machine)},
+      {"zone", "zone-a"},
+      {"ip", ip},
+      {"service", services_[machine]},
+      {"appAddr", at(kUpstreamPort)},
+      {"listen",
+       {{"outbound", at(kCallerPort)},
+        {"inbound", at(kPeerPort)},
+        {"ready", at(kReadyPort)},
+        {"control", at(kHeartbeatPort)}}},
+      {"portRange", {kMetricsPort, kMetricsPort + 10}},
+      {"heartbeatS", 0.5},
+      {"limits", {{"memoryMb", 260}}},
+      {"bounds", {"drainS=1", "graceS=6", "budgetRatio=0.2", "budgetExtra=60", "budgetWindowS=10"}},
+      {"platform", {{"address", network_ + "251:" + std::to_string(kStorePort)}}}};
+  std::ofstream(File(machine, ".json")) << json::serialize(settings);
+}
+
+void mesh_fleet::Configure(std::uint64_t version, const std::string& extra) {
+  json::array rules;
+  json::array clusters;
+  std::map<std::string, bool> known;
+  for (const std::string& service : services_) {
+    if (!known.emplace(service, true).second) continue;
+    rules.push_back(Route('/' + service + '/', service, true));
+    rules.push_back(Route("/once/" + service + '/', service, false));
+    clusters.push_back(json::object{{"name", service}, {"maxConns", 130}});
+  }
+  if (!extra.empty()) rules.push_back(Route("/extra/", extra, true));
+  store_->Write(std::string(kConfigKind), "main",
+                json::object{{"version", version},
+                             {"limits",
+                              {{"maxHeaderBytes", 16384},
+                               {"maxBodyBytes", 1048576},
+                               {"headerTimeoutS", 3},
+                               {"idleTimeoutS", 15}}},
+                             {"listeners", {{{"host", "shop.example"}, {"rules", rules}}}},
+                             {"clusters", clusters}});
+}
+
+void mesh_fleet::StartNode(std::size_t machine) {
+  nodes_[machine].reset();
+  setenv("SISKINRACK_SETTINGS", File(machine, ".json").c_str(), 1);
+  nodes_[machine] = std::make_unique<child_process>(
+      std::vector<std::string>{SISKINRACK_NODE_BINARY}, File(machine, ".out").string());
+  unsetenv("SISKINRACK_SETTINGS");
+}
+
+net::http_result mesh_fleet::Exchange(const support::socket_address& address,
+                                      net::http_request request) {
+  net::http_result result;
+  runtime_.Run(0, [&] {
+    result =
+        client_.Send(address, std::move(request), steady_clock::now() + std::chrono::seconds(5),
+                     nullptr, {.max_idle = milliseconds(100)});
+  });
+  return result;
+}
+
+bool mesh_fleet::Beat(std::size_t machine, const std::string& state) {
+  const std::lock_guard lock(beat_mutex_);
+  if (!state.empty()) states_[machine] = state;
+  const json::object body{
+      {"address", Ip(machine) + ':' + std::to_string(kUpstreamPort)},
+      {"born", kBornMs},
+      {"info",
+       {{"service", services_[machine]}, {"version", "v1"}, {"zone", "zone-a"}, {"slots", 4}}},
+      {"status", {{"state", states_[machine]}, {"seq", ++sequences_[machine]}, {"coldLeftS", 0}}}};
+  const auto result =
+      Exchange({Ip(machine), kHeartbeatPort},
+               {"PUT", "/api/instances/" + instances_[machine]->id(), {}, json::serialize(body)});
+  return result.stage == net::exchange_stage::kAnswered && result.response.status == 200;
+}
+
+bool mesh_fleet::AwaitReady() {
+  const auto end = steady_clock::now() + kReadyTimeout;
+  while (steady_clock::now() < end) {
+    bool ready = store_->Count(std::string(kEndpointKind)) == services_.size();
+    for (std::size_t i = 0; i < services_.size(); ++i) {
+      const auto result = Exchange({Ip(i), kReadyPort}, {"GET", "/api/readyz", {}, {}});
+      ready =
+          ready && result.response.status == 200 && result.stage == net::exchange_stage::kAnswered;
+      // A node knows all endpoints once it can reach every service.
+      for (const std::string& service : services_) {
+        ready = ready && Send(i, '/' + service + "/ready").response.status == 200;
+      }
+    }
+    if (ready) return true;
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  return false;
+}
+
+net::http_result mesh_fleet::Send(std::size_t machine, const std::string& target,
+                                  const std::string& method, const std::string& body) {
+  net::http_request request{method, target, {}, body, "shop.example"};
+  request.fields = {{"Request-Id", "r-" + std::to_string(++last_request_)},
+                    {"Deadline-Ms", "3000"},
+                    {"Caller", "forged"}};
+  return Exchange({Ip(machine), kCallerPort}, std::move(request));
+}
+
+std::string mesh_fleet::Log(std::size_t machine) const {
+  std::ifstream in(File(machine, ".out"));
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+}  // namespace siskinrack::test
--- /dev/null
+++ b/test/mesh/object_store_stand_in.cpp
@@ -0,0 +1,237 @@
+#include "object_store_stand_in.h"
+
+#include <algorithm>
+
+namespace siskinrack::test {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+constexpr std::string_view kPath = "/api/objects/";
+/// Small pages, so that every list is read in several.
+constexpr std::size_t kPage = 2;
+constexpr milliseconds kPoll{5};
+
+net::http_response Answer(unsigned status, const json::value& body) {
+  return {status, {{"Content-Type", "application/json"}}, json::serialize(body)};
+}
+
+std::uint64_t Number(const std::string& text) {
+  return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
+}
+
+void WaitForEver(net::cancellation& cancel) {
+  while (!cancel.cancelled()) net::SleepFor(kPoll);
+}
+
+}  // namespace
+
+object_store_stand_in::object_store_stand_in(net::fiber_runtime& runtime,
+                                             support::socket_address address)
+    : server_(runtime, {.address = std::move(address)},
+              [this](const net::http_request& request, net::cancellation& cancel) {
+                return Handle(request, cancel);
+              }) {
+  server_.Start();
+}
+
+object_store_stand_in::~object_store_stand_in() { server_.Stop(); }
+
+std::uint64_t object_store_stand_in::Write(const std::string& kind, const std::string& name,
+                                           json::value spec) {
+  const std::lock_guard lock(mutex_);
+  return Store(kind, name, std::move(spec));
+}
+
+json::value object_store_stand_in::Read(const std::string& kind, const std::string& name) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = kinds_.find(kind);
+  if (found == kinds_.end() || !found->second.contains(name)) return nullptr;
+  return found->second.at(name).spec;
+}
+
+std::size_t object_store_stand_in::Count(const std::string& kind) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = kinds_.find(kind);
+  return found == kinds_.end() ? 0 : found->second.size();
+}
+
+void object_store_stand_in::SetDown(bool down) {
+  const std::lock_guard lock(mutex_);
+  down_ = down;
+}
+
+void object_store_stand_in::SetSilent(bool silent) {
+  const std::lock_guard lock(mutex_);
+  silent_ = silent;
+  if (silent) ++silence_;
+}
+
+void object_store_stand_in::LoseWriteAnswers(int count) {
+  const std::lock_guard lock(mutex_);
+  lost_answers_ = count;
+}
+
+void object_store_stand_in::ForgetHistory() {
+  const std::lock_guard lock(mutex_);
+  forgotten_ = revision_;
+  history_.clear();
+}
+
+object_store_stand_in::call object_store_stand_in::Parse(const std::string& target) {
+  call result;
+  const std::size_t question = target.find('?');
+  std::string path = target.substr(kPath.size(), question - kPath.size());
+  const std::size_t slash = path.find('/');
+  result.kind = path.substr(0, slash);
+  if (slash != std::string::npos) result.name = path.substr(slash + 1);
+  std::size_t begin = question;
+  while (begin != std::string::npos) {
+    ++begin;
+    const std::size_t end = target.find('&', begin);
+    const std::string pair = target.substr(begin, end - begin);
+    const std::size_t equals = pair.find('=');
+    result.query[pair.substr(0, equals)] = pair.substr(equals + 1);
+    begin = end;
+  }
+  return result;
+}
+
+json::object object_store_stand_in::ToJson(const std::string& name, const object& item) {
+  return {{"metadata",
+           {{"name", name},
+            {"revision", static_cast<std::int64_t>(item.revision)},
+            {"created", 1},
+            {"finalizers", json::array()},
+            {"deleting", false}}},
+          {"spec", item.spec},
+          {"status", nullptr}};
+}
+
+net::http_response object_store_stand_in::Handle(const net::http_request& request,
+                                                 net::cancellation& cancel) {
+  if (!request.target.starts_with(kPath)) return {404, {}, {}};
+  bool silent = false;
+  bool down = false;
+  {
+    const std::lock_guard lock(mutex_);
+    silent = silent_;
+    down = down_;
+  }
+  if (silent) WaitForEver(cancel);
+  if (down) return {503, {}, {}};
+  const call target = Parse(request.target);
+  if (request.method != "GET") {
+    net::http_response response = Mutate(request, target);
+    bool lost = false;
+    {
+      const std::lock_guard lock(mutex_);
+      lost = lost_answers_ > 0;
+      if (lost) --lost_answers_;
+    }
+    if (lost) WaitForEver(cancel);
+    return response;
+  }
+  if (target.query.contains("watch")) return Watch(target, cancel);
+  if (target.name.empty()) return List(target);
+  const std::lock_guard lock(mutex_);
+  const auto kind = kinds_.find(target.kind);
+  if (kind == kinds_.end() || !kind->second.contains(target.name)) return {404, {}, "{}"};
+  return Answer(200, ToJson(target.name, kind->second.at(target.name)));
+}
+
+net::http_response object_store_stand_in::List(const call& request) const {
+  const std::lock_guard lock(mutex_);
+  json::array items;
+  bool more = false;
+  const auto after = request.query.find("after");
+  const auto kind = kinds_.find(request.kind);
+  if (kind != kinds_.end()) {
+    for (const auto& [name, item] : kind->second) {
+      if (after != request.query.end() && name <= after->second) continue;
+      more = items.size() == kPage;
+      if (more) break;
+      items.push_back(ToJson(name, item));
+    }
+  }
+  return Answer(200, json::object{{"items", std::move(items)},
+                                  {"hasMore", more},
+                                  {"currentRev", static_cast<std::int64_t>(revision_)}});
+}
+
+net::http_response object_store_stand_in::Watch(const call& request, net::cancellation& cancel) {
+  const std::uint64_t since = Number(request.query.at("watch"));
+  const auto wait = request.query.find("waitMs");
+  const auto end = std::chrono::steady_clock::now() +
+                   milliseconds(wait == request.query.end() ? 0 : Number(wait->second));
+  std::uint64_t silence = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    silence = silence_;
+  }
+  while (true) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (silence == silence_) {
+        if (down_) return {503, {}, {}};
+        if (since < forgotten_) return {410, {}, "{}"};
+        json::array events;
+        for (const change& item : history_) {
+          if (item.revision <= since || item.kind != request.kind) continue;
+          events.push_back(
+              json::object{{"object", ToJson(item.name, item.state)}, {"deleted", item.deleted}});
+        }
+        if (!events.empty() || std::chrono::steady_clock::now() >= end) {
+          return Answer(200, json::object{{"events", std::move(events)},
+                                          {"currentRev", static_cast<std::int64_t>(revision_)}});
+        }
+      }
+    }
+    if (cancel.cancelled()) return {503, {}, {}};
+    net::SleepFor(kPoll);
+  }
+}
+
+net::http_response object_store_stand_in::Mutate(const net::http_request& request, call target) {
+  const std::lock_guard lock(mutex_);
+  json::error_code error;
+  const json::value body = json::parse(request.body, error);
+  const bool create = request.method == "POST";
+  if (create) target.name = json::value_to<std::string>(body.at("metadata").at("name"));
+  auto& objects = kinds_[target.kind];
+  const auto found = objects.find(target.name);
+  if (create && found != objects.end()) return Answer(409, ToJson(target.name, found->second));
+  if (!create && found == objects.end()) return {404, {}, "{}"};
+  std::uint64_t expected = Number(target.query["revision"]);
+  if (!create && body.is_object() && body.at("metadata").as_object().contains("revision")) {
+    expected = body.at("metadata").at("revision").to_number<std::uint64_t>();
+  }
+  if (!create && expected != 0 && expected != found->second.revision) {
+    return Answer(409, ToJson(target.name, found->second));
+  }
+  if (request.method == "DELETE") {
+    Erase(target.kind, target.name);
+    return {200, {}, "{}"};
+  }
+  Store(target.kind, target.name, body.at("spec"));
+  return Answer(200, ToJson(target.name, objects.at(target.name)));
+}
+
+std::uint64_t object_store_stand_in::Store(const std::string& kind, const std::string& name,
+                                           json::value spec) {
+  object& item = kinds_[kind][name];
+  if (item.revision != 0 && item.spec == spec) return item.revision;
+  item = {++revision_, std::move(spec)};
+  history_.push_back({revision_, kind, name, false, item});
+  return revision_;
+}
+
+void object_store_stand_in::Erase(const std::string& kind, const std::string& name) {
+  object last = kinds_[kind][name];
+  kinds_[kind].erase(name);
+  last.revision = ++revision_;
+  history_.push_back({revision_, kind, name, true, std::move(last)});
+}
+
+}  // namespace siskinrack::test
--- a/unittests/admission/deadline_controller_test.cpp
+++ b/unittests/admission/deadline_controller_test.cpp
@@ -96,10 +96,10 @@
       if (item.run) running.push_back(item.ticket);
     }
   };
-  for (int step = 0; step < 2'000; ++step) {
+  for (std::int64_t step = 0; step < 2'000; ++step) {
     const std::int64_t now = step * 7;
     if (step % 3 != 0) {
-      apply(Offer(++ticket, step % 4U, now + 300, now + 2'000, now));
+      apply(Offer(++ticket, static_cast<std::uint32_t>(step % 4), now + 300, now + 2'000, now));
     } else if (!running.empty()) {
       const std::uint64_t done = running.front();
       running.erase(running.begin());
