--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -31,8 +31,8 @@
 constexpr milliseconds kServePeers{1'000};
 /// Changes within this time arrive in one watch call. Configurations and departures have to be
 /// known within 2 s.
-constexpr milliseconds kConfigPause{500};
-constexpr milliseconds kEndpointPause{400};
+constexpr milliseconds kConfigPause{400};
+constexpr milliseconds kEndpointPause{800};
 
 }  // namespace
 
--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -8,9 +8,9 @@
 
 namespace siskinrack::mesh {
 
-/// Longest wait of one watch call. Each call has its price; store_monitor finds out sooner if the
+/// Longest wait of one watch call that the store grants. Each call has its price; store_monitor finds out sooner if the
 /// store has gone silent.
-inline constexpr std::chrono::milliseconds kWatchWait{15'000};
+inline constexpr std::chrono::milliseconds kWatchWait{30'000};
 /// Wait of the first watch call after a failure: its answer shows that the store is back.
 inline constexpr std::chrono::milliseconds kFirstWatchWait{1};
 
--- a/lib/mesh/store_monitor.h
+++ b/lib/mesh/store_monitor.h
@@ -23,7 +23,12 @@
       net::SleepFor(kInterval);
       // Any answer shows that the store is there.
       if (std::chrono::steady_clock::now() - context_.store.last_answer() < kInterval) continue;
-      Probe();
+      if (Probe()) continue;
+      // A watch call may just be bringing the change.
+      net::SleepFor(kDoubtPause);
+      if (Probe()) continue;
+      context_.log.Warn("watch_deaf", {{"seen", seen_()}});
+      interrupt_();
     }
   }
 
@@ -32,30 +37,23 @@
   /// counts the store as stable again.
   static constexpr std::chrono::milliseconds kInterval{1'500};
 
-  void Probe() {
+  static constexpr std::chrono::milliseconds kDoubtPause{300};
+
+  /// False if the store has changes that no feed has seen.
+  bool Probe() {
     const auto result = context_.store.RecentRevision();
     if (const auto* error = std::get_if<fleet::store_error>(&result)) {
       context_.log.Info("store_probe_failed",
                         {{"error", platform::Name(error->code)}, {"detail", error->message}});
       interrupt_();
-      return;
-    }
-    const std::uint64_t revision = std::get<std::uint64_t>(result);
-    if (revision <= seen_()) return;
-    // A change that no watch call has brought by the next probe is one that they will not bring.
-    if (missed_ != 0 && seen_() < missed_) {
-      context_.log.Warn("watch_deaf", {{"revision", revision}, {"seen", seen_()}});
-      interrupt_();
-      missed_ = 0;
-      return;
+      return true;
     }
-    missed_ = revision;
+    return std::get<std::uint64_t>(result) <= seen_();
   }
 
   mesh_context& context_;
   std::function<std::uint64_t()> seen_;
   std::function<void()> interrupt_;
-  std::uint64_t missed_ = 0;
 };
 
 }  // namespace siskinrack::mesh
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -16,7 +16,8 @@
 
 /// Frames behind a slow peer; a longer queue closes the link, so that memory stays bounded.
 constexpr std::size_t kMaxQueuedFrames = 4096;
-constexpr std::size_t kReadChunkBytes = 16U << 10U;
+/// Free space for one read. A node has a link to every other node, so this is what each one costs.
+constexpr std::size_t kReadChunkBytes = 4U << 10U;
 /// Silence after which a link is asked for a sign of life, and after which it is given up. Several
 /// round trips between failure domains, plus the pauses of a node that is short of processor time.
 constexpr std::chrono::milliseconds kSilenceInterval{600};
--- a/tools/siskinrack-node/main.cpp
+++ b/tools/siskinrack-node/main.cpp
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
@@ -49,8 +51,18 @@
   std::_Exit(EXIT_SUCCESS);
 }
 
+/// Gives memory back that a burst or a large configuration needed. By default the C library raises
+/// the size from which blocks are mapped on their own, and fiber stacks then stay in the heap.
+void KeepMemorySmall() {
+  constexpr int kMapFromBytes = 64 * 1024;
+  constexpr int kTrimFromBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMapFromBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimFromBytes);
+}
+
 /// The node as the users' platform starts it.
 int RunOnPlatform(const std::string& settings_path) {
+  KeepMemorySmall();
   findings problems;
   const sigset_t signals = BlockEndSignals();
   siskinrack::mesh::mesh_node process(settings_path, problems);
