net, mesh: long bodies pass between nodes

Cause: a frame held 2 MiB; a longer body made the receiver close the link and with it every other call on it (mesh_test.LongBodiesPassBothWays failed first). Change: frames of 24 MiB; a node takes bodies of up to a sixteenth of its memory, 16 MiB at most. Open: bodies are held whole; many long ones at once are bounded only by the connections.

--- a/include/siskinrack/net/http.h
+++ b/include/siskinrack/net/http.h
@@ -37,9 +37,8 @@
 inline constexpr std::size_t kMaxBodyBytes = 1U << 20U;
 /// Largest header section of a request or response.
 inline constexpr std::size_t kMaxHeaderBytes = 16U << 10U;
-/// Largest body that a client of this project reads; a list of the platform's objects has about
-/// 1 MB and its envelope.
-inline constexpr std::size_t kMaxResponseBytes = 4U << 20U;
+/// Largest response body that is read; it has to fit into a frame between nodes.
+inline constexpr std::size_t kMaxResponseBytes = 16U << 20U;
 
 /// What clients may send, and how long they may take.
 struct http_limits {
--- a/include/siskinrack/wire/frame.h
+++ b/include/siskinrack/wire/frame.h
@@ -14,8 +14,8 @@
 
 /// Bytes of the little-endian length in front of each frame.
 inline constexpr std::size_t kLengthBytes = 4;
-/// Largest frame; holds a full configuration of 1 MB and a request body of the same size.
-inline constexpr std::size_t kMaxFrameBytes = 2U << 20U;
+/// Largest frame; holds a full configuration of 1 MB and the largest body that a node takes.
+inline constexpr std::size_t kMaxFrameBytes = 24U << 20U;
 
 /// Encodes length and envelope. The envelope must fit into kMaxFrameBytes.
 std::string EncodeFrame(const envelope_t& message);
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -21,6 +21,9 @@
 
 constexpr unsigned kStatusOk = 200;
 constexpr milliseconds kDrainPoll{20};
+/// A body is held whole: as read, as frame, and as received at the other node. A few at once have
+/// to fit into the memory of a small machine.
+constexpr std::size_t kBodyMemoryDivisor = 16;
 /// The platform asks once a second and takes a node out after two misses.
 constexpr milliseconds kCallersLeave{2'300};
 /// Time before the end of the grace period at which the process ends by itself.
@@ -137,7 +140,11 @@
   }
 
   void OnConfiguration() {
-    caller_server_.SetLimits(context_.routes->config().limits);
+    net::http_limits limits = context_.routes->config().limits;
+    limits.body_bytes =
+        std::min({limits.body_bytes, context_.settings.memory_bytes / kBodyMemoryDivisor,
+                  net::kMaxResponseBytes});
+    caller_server_.SetLimits(limits);
     entry_.OnConfiguration();
   }
 
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds kReadyTimeout{15'000};
 constexpr milliseconds kSlowAnswer{500};
 constexpr milliseconds kHeartbeat{200};
+constexpr std::size_t kLongBody = 32U << 20U;
 constexpr std::int64_t kBornMs = 1'700'000'000'000;
 
 /// A network of its own for each fleet, so that fixed ports never meet those of another process.
@@ -46,7 +47,8 @@
 
 instance_stand_in::instance_stand_in(net::fiber_runtime& runtime, std::string ip, std::string id)
     : id_(std::move(id)),
-      server_(runtime, {.address = {std::move(ip), kUpstreamPort}},
+      server_(runtime,
+              {.address = {std::move(ip), kUpstreamPort}, .limits = {.body_bytes = kLongBody}},
               [this](const net::http_request& request, net::cancellation& cancel) {
                 return Handle(request, cancel);
               }) {
@@ -81,6 +83,7 @@
   }
   if (cancel.cancelled()) return {500, {}, {}};
   net::http_response response{200, {{"Request-Id", request_id}}, "by " + id_};
+  if (request.target.ends_with("/echo")) response.body = request.body;
   if (!request.target.ends_with("/unstamped")) {
     response.fields.push_back({"Server-Stamp", "stamp"});
   }
@@ -165,7 +168,7 @@
                 json::object{{"version", version},
                              {"limits",
                               {{"maxHeaderBytes", 16384},
-                               {"maxBodyBytes", 1048576},
+                               {"maxBodyBytes", 67108864},
                                {"headerTimeoutS", 3},
                                {"idleTimeoutS", 15}}},
                              {"listeners", {{{"host", "shop.example"}, {"rules", rules}}}},
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -30,6 +30,7 @@
 ///   .../refuse   refused as not run
 ///   .../break    run, then answered with the answer of another request only
 ///   .../slow     answered after half a second
+///   .../echo     answered with the request's body
 ///   .../unstamped  answered without the proof that an upstream made the answer
 class instance_stand_in {
  public:
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -61,6 +61,15 @@
   EXPECT_EQ(found->caller, "shop");
 }
 
+// Guards against a body that is larger than a frame: its link was closed, and with it every other
+// call on it.
+TEST_F(mesh_test, LongBodiesPassBothWays) {
+  const std::string body(5'000'000, 'x');
+  const auto result = fleet_.Send(0, "/once/dock/echo", "POST", body);
+  ASSERT_EQ(result.response.status, 200U) << result.error;
+  EXPECT_EQ(result.response.body, body);
+}
+
 TEST_F(mesh_test, UnknownRouteIsNotFound) {
   EXPECT_EQ(fleet_.Send(0, "/nowhere/").response.status, 404U);
 }
