mesh: records of lost nodes are removed; departed lifetimes get no more calls

Ruled out: the last dockyard's capacity alone; requests that it refused went on to the dead addresses. Change: each node asks the next one by address for a sign of life and removes the record of one that is unreachable for 7 to 12 s; a lifetime that said it leaves is remembered; endpoints that failed get no calls that were refused for capacity. Test: mesh_test.RecordOfALostNodeIsRemovedAndComesBackWithIt failed first (no call went to the dead node, so nothing was noticed); two failures after it were the test's: it began before node 0 knew the second dock (feed pause of 0.8 s).

--- a/include/siskinrack/balancing/selection.h
+++ b/include/siskinrack/balancing/selection.h
@@ -25,6 +25,8 @@
   /// Least gain that justifies a call to another failure domain when no answer would be in time:
   /// traffic between domains is dear.
   double remote_gain_ms = 0;
+  /// Whether endpoints that failed a short time ago are better than none.
+  bool use_closed = true;
 };
 
 struct selection {
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -160,11 +160,12 @@
   timed_out = 7,
   quarantined = 8,
   cancelled = 9,
+  departed = 10,
   MIN = none,
-  MAX = cancelled
+  MAX = departed
 };
 
-inline const answer_cause (&EnumValuesanswer_cause())[10] {
+inline const answer_cause (&EnumValuesanswer_cause())[11] {
   static const answer_cause values[] = {
     answer_cause::none,
     answer_cause::no_capacity,
@@ -175,13 +176,14 @@
     answer_cause::broken,
     answer_cause::timed_out,
     answer_cause::quarantined,
-    answer_cause::cancelled
+    answer_cause::cancelled,
+    answer_cause::departed
   };
   return values;
 }
 
 inline const char * const *EnumNamesanswer_cause() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "none",
     "no_capacity",
     "draining",
@@ -192,13 +194,14 @@
     "timed_out",
     "quarantined",
     "cancelled",
+    "departed",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameanswer_cause(answer_cause e) {
-  if (flatbuffers::IsOutRange(e, answer_cause::none, answer_cause::cancelled)) return "";
+  if (flatbuffers::IsOutRange(e, answer_cause::none, answer_cause::departed)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesanswer_cause()[index];
 }
--- a/lib/balancing/selection.cpp
+++ b/lib/balancing/selection.cpp
@@ -144,7 +144,7 @@
         if (may_try) return {i, {}};
         [[fallthrough]];
       case readiness::kClosed:
-        closed.Offer(i, view.predicted_ms);
+        if (goal.use_closed) closed.Offer(i, view.predicted_ms);
         break;
       case readiness::kPaused:
         first_pause_end = std::min(first_pause_end, view.paused_until);
@@ -155,7 +155,8 @@
     const double remote_ms = remote.predicted_ms() + 2 * kCrossDomainDelayMs;
     const bool local_in_time = local.predicted_ms() <= goal.in_time_ms;
     const bool only_remote_in_time = !local_in_time && remote_ms <= goal.in_time_ms;
-    const bool much_sooner = !local_in_time && remote_ms + goal.remote_gain_ms < local.predicted_ms();
+    const bool much_sooner =
+        !local_in_time && remote_ms + goal.remote_gain_ms < local.predicted_ms();
     return {only_remote_in_time || much_sooner ? remote.index() : local.index(), {}};
   }
   for (const first_answer* best : {&local, &remote, &closed}) {
--- /dev/null
+++ b/lib/mesh/endpoint_reaper.cpp
@@ -0,0 +1,94 @@
+#include "endpoint_reaper.h"
+
+#include <algorithm>
+
+#include "endpoint_consumer.h"
+#include "siskinrack/routing/endpoint_record.h"
+
+namespace siskinrack::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kInterval{2'000};
+constexpr milliseconds kProbeTimeout{1'000};
+/// Longer than a restart of a node takes, the grace period included.
+constexpr milliseconds kPatience{7'000};
+constexpr std::int64_t kPatienceSpreadMs = 5'000;
+/// Without a failure for this long there is no evidence any more.
+constexpr milliseconds kEvidenceAge{6'000};
+
+}  // namespace
+
+void endpoint_reaper::OnUnreachable(const routing::endpoint& item) {
+  const auto now = steady_clock::now();
+  auto& entry = unreachable_[item.life.instance_id];
+  if (!(entry.life == item.life)) {
+    const auto spread = static_cast<std::int64_t>(random_() % kPatienceSpreadMs);
+    entry = {item.life, now, now, kPatience + milliseconds(spread)};
+  }
+  entry.last_failure = now;
+}
+
+void endpoint_reaper::Run() {
+  while (true) {
+    net::SleepFor(kInterval);
+    ProbeSuccessor();
+    if (const auto due = TakeDue()) Remove(*due);
+  }
+}
+
+void endpoint_reaper::ProbeSuccessor() {
+  const auto nodes = context_.endpoints.Nodes();
+  auto next = std::upper_bound(nodes.begin(), nodes.end(), context_.settings.peer_address);
+  if (next == nodes.end()) next = nodes.begin();
+  if (next == nodes.end() || *next == context_.settings.peer_address) return;
+  const auto result = context_.peers.Request(*next, wire::MakeEnvelope(wire::probe_request_t{}),
+                                             steady_clock::now() + kProbeTimeout);
+  for (const routing::endpoint& item : context_.endpoints.All()) {
+    if (item.node_address != *next) continue;
+    if (result.reply == nullptr) {
+      OnUnreachable(item);
+    } else {
+      OnReached(item);
+    }
+  }
+}
+
+std::optional<routing::lifetime> endpoint_reaper::TakeDue() {
+  const auto now = steady_clock::now();
+  const auto all = context_.endpoints.All();
+  std::erase_if(unreachable_, [&](const auto& pair) {
+    const suspicion& entry = pair.second;
+    const bool recorded = std::any_of(all.begin(), all.end(), [&](const routing::endpoint& item) {
+      return item.life == entry.life;
+    });
+    return !recorded || now - entry.last_failure > kEvidenceAge;
+  });
+  for (const auto& [id, entry] : unreachable_) {
+    if (now - entry.since < entry.patience) continue;
+    const routing::lifetime life = entry.life;
+    unreachable_.erase(id);
+    return life;
+  }
+  return std::nullopt;
+}
+
+void endpoint_reaper::Remove(const routing::lifetime& life) {
+  const auto found = context_.store.Get(kEndpointKind, life.instance_id);
+  const auto* object = std::get_if<fleet::kept_object>(&found);
+  if (object == nullptr) return;
+  support::findings problems;
+  const auto recorded = routing::FromRecord(object->content, problems);
+  if (!recorded || !(recorded->life == life)) return;
+  const auto removed = context_.store.Remove(kEndpointKind, life.instance_id, object->revision);
+  const auto* error = std::get_if<fleet::store_error>(&removed);
+  context_.log.Info("endpoint_reaped",
+                    {{"instance", life.instance_id},
+                     {"node", recorded->node_address.ToText()},
+                     {"revision", object->revision},
+                     {"outcome", error == nullptr ? "removed" : platform::Name(error->code)}});
+}
+
+}  // namespace siskinrack::mesh
--- a/lib/mesh/entry_point.cpp
+++ b/lib/mesh/entry_point.cpp
@@ -151,20 +151,36 @@
   std::vector<std::size_t> indices;
   std::vector<balancing::candidate> untried;
   for (std::size_t i = 0; i < view.candidates.size(); ++i) {
-    if (state.tried.contains((*view.endpoints)[i].life.instance_id)) continue;
+    const routing::lifetime& life = (*view.endpoints)[i].life;
+    if (state.tried.contains(life.instance_id)) continue;
+    const auto departed = departed_.find(life.instance_id);
+    if (departed != departed_.end() && departed->second == life.born_ms) continue;
     indices.push_back(i);
     untried.push_back(view.candidates[i]);
   }
   const auto now = steady_clock::now();
   const auto left = std::chrono::duration<double, std::milli>(state.in_time_by - now);
   const balancing::completion_goal goal{left.count() * kInTimePart,
-                                        static_cast<double>(state.route->target_latency.count())};
+                                        static_cast<double>(state.route->target_latency.count()),
+                                        /*use_closed=*/state.refusals == 0};
   const auto choice =
       balancing::ChooseByCompletion(untried, goal, /*may_try=*/true, now, random_());
   if (!choice.index) return std::nullopt;
   return indices[*choice.index];
 }
 
+void entry_point::OnAnswer(const routing::endpoint& target, const wire::call_answer_t& answer) {
+  if (answer.cause == answer_cause::departed) {
+    departed_[target.life.instance_id] = target.life.born_ms;
+  }
+  if (target.node_address == context_.settings.peer_address) return;
+  if (answer.cause == answer_cause::unreachable && answer.node_id.empty()) {
+    reaper_.OnUnreachable(target);
+  } else if (!answer.node_id.empty()) {
+    reaper_.OnReached(target);
+  }
+}
+
 wire::call_answer_t entry_point::Run(request_state& state, net::cancellation& cancel) {
   auto& share = retries_.try_emplace(state.service, context_.settings.retries).first->second;
   share.AddRequest(steady_clock::now());
@@ -180,6 +196,7 @@
     endpoint_state->Start(sent_at);
     last = Send(target, state, cancel);
     const auto now = steady_clock::now();
+    OnAnswer(target, last);
     endpoint_state->Finish(ReportFor(last, cancel.cancelled(), now - sent_at), now);
     if (cancel.cancelled() || !MayGoOn(state, last)) return last;
     context_.log.Info("call_resent", {{"request", state.call.request_id},
--- a/lib/mesh/entry_point.h
+++ b/lib/mesh/entry_point.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "endpoint_reaper.h"
 #include "mesh_context.h"
 #include "serving_point.h"
 #include "siskinrack/balancing/endpoint_tracker.h"
@@ -17,8 +18,8 @@
 /// service that the configuration in force names.
 class entry_point {
  public:
-  entry_point(mesh_context& context, serving_point& serving)
-      : context_(context), serving_(serving) {}
+  entry_point(mesh_context& context, serving_point& serving, endpoint_reaper& reaper)
+      : context_(context), serving_(serving), reaper_(reaper) {}
 
   /// Answers one request. May suspend the calling fiber.
   net::http_response Handle(net::http_request request, net::cancellation& cancel);
@@ -57,6 +58,8 @@
 
   const std::string& ChooseService(const routing::route& route);
   service_view& View(const std::string& service);
+  /// Learns from the answer of an endpoint's node.
+  void OnAnswer(const routing::endpoint& target, const wire::call_answer_t& answer);
   /// Sends the request to upstreams until it is answered or may not be sent again.
   wire::call_answer_t Run(request_state& state, net::cancellation& cancel);
   [[nodiscard]] bool MayGoOn(request_state& state, const wire::call_answer_t& answer);
@@ -74,7 +77,11 @@
 
   mesh_context& context_;
   serving_point& serving_;
+  endpoint_reaper& reaper_;
   std::map<std::string, service_view> views_;
+  /// Lifetimes that announced their departure, by the start of the upstream; their records may stay
+  /// in the store while it is away.
+  std::map<std::string, std::int64_t> departed_;
   std::map<const routing::route*, routing::weighted_split> splits_;
   std::map<const routing::route*, std::chrono::milliseconds> longest_deadlines_;
   std::map<std::string, routing::retry_share> retries_;
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -48,7 +48,8 @@
         context_(std::move(settings)),
         registration_(context_),
         serving_(context_, registration_),
-        entry_(context_, serving_),
+        reaper_(context_),
+        entry_(context_, serving_, reaper_),
         configs_(context_, [this] { OnConfiguration(); }),
         endpoints_(context_,
                    [this](const std::string& id, std::uint64_t revision) {
@@ -99,6 +100,7 @@
     context_.runtime.Post(0, [this] { endpoint_feed_.Run(); });
     context_.runtime.Post(0, [this] { registration_.Run(); });
     context_.runtime.Post(0, [this] { monitor_.Run(); });
+    context_.runtime.Post(0, [this] { reaper_.Run(); });
   }
 
   void Reload() {
@@ -170,6 +172,8 @@
                 calls(platform::call_class::kWatch));
     page.Metric("siskinrack_config_version", "gauge", "version in force");
     page.Sample("siskinrack_config_version", {}, static_cast<double>(context_.version()));
+    page.Metric("siskinrack_endpoints", "gauge", "endpoints known from the platform's store");
+    page.Sample("siskinrack_endpoints", {}, static_cast<double>(context_.endpoints.All().size()));
     page.Metric("siskinrack_resident_bytes", "gauge", "resident memory");
     page.Sample("siskinrack_resident_bytes", {}, support::ProcessResidentBytes());
     return {kStatusOk, {{"Content-Type", "text/plain"}}, page.text()};
@@ -177,6 +181,11 @@
 
   std::optional<wire::envelope_t> HandlePeer(const wire::envelope_t& message,
                                              net::cancellation& cancel) {
+    if (message.message.Asprobe_request() != nullptr) {
+      wire::probe_reply_t reply;
+      reply.reachable = true;
+      return wire::MakeEnvelope(std::move(reply));
+    }
     const auto* call = message.message.Ascall_request();
     if (call == nullptr) return std::nullopt;
     return wire::MakeEnvelope(serving_.Serve(*call, cancel));
@@ -186,6 +195,7 @@
   mesh_context context_;
   registration registration_;
   serving_point serving_;
+  endpoint_reaper reaper_;
   entry_point entry_;
   config_consumer configs_;
   endpoint_consumer endpoints_;
--- a/lib/mesh/serving_point.cpp
+++ b/lib/mesh/serving_point.cpp
@@ -126,7 +126,7 @@
   const auto leaving = local.leaving_since();
   if (leaving &&
       steady_clock::now() >= *leaving + context_.settings.drain_period / kDrainServingDivisor) {
-    return NotRun(answer_cause::draining, "upstream is leaving");
+    return NotRun(answer_cause::departed, "upstream is leaving");
   }
   return std::nullopt;
 }
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -217,10 +217,9 @@
       const auto result = Exchange({Ip(i), kReadyPort}, {"GET", "/api/readyz", {}, {}});
       ready =
           ready && result.response.status == 200 && result.stage == net::exchange_stage::kAnswered;
-      // A node knows all endpoints once it can reach every service.
-      for (const std::string& service : services_) {
-        ready = ready && Send(i, '/' + service + "/ready").response.status == 200;
-      }
+      const auto metrics = Exchange({Ip(i), kMetricsPort}, {"GET", "/metrics", {}, {}});
+      const std::string all = "siskinrack_endpoints " + std::to_string(services_.size());
+      ready = ready && metrics.response.body.find(all) != std::string::npos;
     }
     if (ready) return true;
     std::this_thread::sleep_for(milliseconds(50));
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -201,6 +201,22 @@
   }));
 }
 
+// Guards against the record of a node that is gone for good: it kept "ready" in the store, and
+// calls went to its address. A node that lives writes its record again.
+TEST_F(mesh_test, RecordOfALostNodeIsRemovedAndComesBackWithIt) {
+  const auto recorded = [&] {
+    return fleet_.store().Read("siskinrack-endpoints", "i-1").is_object();
+  };
+  fleet_.node(1).Signal(SIGKILL);
+  fleet_.node(1).Wait();
+  EXPECT_TRUE(Eventually(milliseconds(25'000), [&] {
+    EXPECT_EQ(fleet_.Send(0, "/dock/x").response.status, 200U);
+    return !recorded();
+  }));
+  fleet_.StartNode(1);
+  EXPECT_TRUE(Eventually(milliseconds(5'000), recorded));
+}
+
 // Guards against a node that doesn't find its way back after it was killed.
 TEST_F(mesh_test, KilledNodeServesAgain) {
   fleet_.node(1).Signal(SIGKILL);
