admission: calls with much slack wait behind late ones; service times by route

Probes of added routes have the top priority and a service time unknown by priority; they counted as able to wait and were refused. Change: a call waits behind late ones only while its slack exceeds two service times, its expected wait is that of its later turn, and service times are learned by route.

--- a/include/siskinrack/admission/deadline_controller.h
+++ b/include/siskinrack/admission/deadline_controller.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -16,6 +15,8 @@
   std::uint64_t ticket = 0;
   /// 0 is the most urgent.
   std::uint32_t priority = 0;
+  /// Calls of one class, such as a route, take about the same time.
+  std::uint64_t work_class = 0;
   /// An answer until then has its full worth.
   time_point in_time_by;
   /// After that nobody waits for the answer.
@@ -46,18 +47,20 @@
 
  private:
   struct running_call {
-    std::uint32_t priority = 0;
+    std::uint64_t work_class = 0;
     time_point started;
   };
   /// Rank of a call in the order of dispatch.
   struct urgency {
-    bool late = false;
+    /// In the order of dispatch.
+    enum class turn { kInTime, kLate, kCanWait };
+    turn when = turn::kInTime;
     std::uint32_t priority = 0;
     time_point in_time_by;
     auto operator<=>(const urgency&) const = default;
   };
 
-  [[nodiscard]] nanoseconds Service(std::uint32_t priority) const;
+  [[nodiscard]] nanoseconds Service(std::uint64_t work_class) const;
   [[nodiscard]] urgency UrgencyOf(const timed_arrival& call, time_point now) const;
   [[nodiscard]] nanoseconds ExpectedWait(const timed_arrival& call, time_point now) const;
   [[nodiscard]] bool CanEnd(const timed_arrival& call, nanoseconds wait, time_point now) const;
@@ -68,8 +71,8 @@
   std::uint32_t slots_;
   std::vector<timed_arrival> waiting_;
   std::unordered_map<std::uint64_t, running_call> running_;
-  /// Smoothed service times by priority.
-  std::map<std::uint32_t, nanoseconds> service_;
+  /// Smoothed service times by work class.
+  std::unordered_map<std::uint64_t, nanoseconds> service_;
 };
 
 }  // namespace siskinrack::admission
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -978,6 +978,7 @@
   std::string host{};
   bool at_most_once = false;
   uint32_t priority = 0;
+  uint64_t work_class = 0;
   uint32_t in_time_ms = 0;
   call_request_t() = default;
   call_request_t(const call_request_t &o);
@@ -1005,7 +1006,8 @@
     VT_HOST = 30,
     VT_AT_MOST_ONCE = 32,
     VT_PRIORITY = 34,
-    VT_IN_TIME_MS = 36
+    VT_WORK_CLASS = 36,
+    VT_IN_TIME_MS = 38
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1055,6 +1057,9 @@
   uint32_t priority() const {
     return GetField<uint32_t>(VT_PRIORITY, 0);
   }
+  uint64_t work_class() const {
+    return GetField<uint64_t>(VT_WORK_CLASS, 0);
+  }
   uint32_t in_time_ms() const {
     return GetField<uint32_t>(VT_IN_TIME_MS, 0);
   }
@@ -1087,6 +1092,7 @@
            verifier.VerifyString(host()) &&
            VerifyField<uint8_t>(verifier, VT_AT_MOST_ONCE, 1) &&
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint64_t>(verifier, VT_WORK_CLASS, 8) &&
            VerifyField<uint32_t>(verifier, VT_IN_TIME_MS, 4) &&
            verifier.EndTable();
   }
@@ -1147,6 +1153,9 @@
   void add_priority(uint32_t priority) {
     fbb_.AddElement<uint32_t>(call_request::VT_PRIORITY, priority, 0);
   }
+  void add_work_class(uint64_t work_class) {
+    fbb_.AddElement<uint64_t>(call_request::VT_WORK_CLASS, work_class, 0);
+  }
   void add_in_time_ms(uint32_t in_time_ms) {
     fbb_.AddElement<uint32_t>(call_request::VT_IN_TIME_MS, in_time_ms, 0);
   }
@@ -1179,8 +1188,10 @@
     flatbuffers::Offset<flatbuffers::String> host = 0,
     bool at_most_once = false,
     uint32_t priority = 0,
+    uint64_t work_class = 0,
     uint32_t in_time_ms = 0) {
   call_requestBuilder builder_(_fbb);
+  builder_.add_work_class(work_class);
   builder_.add_config_version(config_version);
   builder_.add_claim_epoch(claim_epoch);
   builder_.add_in_time_ms(in_time_ms);
@@ -1219,6 +1230,7 @@
     const char *host = nullptr,
     bool at_most_once = false,
     uint32_t priority = 0,
+    uint64_t work_class = 0,
     uint32_t in_time_ms = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto rank__ = rank ? _fbb.CreateString(rank) : 0;
@@ -1248,6 +1260,7 @@
       host__,
       at_most_once,
       priority,
+      work_class,
       in_time_ms);
 }
 
@@ -3798,6 +3811,7 @@
         host(o.host),
         at_most_once(o.at_most_once),
         priority(o.priority),
+        work_class(o.work_class),
         in_time_ms(o.in_time_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
@@ -3820,6 +3834,7 @@
   std::swap(host, o.host);
   std::swap(at_most_once, o.at_most_once);
   std::swap(priority, o.priority);
+  std::swap(work_class, o.work_class);
   std::swap(in_time_ms, o.in_time_ms);
   return *this;
 }
@@ -3849,6 +3864,7 @@
   { auto _e = host(); if (_e) _o->host = _e->str(); }
   { auto _e = at_most_once(); _o->at_most_once = _e; }
   { auto _e = priority(); _o->priority = _e; }
+  { auto _e = work_class(); _o->work_class = _e; }
   { auto _e = in_time_ms(); _o->in_time_ms = _e; }
 }
 
@@ -3876,6 +3892,7 @@
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
   auto _at_most_once = _o->at_most_once;
   auto _priority = _o->priority;
+  auto _work_class = _o->work_class;
   auto _in_time_ms = _o->in_time_ms;
   return siskinrack::wire::Createcall_request(
       _fbb,
@@ -3895,6 +3912,7 @@
       _host,
       _at_most_once,
       _priority,
+      _work_class,
       _in_time_ms);
 }
 
--- a/lib/admission/deadline_controller.cpp
+++ b/lib/admission/deadline_controller.cpp
@@ -11,9 +11,13 @@
 /// Service time assumed before the first answer.
 constexpr nanoseconds kFirstService = milliseconds(50);
 constexpr double kServiceWeight = 0.05;
+/// Bounds memory; routes come and go with the configuration.
+constexpr std::size_t kMaxWorkClasses = 4'096;
 /// Time that a call needs to end with good probability, in mean service times: service times vary
 /// by about their mean.
 constexpr double kSafeService = 1.3;
+/// A call that is in time even after this many service times loses nothing by waiting.
+constexpr double kCanWaitSlack = 2;
 /// More urgent calls that arrive while a late call waits go before it.
 constexpr double kLateWaitFactor = 1.5;
 
@@ -23,37 +27,43 @@
 
 }  // namespace
 
-nanoseconds deadline_controller::Service(std::uint32_t priority) const {
-  const auto found = service_.find(priority);
+nanoseconds deadline_controller::Service(std::uint64_t work_class) const {
+  const auto found = service_.find(work_class);
   return found == service_.end() ? kFirstService : found->second;
 }
 
 deadline_controller::urgency deadline_controller::UrgencyOf(const timed_arrival& call,
                                                             time_point now) const {
-  const bool late = now + Service(call.priority) > call.in_time_by;
-  return {late, call.priority, call.in_time_by};
+  const nanoseconds service = Service(call.work_class);
+  const auto slack = std::min(call.in_time_by, call.end_by) - now - service;
+  urgency::turn when = urgency::turn::kInTime;
+  if (slack.count() < 0) when = urgency::turn::kLate;
+  if (slack > Scaled(service, kCanWaitSlack)) when = urgency::turn::kCanWait;
+  return {when, call.priority, call.in_time_by};
 }
 
 nanoseconds deadline_controller::ExpectedWait(const timed_arrival& call, time_point now) const {
   if (running_.size() < slots_ && waiting_.empty()) return nanoseconds(0);
-  const urgency own = UrgencyOf(call, now);
+  urgency own = UrgencyOf(call, now);
+  // Its turn comes before its slack is used up.
+  if (own.when == urgency::turn::kCanWait) own.when = urgency::turn::kInTime;
   nanoseconds work{0};
   for (const auto& [ticket, other] : running_) {
     // A call that runs for longer than usual is expected to run for as long again.
     const nanoseconds age = now - other.started;
-    const nanoseconds service = Service(other.priority);
+    const nanoseconds service = Service(other.work_class);
     work += age < service ? service - age : age / 2;
   }
   for (const timed_arrival& other : waiting_) {
-    if (UrgencyOf(other, now) < own) work += Service(other.priority);
+    if (UrgencyOf(other, now) < own) work += Service(other.work_class);
   }
   const nanoseconds wait = work / std::max<std::uint32_t>(1, slots_);
-  return own.late ? Scaled(wait, kLateWaitFactor) : wait;
+  return own.when == urgency::turn::kLate ? Scaled(wait, kLateWaitFactor) : wait;
 }
 
 bool deadline_controller::CanEnd(const timed_arrival& call, nanoseconds wait,
                                  time_point now) const {
-  return now + wait + Scaled(Service(call.priority), kSafeService) <= call.end_by;
+  return now + wait + Scaled(Service(call.work_class), kSafeService) <= call.end_by;
 }
 
 decisions deadline_controller::Offer(const timed_arrival& call, time_point now) {
@@ -78,7 +88,8 @@
   const running_call call = found->second;
   running_.erase(found);
   const nanoseconds took = now - call.started;
-  const auto [service, first] = service_.try_emplace(call.priority, took);
+  if (service_.size() >= kMaxWorkClasses) service_.clear();
+  const auto [service, first] = service_.try_emplace(call.work_class, took);
   // A call that failed early says nothing about the service time; a long one is a lower bound.
   const bool counts = result == call_result::kAnswered ||
                       (result == call_result::kFailed && took > service->second);
@@ -121,7 +132,7 @@
 }
 
 void deadline_controller::Run(const timed_arrival& call, time_point now, decisions& out) {
-  running_.emplace(call.ticket, running_call{call.priority, now});
+  running_.emplace(call.ticket, running_call{call.work_class, now});
   out.push_back({.ticket = call.ticket, .run = true});
 }
 
--- a/lib/mesh/entry_point.cpp
+++ b/lib/mesh/entry_point.cpp
@@ -69,6 +69,7 @@
   wire::call_request_t call;
   call.service = service;
   call.priority = route.priority;
+  call.work_class = std::hash<std::string>{}(route.name);
   call.caller = caller;
   call.request_id = request_id;
   call.at_most_once = route.repeats == routing::repeatability::kAtMostOnce;
--- a/lib/mesh/serving_point.cpp
+++ b/lib/mesh/serving_point.cpp
@@ -162,7 +162,7 @@
                                          net::steady_time deadline, net::cancellation& cancel) {
   AdaptSlots();
   const admission::decision decision = gate_->Enter(
-      admission::timed_arrival{0, call.priority,
+      admission::timed_arrival{0, call.priority, call.work_class,
                                steady_clock::now() + milliseconds(call.in_time_ms), deadline},
       deadline, cancel);
   if (!decision.run) {
