--- a/include/siskinrack/admission/controller.h
+++ b/include/siskinrack/admission/controller.h
@@ -28,6 +28,9 @@
   kUpstreamPause,
 };
 
+/// Reason of a refusal in words.
+std::string_view TextOf(refusal reason);
+
 /// A call that asks for a slot. `ticket` names it in all later calls and must be unique.
 struct arrival {
   std::uint64_t ticket = 0;
--- a/lib/admission/controller.cpp
+++ b/lib/admission/controller.cpp
@@ -44,6 +44,20 @@
 
 }  // namespace
 
+std::string_view TextOf(refusal reason) {
+  switch (reason) {
+    case refusal::kDeadline:
+      return "deadline can't be met";
+    case refusal::kRankTarget:
+      return "wait would exceed the target of the rank";
+    case refusal::kQueueFull:
+      return "queue is full";
+    case refusal::kUpstreamPause:
+      break;
+  }
+  return "upstream asked for a pause";
+}
+
 controller::controller(upstream_limits limits, std::span<const config::rank_policy> ranks)
     : shed_limit_(limits.slots) {
   Configure(limits, ranks);
--- a/lib/mesh/entry_point.cpp
+++ b/lib/mesh/entry_point.cpp
@@ -5,6 +5,7 @@
 
 #include "call_answers.h"
 #include "request_codec.h"
+#include "siskinrack/net/wire_fields.h"
 
 namespace siskinrack::mesh {
 namespace {
@@ -76,13 +77,7 @@
   call.method = std::move(request.method);
   call.target = std::move(request.target);
   call.host = std::move(request.host);
-  call.headers.reserve(request.fields.size());
-  for (net::http_field& field : request.fields) {
-    auto copy = std::make_unique<wire::header_field_t>();
-    copy->name = std::move(field.name);
-    copy->value = std::move(field.value);
-    call.headers.push_back(std::move(copy));
-  }
+  call.headers = net::ToWireFields(request.fields);
   call.body.assign(request.body.begin(), request.body.end());
   return call;
 }
--- a/lib/mesh/serving_point.cpp
+++ b/lib/mesh/serving_point.cpp
@@ -2,6 +2,8 @@
 
 #include "call_answers.h"
 #include "request_codec.h"
+#include "siskinrack/net/wire_fields.h"
+#include "siskinrack/support/in_flight_count.h"
 
 namespace siskinrack::mesh {
 namespace {
@@ -21,31 +23,6 @@
 
 constexpr std::int64_t kMaxServiceMs = 60'000;
 
-class in_flight_count {
- public:
-  explicit in_flight_count(std::atomic<std::size_t>& counter) : counter_(counter) { ++counter_; }
-  ~in_flight_count() { --counter_; }
-  in_flight_count(const in_flight_count&) = delete;
-  in_flight_count& operator=(const in_flight_count&) = delete;
-
- private:
-  std::atomic<std::size_t>& counter_;
-};
-
-std::string_view RefusalText(admission::refusal reason) {
-  switch (reason) {
-    case admission::refusal::kDeadline:
-      return "deadline can't be met";
-    case admission::refusal::kRankTarget:
-      return "wait would exceed the timeout";
-    case admission::refusal::kQueueFull:
-      return "queue is full";
-    case admission::refusal::kUpstreamPause:
-      break;
-  }
-  return "upstream asked for a pause";
-}
-
 admission::call_result ResultOf(const wire::call_answer_t& answer) {
   switch (answer.cause) {
     case answer_cause::none:
@@ -64,13 +41,7 @@
   wire::call_answer_t answer;
   answer.outcome = wire::outcome_kind::answered;
   answer.status = static_cast<std::uint16_t>(response.status);
-  answer.headers.reserve(response.fields.size());
-  for (net::http_field& field : response.fields) {
-    auto copy = std::make_unique<wire::header_field_t>();
-    copy->name = std::move(field.name);
-    copy->value = std::move(field.value);
-    answer.headers.push_back(std::move(copy));
-  }
+  answer.headers = net::ToWireFields(response.fields);
   answer.body.assign(response.body.begin(), response.body.end());
   return answer;
 }
@@ -133,7 +104,7 @@
 
 wire::call_answer_t serving_point::Serve(const wire::call_request_t& call,
                                          net::cancellation& cancel) {
-  const in_flight_count count(in_flight_);
+  const support::in_flight_count count(in_flight_);
   const auto deadline = steady_clock::now() + milliseconds(call.deadline_ms);
   auto refusal = Refusal(call);
   wire::call_answer_t answer = refusal ? std::move(*refusal) : Admit(call, deadline, cancel);
@@ -166,7 +137,7 @@
                                steady_clock::now() + milliseconds(call.in_time_ms), deadline},
       deadline, cancel);
   if (!decision.run) {
-    return NotRun(answer_cause::no_capacity, RefusalText(decision.reason),
+    return NotRun(answer_cause::no_capacity, admission::TextOf(decision.reason),
                   std::chrono::ceil<milliseconds>(decision.retry_after));
   }
   // The upstream may have announced its departure while the call waited.
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -5,6 +5,7 @@
 
 #include "outcome.h"
 #include "request_headers.h"
+#include "siskinrack/net/wire_fields.h"
 
 namespace siskinrack::node {
 namespace {
@@ -82,14 +83,7 @@
   call.config_version = config_version;
   call.method = std::move(request.method);
   call.target = std::move(request.target);
-  call.headers.reserve(request.fields.size());
-  for (net::http_field& field : request.fields) {
-    if (IsTyped(field.name)) continue;
-    auto copy = std::make_unique<wire::header_field_t>();
-    copy->name = std::move(field.name);
-    copy->value = std::move(field.value);
-    call.headers.push_back(std::move(copy));
-  }
+  call.headers = net::ToWireFields(request.fields, IsTyped);
   call.body.assign(request.body.begin(), request.body.end());
   return call;
 }
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -2,6 +2,8 @@
 
 #include "outcome.h"
 #include "request_headers.h"
+#include "siskinrack/net/wire_fields.h"
+#include "siskinrack/support/in_flight_count.h"
 
 namespace siskinrack::node {
 namespace {
@@ -22,42 +24,16 @@
   return request;
 }
 
-/// Counts a call for as long as it lives.
-class in_flight_count {
- public:
-  explicit in_flight_count(std::atomic<std::size_t>& counter) : counter_(counter) { ++counter_; }
-  ~in_flight_count() { --counter_; }
-  in_flight_count(const in_flight_count&) = delete;
-  in_flight_count& operator=(const in_flight_count&) = delete;
-
- private:
-  std::atomic<std::size_t>& counter_;
-};
-
 /// An upstream that refuses without having run the request says so in the outcome field.
 bool SaysNotRun(const net::http_response& response) {
   return response.status >= kStatusBadRequest &&
          net::FindField(response.fields, kOutcomeField) == kNotRunText;
 }
 
-std::string_view RefusalText(admission::refusal reason) {
-  switch (reason) {
-    case admission::refusal::kDeadline:
-      return "deadline can't be met";
-    case admission::refusal::kRankTarget:
-      return "wait would exceed the target of the rank";
-    case admission::refusal::kQueueFull:
-      return "queue is full";
-    case admission::refusal::kUpstreamPause:
-      break;
-  }
-  return "upstream asked for a pause";
-}
-
 wire::call_answer_t Refused(const admission::decision& decision) {
   const bool late = decision.reason == admission::refusal::kDeadline;
   auto answer =
-      NotRun(late ? kStatusGatewayTimeout : kStatusUnavailable, RefusalText(decision.reason));
+      NotRun(late ? kStatusGatewayTimeout : kStatusUnavailable, admission::TextOf(decision.reason));
   answer.retry_after_ms =
       static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(decision.retry_after).count());
   return answer;
@@ -129,7 +105,7 @@
 wire::call_answer_t serving_service::Serve(const wire::call_request_t& call,
                                            net::cancellation& cancel) {
   // Counted before the check, so that a shutdown which sees no call in flight misses none.
-  const in_flight_count count(in_flight_);
+  const support::in_flight_count count(in_flight_);
   if (context_.refusing) return NotRun(kStatusUnavailable, "node is shutting down");
   if (context_.config.Current()->config.version == 0) {
     return NotRun(kStatusUnavailable, "no configuration is in force yet");
@@ -190,12 +166,7 @@
   if (answer.outcome == wire::outcome_kind::not_run || answer.status == kStatusUnavailable) {
     answer.retry_after_ms = RetryAfterMs(result.response, std::chrono::system_clock::now());
   }
-  for (auto& field : result.response.fields) {
-    auto copy = std::make_unique<wire::header_field_t>();
-    copy->name = std::move(field.name);
-    copy->value = std::move(field.value);
-    answer.headers.push_back(std::move(copy));
-  }
+  answer.headers = net::ToWireFields(result.response.fields);
   answer.body.assign(result.response.body.begin(), result.response.body.end());
   return answer;
 }
