--- a/lib/balancing/endpoint_state.cpp
+++ b/lib/balancing/endpoint_state.cpp
@@ -52,8 +52,7 @@
 double endpoint_state::PredictedMs(time_point now) const {
   const double service = service_ms_ > 0 ? service_ms_ : kFirstLatencyMs;
   // Calls of other nodes as reported, own calls as they are now.
-  const double others =
-      std::max(0.0, load_ - static_cast<double>(in_flight_at_load_));
+  const double others = std::max(0.0, load_ - static_cast<double>(in_flight_at_load_));
   const double busy = Decayed(others, now - load_at_, kLoadWindow) +
                       static_cast<double>(in_flight_) + 1 - static_cast<double>(slots_);
   const double wait = busy > 0 ? busy * service / slots_ : 0;
--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -8,8 +8,8 @@
 
 namespace siskinrack::mesh {
 
-/// Longest wait of one watch call that the store grants. Each call has its price; store_monitor finds out sooner if the
-/// store has gone silent.
+/// Longest wait of one watch call that the store grants. Each call has its price; store_monitor
+/// finds out sooner if the store has gone silent.
 inline constexpr std::chrono::milliseconds kWatchWait{30'000};
 /// Wait of the first watch call after a failure: its answer shows that the store is back.
 inline constexpr std::chrono::milliseconds kFirstWatchWait{1};
@@ -60,8 +60,8 @@
   void Watch() {
     net::cancellation cancel;
     watch_cancel_ = &cancel;
-    auto result = context_.store.Watch(kind_, revision_, suspect_ ? kFirstWatchWait : kWatchWait,
-                                       &cancel);
+    auto result =
+        context_.store.Watch(kind_, revision_, suspect_ ? kFirstWatchWait : kWatchWait, &cancel);
     watch_cancel_ = nullptr;
     if (const auto* error = std::get_if<fleet::store_error>(&result)) {
       if (error->code != fleet::store_errc::kHistoryGone) return OnError(*error);
