balancing, mesh: a parameter that was always true, a value taken twice, a clearer name

ChooseByCompletion had may_try, which every caller set; the untaken branch is gone. The caller's deadline was worked out twice in entry_point. The reaper's patience is a removal delay. Behaviour is the same.

--- a/include/siskinrack/balancing/selection.h
+++ b/include/siskinrack/balancing/selection.h
@@ -45,10 +45,9 @@
 
 /// Chooses the endpoint whose answer is expected first, among those of the own failure domain as
 /// long as the answer is expected in time there. Endpoints of other domains get the call if only
-/// they are in time, or if they gain much. An endpoint that is due for a trial gets it first if
-/// `may_try`.
+/// they are in time, or if they gain much. An endpoint that is due for a trial gets it first.
 selection ChooseByCompletion(std::span<const candidate> candidates, const completion_goal& goal,
-                             bool may_try, time_point now, std::uint64_t random);
+                             time_point now, std::uint64_t random);
 
 }  // namespace siskinrack::balancing
 
--- a/lib/balancing/selection.cpp
+++ b/lib/balancing/selection.cpp
@@ -129,7 +129,7 @@
 }  // namespace
 
 selection ChooseByCompletion(std::span<const candidate> candidates, const completion_goal& goal,
-                             bool may_try, time_point now, std::uint64_t random) {
+                             time_point now, std::uint64_t random) {
   first_answer local(random);
   first_answer remote(~random);
   first_answer closed(random * 3);
@@ -141,8 +141,7 @@
         (candidates[i].same_domain ? local : remote).Offer(i, view.predicted_ms);
         break;
       case readiness::kTrial:
-        if (may_try) return {i, {}};
-        [[fallthrough]];
+        return {i, {}};
       case readiness::kClosed:
         if (goal.use_closed) closed.Offer(i, view.predicted_ms);
         break;
--- a/lib/mesh/endpoint_reaper.cpp
+++ b/lib/mesh/endpoint_reaper.cpp
@@ -14,8 +14,8 @@
 constexpr milliseconds kInterval{2'000};
 constexpr milliseconds kProbeTimeout{1'000};
 /// Longer than a restart of a node takes, the grace period included.
-constexpr milliseconds kPatience{7'000};
-constexpr std::int64_t kPatienceSpreadMs = 5'000;
+constexpr milliseconds kRemovalDelay{7'000};
+constexpr std::int64_t kRemovalDelaySpreadMs = 5'000;
 /// Without a failure for this long there is no evidence any more.
 constexpr milliseconds kEvidenceAge{6'000};
 
@@ -25,8 +25,8 @@
   const auto now = steady_clock::now();
   auto& entry = unreachable_[item.life.instance_id];
   if (!(entry.life == item.life)) {
-    const auto spread = static_cast<std::int64_t>(random_() % kPatienceSpreadMs);
-    entry = {item.life, now, now, kPatience + milliseconds(spread)};
+    const auto spread = static_cast<std::int64_t>(random_() % kRemovalDelaySpreadMs);
+    entry = {item.life, now, now, kRemovalDelay + milliseconds(spread)};
   }
   entry.last_failure = now;
 }
@@ -67,7 +67,7 @@
     return !recorded || now - entry.last_failure > kEvidenceAge;
   });
   for (const auto& [id, entry] : unreachable_) {
-    if (now - entry.since < entry.patience) continue;
+    if (now - entry.since < entry.removal_delay) continue;
     const routing::lifetime life = entry.life;
     unreachable_.erase(id);
     return life;
--- a/lib/mesh/endpoint_reaper.h
+++ b/lib/mesh/endpoint_reaper.h
@@ -30,7 +30,7 @@
     net::steady_time since;
     net::steady_time last_failure;
     /// Differs from node to node, so that one of them removes the record and the others see it.
-    std::chrono::milliseconds patience{0};
+    std::chrono::milliseconds removal_delay{0};
   };
 
   /// Asks the next node in the order of addresses for a sign of life, so that every node is watched
--- a/lib/mesh/entry_point.cpp
+++ b/lib/mesh/entry_point.cpp
@@ -103,8 +103,8 @@
   state.service = ChooseService(*state.route);
   const milliseconds timeout =
       state.route->timeout.count() > 0 ? state.route->timeout : kDefaultDeadline;
-  state.end = now + std::min(caller.deadline.value_or(timeout), timeout);
   const milliseconds deadline = caller.deadline.value_or(timeout);
+  state.end = now + std::min(deadline, timeout);
   state.caller_end = now + deadline;
   state.in_time_by = now + state.route->target_latency - Waited(*state.route, deadline);
   state.call = MakeCall(std::move(request), caller.id, *state.route, state.service,
@@ -159,8 +159,7 @@
   const balancing::completion_goal goal{left.count() * kInTimePart,
                                         static_cast<double>(state.route->target_latency.count()),
                                         /*use_closed=*/state.refusals == 0};
-  const auto choice =
-      balancing::ChooseByCompletion(untried, goal, /*may_try=*/true, now, random_());
+  const auto choice = balancing::ChooseByCompletion(untried, goal, now, random_());
   if (!choice.index) return std::nullopt;
   return indices[*choice.index];
 }
--- a/unittests/balancing/completion_test.cpp
+++ b/unittests/balancing/completion_test.cpp
@@ -29,8 +29,7 @@
   double Share(std::size_t index, double in_time_ms) {
     int hits = 0;
     for (int i = 0; i < 1000; ++i) {
-      const auto choice =
-          ChooseByCompletion(candidates_, {in_time_ms, 500}, true, At(1), random_());
+      const auto choice = ChooseByCompletion(candidates_, {in_time_ms, 500}, At(1), random_());
       if (choice.index == index) ++hits;
     }
     return hits / 1000.0;
