mesh: endpoints are listed and watched with stale reads

Ruled out: one watcher for many nodes (late by its lease); longer pauses (departures would be known later). Change: the endpoint feed allows stale answers; the node beside an upstream enforces its departure and lifetime, so seconds-old records cost a refused call at most. Configuration is still read currently. Test: mesh_test.EndpointsAreWatchedAtTheLowPrice failed before (4 watches at the full price).

--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -55,8 +55,10 @@
                    [this](const std::string& id, std::uint64_t revision) {
                      registration_.OnOwnRecord(id, revision);
                    }),
-        config_feed_(context_, fleet::kConfigurationKind, configs_, kConfigPause),
-        endpoint_feed_(context_, kEndpointKind, endpoints_, kEndpointPause),
+        config_feed_(context_, fleet::kConfigurationKind, fleet::read_freshness::kCurrent, configs_,
+                     kConfigPause),
+        endpoint_feed_(context_, kEndpointKind, fleet::read_freshness::kMayBeStale, endpoints_,
+                       kEndpointPause),
         monitor_(
             context_,
             [this] { return std::max(config_feed_.revision(), endpoint_feed_.revision()); },
--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -21,9 +21,9 @@
 class object_feed {
  public:
   /// `pause` is the time between two watch calls; changes in between arrive together.
-  object_feed(mesh_context& context, std::string_view kind, Consumer& consumer,
-              std::chrono::milliseconds pause)
-      : context_(context), kind_(kind), consumer_(consumer), pause_(pause) {}
+  object_feed(mesh_context& context, std::string_view kind, fleet::read_freshness freshness,
+              Consumer& consumer, std::chrono::milliseconds pause)
+      : context_(context), kind_(kind), freshness_(freshness), consumer_(consumer), pause_(pause) {}
 
   /// Runs for the life of the process, in a fiber of its own.
   void Run() {
@@ -48,7 +48,7 @@
 
  private:
   void List() {
-    auto result = context_.store.List(kind_);
+    auto result = context_.store.List(kind_, freshness_);
     if (const auto* error = std::get_if<fleet::store_error>(&result)) return OnError(*error);
     OnAnswer();
     auto& listing = std::get<fleet::object_listing>(result);
@@ -60,8 +60,8 @@
   void Watch() {
     net::cancellation cancel;
     watch_cancel_ = &cancel;
-    auto result =
-        context_.store.Watch(kind_, revision_, suspect_ ? kFirstWatchWait : kWatchWait, &cancel);
+    auto result = context_.store.Watch(kind_, freshness_, revision_,
+                                       suspect_ ? kFirstWatchWait : kWatchWait, &cancel);
     watch_cancel_ = nullptr;
     if (const auto* error = std::get_if<fleet::store_error>(&result)) {
       if (error->code != fleet::store_errc::kHistoryGone) return OnError(*error);
@@ -110,6 +110,7 @@
 
   mesh_context& context_;
   std::string_view kind_;
+  fleet::read_freshness freshness_;
   Consumer& consumer_;
   std::chrono::milliseconds pause_;
   bool listed_ = false;
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -217,6 +217,17 @@
   EXPECT_TRUE(Eventually(milliseconds(5'000), recorded));
 }
 
+// Guards against store calls that grow with the fleet at the full price: each change of an endpoint
+// ends one watch call of every node.
+TEST_F(mesh_test, EndpointsAreWatchedAtTheLowPrice) {
+  fleet_.Beat(1, "draining");
+  EXPECT_TRUE(Eventually(milliseconds(3'000), [&] {
+    return fleet_.Log(0).find("event=endpoint_changed instance=i-1") != std::string::npos;
+  }));
+  EXPECT_EQ(fleet_.store().CurrentWatches("siskinrack-endpoints"), 0U);
+  EXPECT_GT(fleet_.store().CurrentWatches("config"), 0U);
+}
+
 // Guards against a node that doesn't find its way back after it was killed.
 TEST_F(mesh_test, KilledNodeServesAgain) {
   fleet_.node(1).Signal(SIGKILL);
--- a/test/mesh/object_store_stand_in.cpp
+++ b/test/mesh/object_store_stand_in.cpp
@@ -73,6 +73,12 @@
   lost_answers_ = count;
 }
 
+std::size_t object_store_stand_in::CurrentWatches(const std::string& kind) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = current_watches_.find(kind);
+  return found == current_watches_.end() ? 0 : found->second;
+}
+
 void object_store_stand_in::ForgetHistory() {
   const std::lock_guard lock(mutex_);
   forgotten_ = revision_;
@@ -169,6 +175,7 @@
   {
     const std::lock_guard lock(mutex_);
     silence = silence_;
+    if (!request.query.contains("staleOk")) ++current_watches_[request.kind];
   }
   while (true) {
     {
