routing: a departure that began before a node's restart has no time left

Cause: a node that restarts while its upstream drains took the first heartbeat as the start of the departure and served it for another half drain period; the process before had acknowledged it. Ruled out: departures acknowledged without a restart (the serving node refuses from half the drain period on).

--- a/unittests/routing/routing_test.cpp
+++ b/unittests/routing/routing_test.cpp
@@ -93,6 +93,7 @@
 // Guards against a late "ready" that takes an acknowledged departure back.
 TEST(LocalInstance, DepartureIsNotTakenBackByALateHeartbeat) {
   local_instance local;
+  local.OnReport(Report("a", 100, 5), At(-10));
   local.OnReport(Report("a", 100, 7, instance_state::kDraining), At(0));
   EXPECT_EQ(local.OnReport(Report("a", 100, 6), At(10)), report_verdict::kOutdated);
   EXPECT_EQ(local.leaving_since(), At(0));
@@ -102,6 +103,25 @@
   EXPECT_TRUE(local.left());
 }
 
+// Guards against a node that restarts while its upstream drains and gives it work for another drain
+// period, although the process before acknowledged the departure.
+TEST(LocalInstance, DepartureThatBeganBeforeTheFirstReportHasNoTimeLeft) {
+  local_instance local;
+  local.OnReport(Report("a", 100, 7, instance_state::kDraining), At(0));
+  ASSERT_TRUE(local.leaving_since());
+  EXPECT_LT(*local.leaving_since() + std::chrono::hours(1), At(0));
+}
+
+// Guards against a late heartbeat that brings back an upstream whose departure was the first that a
+// restarted node heard of it.
+TEST(LocalInstance, DepartureOfAnUnknownLifetimeIsKept) {
+  local_instance local;
+  EXPECT_FALSE(local.OnLeave("a", 100, At(0)));
+  EXPECT_EQ(local.OnReport(Report("a", 100, 7), At(1)), report_verdict::kOutdated);
+  EXPECT_FALSE(local.current());
+  EXPECT_EQ(local.OnReport(Report("a", 200, 1), At(2)), report_verdict::kApplied);
+}
+
 // Guards against the departure of an earlier lifetime that ends the current one.
 TEST(LocalInstance, DepartureOfAnotherLifetimeIsIgnored) {
   local_instance local;
