mesh: an outage of the store is waited out with stale reads

Ruled out: longer backoff (changes would be known later after the return). Change: after an error every caller waits until a stale read is answered, a tenth of the price; a write that was not done isn't read back.

--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -5,14 +5,13 @@
 #include <string_view>
 
 #include "mesh_context.h"
+#include "store_recovery.h"
 
 namespace siskinrack::mesh {
 
 /// Longest wait of one watch call that the store grants. Each call has its price; store_monitor
 /// finds out sooner if the store has gone silent.
 inline constexpr std::chrono::milliseconds kWatchWait{30'000};
-/// Wait of the first watch call after a failure: its answer shows that the store is back.
-inline constexpr std::chrono::milliseconds kFirstWatchWait{1};
 
 /// Keeps up with the objects of one kind: lists them, then watches for changes, and lists again
 /// when the store has forgotten its history. `Consumer` has OnList(object_listing) and
@@ -40,9 +39,8 @@
   /// State of the store that the consumer has seen.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
-  /// Ends a watch call that may never be answered; the next one follows at once.
+  /// Ends a watch call that may never be answered; the next one follows once the store answers.
   void Interrupt() {
-    suspect_ = true;
     if (watch_cancel_ != nullptr) watch_cancel_->Cancel();
   }
 
@@ -50,7 +48,6 @@
   void List() {
     auto result = context_.store.List(kind_, freshness_);
     if (const auto* error = std::get_if<fleet::store_error>(&result)) return OnError(*error);
-    OnAnswer();
     auto& listing = std::get<fleet::object_listing>(result);
     revision_ = listing.revision;
     listed_ = true;
@@ -60,8 +57,7 @@
   void Watch() {
     net::cancellation cancel;
     watch_cancel_ = &cancel;
-    auto result = context_.store.Watch(kind_, freshness_, revision_,
-                                       suspect_ ? kFirstWatchWait : kWatchWait, &cancel);
+    auto result = context_.store.Watch(kind_, freshness_, revision_, kWatchWait, &cancel);
     watch_cancel_ = nullptr;
     if (const auto* error = std::get_if<fleet::store_error>(&result)) {
       if (error->code != fleet::store_errc::kHistoryGone) return OnError(*error);
@@ -69,7 +65,6 @@
       listed_ = false;
       return;
     }
-    OnAnswer();
     auto& changes = std::get<fleet::object_changes>(result);
     revision_ = std::max(revision_, changes.revision);
     for (std::size_t i = 0; i < changes.events.size(); ++i) {
@@ -87,21 +82,13 @@
   }
 
   void OnError(const fleet::store_error& error) {
-    suspect_ = true;
-    if (!lost_since_) {
-      lost_since_ = std::chrono::steady_clock::now();
-      context_.log.Warn("store_lost", {{"kind", kind_},
-                                       {"error", platform::Name(error.code)},
-                                       {"detail", error.message},
-                                       {"revision", revision_}});
-    }
-  }
-
-  void OnAnswer() {
-    suspect_ = false;
-    if (!lost_since_) return;
-    const auto gone = std::chrono::steady_clock::now() - *lost_since_;
-    lost_since_.reset();
+    const auto lost_since = std::chrono::steady_clock::now();
+    context_.log.Warn("store_lost", {{"kind", kind_},
+                                     {"error", platform::Name(error.code)},
+                                     {"detail", error.message},
+                                     {"revision", revision_}});
+    AwaitStore(context_);
+    const auto gone = std::chrono::steady_clock::now() - lost_since;
     context_.log.Info(
         "store_regained",
         {{"kind", kind_},
@@ -114,11 +101,8 @@
   Consumer& consumer_;
   std::chrono::milliseconds pause_;
   bool listed_ = false;
-  /// The store gave no answer when one was due.
-  bool suspect_ = false;
   net::cancellation* watch_cancel_ = nullptr;
   std::uint64_t revision_ = 0;
-  std::optional<std::chrono::steady_clock::time_point> lost_since_;
 };
 
 }  // namespace siskinrack::mesh
--- a/lib/mesh/registration.cpp
+++ b/lib/mesh/registration.cpp
@@ -3,6 +3,7 @@
 #include "endpoint_consumer.h"
 #include "instance_codec.h"
 #include "siskinrack/routing/endpoint_record.h"
+#include "store_recovery.h"
 
 namespace siskinrack::mesh {
 namespace {
@@ -145,12 +146,7 @@
     context_.endpoints.Upsert(wanted);
     return true;
   }
-  const auto& error = std::get<fleet::store_error>(result);
-  context_.log.Warn(
-      "endpoint_write_failed",
-      {{"instance", id}, {"error", platform::Name(error.code)}, {"detail", error.message}});
-  // The record may have been written after all, or by an earlier run of this process.
-  Learn(id);
+  OnWriteError("endpoint_write_failed", id, std::get<fleet::store_error>(result));
   return false;
 }
 
@@ -163,11 +159,17 @@
     context_.endpoints.Remove(id);
     return true;
   }
+  OnWriteError("endpoint_removal_failed", id, *error);
+  return false;
+}
+
+void registration::OnWriteError(std::string_view event, const std::string& id,
+                                const fleet::store_error& error) {
   context_.log.Warn(
-      "endpoint_removal_failed",
-      {{"instance", id}, {"error", platform::Name(error->code)}, {"detail", error->message}});
+      event, {{"instance", id}, {"error", platform::Name(error.code)}, {"detail", error.message}});
+  if (error.code == fleet::store_errc::kUnavailable) return AwaitStore(context_);
+  // The record may have been written after all, or by an earlier run of this process.
   Learn(id);
-  return false;
 }
 
 void registration::Learn(const std::string& instance_id) {
@@ -176,10 +178,11 @@
     known_[instance_id] = object->revision;
     return;
   }
-  if (std::get<fleet::store_error>(result).code == fleet::store_errc::kNotFound) {
-    known_.erase(instance_id);
-    published_.reset();
+  if (std::get<fleet::store_error>(result).code != fleet::store_errc::kNotFound) {
+    return AwaitStore(context_);
   }
+  known_.erase(instance_id);
+  published_.reset();
 }
 
 }  // namespace siskinrack::mesh
--- a/lib/mesh/registration.h
+++ b/lib/mesh/registration.h
@@ -41,6 +41,8 @@
   /// A record of this node that should not be in the store, with its revision.
   [[nodiscard]] std::optional<std::pair<std::string, std::uint64_t>> Outdated(
       const std::optional<routing::endpoint>& wanted) const;
+  void OnWriteError(std::string_view event, const std::string& id, const fleet::store_error& error);
+  /// Reads the revision of a record.
   void Learn(const std::string& instance_id);
   void AwaitPublished();
   void Wake();
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -220,12 +220,26 @@
 // Guards against store calls that grow with the fleet at the full price: each change of an endpoint
 // ends one watch call of every node.
 TEST_F(mesh_test, EndpointsAreWatchedAtTheLowPrice) {
+  const std::size_t before = fleet_.store().FullPriceCalls("siskinrack-endpoints");
   fleet_.Beat(1, "draining");
   EXPECT_TRUE(Eventually(milliseconds(3'000), [&] {
     return fleet_.Log(0).find("event=endpoint_changed instance=i-1") != std::string::npos;
   }));
-  EXPECT_EQ(fleet_.store().CurrentWatches("siskinrack-endpoints"), 0U);
-  EXPECT_GT(fleet_.store().CurrentWatches("config"), 0U);
+  // The write of the record itself.
+  EXPECT_EQ(fleet_.store().FullPriceCalls("siskinrack-endpoints"), before + 1);
+}
+
+// Guards against an outage in which every node repeats calls at the full price.
+TEST_F(mesh_test, OutageOfTheStoreIsWaitedOutWithCheapCalls) {
+  fleet_.store().SetDown(true);
+  const std::size_t before = fleet_.store().FullPriceCalls("config");
+  std::this_thread::sleep_for(milliseconds(3'000));
+  // The three watch calls that wait when the outage begins are counted before it.
+  EXPECT_EQ(fleet_.store().FullPriceCalls("config"), before);
+  fleet_.store().SetDown(false);
+  fleet_.Configure(5, "dock");
+  EXPECT_TRUE(Eventually(milliseconds(2'000),
+                         [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
 }
 
 // Guards against a node that doesn't find its way back after it was killed.
--- a/test/mesh/object_store_stand_in.cpp
+++ b/test/mesh/object_store_stand_in.cpp
@@ -73,10 +73,10 @@
   lost_answers_ = count;
 }
 
-std::size_t object_store_stand_in::CurrentWatches(const std::string& kind) const {
+std::size_t object_store_stand_in::FullPriceCalls(const std::string& kind) const {
   const std::lock_guard lock(mutex_);
-  const auto found = current_watches_.find(kind);
-  return found == current_watches_.end() ? 0 : found->second;
+  const auto found = full_price_calls_.find(kind);
+  return found == full_price_calls_.end() ? 0 : found->second;
 }
 
 void object_store_stand_in::ForgetHistory() {
@@ -118,16 +118,17 @@
 net::http_response object_store_stand_in::Handle(const net::http_request& request,
                                                  net::cancellation& cancel) {
   if (!request.target.starts_with(kPath)) return {404, {}, {}};
+  const call target = Parse(request.target);
   bool silent = false;
   bool down = false;
   {
     const std::lock_guard lock(mutex_);
+    if (!target.query.contains("staleOk")) ++full_price_calls_[target.kind];
     silent = silent_;
     down = down_;
   }
   if (silent) WaitForEver(cancel);
   if (down) return {503, {}, {}};
-  const call target = Parse(request.target);
   if (request.method != "GET") {
     net::http_response response = Mutate(request, target);
     bool lost = false;
@@ -175,7 +176,6 @@
   {
     const std::lock_guard lock(mutex_);
     silence = silence_;
-    if (!request.query.contains("staleOk")) ++current_watches_[request.kind];
   }
   while (true) {
     {
--- a/test/mesh/object_store_stand_in.h
+++ b/test/mesh/object_store_stand_in.h
@@ -30,8 +30,8 @@
   void SetSilent(bool silent);
   /// The next writes are carried out and not answered.
   void LoseWriteAnswers(int count);
-  /// Watch calls at the full price that were made for a kind.
-  [[nodiscard]] std::size_t CurrentWatches(const std::string& kind) const;
+  /// Calls at the full price that were made for a kind, refused ones included.
+  [[nodiscard]] std::size_t FullPriceCalls(const std::string& kind) const;
   /// Drops the history: watches from an older revision get 410.
   void ForgetHistory();
 
@@ -72,7 +72,7 @@
   std::uint64_t silence_ = 0;
   bool silent_ = false;
   int lost_answers_ = 0;
-  std::map<std::string, std::size_t> current_watches_;
+  std::map<std::string, std::size_t> full_price_calls_;
   net::http_server server_;
 };
 
