mesh: requests that crash their upstreams are held back on every node

Ruled out: holding back at the entry node alone: the request comes again at any machine. Change: crash_guard in lib/mesh joins detector and table of lib/quarantine; the node beside a crashed upstream sends the fingerprints of the requests that were running to all nodes. A crash is told from a broken exchange by a connection. Child processes of the tests no longer inherit listening sockets: a stand-in could not close its port. Test: mesh_test.RequestThatCrashesItsUpstreamsIsHeldBackEverywhere failed with the node before (502 and 503 for innocent requests too).

--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -30,6 +30,9 @@
   /// Why there is no response.
   std::string error;
   bool timed_out = false;
+
+  /// The connection ended after the request was sent and before a whole response came.
+  [[nodiscard]] bool broken() const { return stage == exchange_stage::kSent && !timed_out; }
 };
 
 /// How one exchange is made.
@@ -58,6 +61,10 @@
                    steady_time deadline, cancellation* cancel = nullptr,
                    const exchange_options& options = {});
 
+  /// Whether the server accepts a connection, which is kept for the next request. An idle
+  /// connection that is open counts too.
+  bool Connects(const support::socket_address& address, std::chrono::milliseconds timeout);
+
   /// Closes the idle connections of the calling thread.
   void CloseIdle();
 
--- a/lib/mesh/entry_point.cpp
+++ b/lib/mesh/entry_point.cpp
@@ -109,6 +109,7 @@
   state.in_time_by = now + state.route->target_latency - Waited(*state.route, deadline);
   state.call = MakeCall(std::move(request), caller.id, *state.route, state.service,
                         context_.settings.service);
+  if (auto refusal = crashes_.Refusal(state.call)) return ToHttp(state, std::move(*refusal));
   return ToHttp(state, Run(state, cancel));
 }
 
--- a/lib/mesh/entry_point.h
+++ b/lib/mesh/entry_point.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "crash_guard.h"
 #include "endpoint_reaper.h"
 #include "mesh_context.h"
 #include "serving_point.h"
@@ -18,8 +19,9 @@
 /// service that the configuration in force names.
 class entry_point {
  public:
-  entry_point(mesh_context& context, serving_point& serving, endpoint_reaper& reaper)
-      : context_(context), serving_(serving), reaper_(reaper) {}
+  entry_point(mesh_context& context, serving_point& serving, endpoint_reaper& reaper,
+              crash_guard& crashes)
+      : context_(context), serving_(serving), reaper_(reaper), crashes_(crashes) {}
 
   /// Answers one request. May suspend the calling fiber.
   net::http_response Handle(net::http_request request, net::cancellation& cancel);
@@ -78,6 +80,7 @@
   mesh_context& context_;
   serving_point& serving_;
   endpoint_reaper& reaper_;
+  crash_guard& crashes_;
   std::map<std::string, service_view> views_;
   /// Lifetimes that announced their departure, by the start of the upstream; their records may stay
   /// in the store while it is away.
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 
 #include "config_consumer.h"
+#include "crash_guard.h"
 #include "endpoint_consumer.h"
 #include "entry_point.h"
 #include "instance_codec.h"
@@ -47,9 +48,10 @@
       : path_(std::move(path)),
         context_(std::move(settings)),
         registration_(context_),
-        serving_(context_, registration_),
+        crashes_(context_),
+        serving_(context_, registration_, crashes_),
         reaper_(context_),
-        entry_(context_, serving_, reaper_),
+        entry_(context_, serving_, reaper_, crashes_),
         configs_(context_, [this] { OnConfiguration(); }),
         endpoints_(context_,
                    [this](const std::string& id, std::uint64_t revision) {
@@ -188,6 +190,10 @@
       reply.reachable = true;
       return wire::MakeEnvelope(std::move(reply));
     }
+    if (const auto* evidence = message.message.Ascrash_evidence()) {
+      crashes_.OnEvidence(*evidence);
+      return std::nullopt;
+    }
     const auto* call = message.message.Ascall_request();
     if (call == nullptr) return std::nullopt;
     return wire::MakeEnvelope(serving_.Serve(*call, cancel));
@@ -196,6 +202,7 @@
   std::string path_;
   mesh_context context_;
   registration registration_;
+  crash_guard crashes_;
   serving_point serving_;
   endpoint_reaper reaper_;
   entry_point entry_;
--- a/lib/mesh/serving_point.cpp
+++ b/lib/mesh/serving_point.cpp
@@ -72,9 +72,11 @@
 
 }  // namespace
 
-serving_point::serving_point(mesh_context& context, const registration& instance)
+serving_point::serving_point(mesh_context& context, const registration& instance,
+                             crash_guard& crashes)
     : context_(context),
       registration_(instance),
+      crashes_(crashes),
       gate_(std::make_shared<gate>(admission::deadline_controller(slots_))) {}
 
 void serving_point::AdaptSlots() {
@@ -85,7 +87,7 @@
       [slots](admission::deadline_controller& controller) { controller.SetSlots(slots); });
 }
 
-std::optional<wire::call_answer_t> serving_point::Refusal(const wire::call_request_t& call) const {
+std::optional<wire::call_answer_t> serving_point::Refusal(const wire::call_request_t& call) {
   if (stopped_) return NotRun(answer_cause::draining, "node is shutting down");
   const routing::local_instance& local = registration_.instance();
   if (!registration_.Alive()) {
@@ -99,7 +101,7 @@
       steady_clock::now() >= *leaving + context_.settings.drain_period / kDrainServingDivisor) {
     return NotRun(answer_cause::departed, "upstream is leaving");
   }
-  return std::nullopt;
+  return crashes_.Refusal(call);
 }
 
 wire::call_answer_t serving_point::Serve(const wire::call_request_t& call,
@@ -171,10 +173,12 @@
             return fleet::Answers(response, call.request_id);
           },
       .max_idle = call.at_most_once ? kMaxIdleAtMostOnce : kMaxIdleRepeatable};
-  return ReadResult(
+  const auto run = crashes_.BeginRun();
+  net::http_result result =
       context_.upstream_client.Send(context_.settings.upstream_address, std::move(request),
-                                    deadline + kAnswerMargin, &cancel, options),
-      cancel.cancelled());
+                                    deadline + kAnswerMargin, &cancel, options);
+  crashes_.EndRun(run, call, result, cancel.cancelled());
+  return ReadResult(std::move(result), cancel.cancelled());
 }
 
 }  // namespace siskinrack::mesh
--- a/lib/mesh/serving_point.h
+++ b/lib/mesh/serving_point.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "crash_guard.h"
 #include "mesh_context.h"
 #include "registration.h"
 #include "siskinrack/admission/deadline_controller.h"
@@ -14,7 +15,7 @@
 /// is decided here about departure, capacity and lifetimes holds for the whole mesh.
 class serving_point {
  public:
-  serving_point(mesh_context& context, const registration& instance);
+  serving_point(mesh_context& context, const registration& instance, crash_guard& crashes);
 
   /// Runs one call; every outcome is typed. May suspend the calling fiber.
   wire::call_answer_t Serve(const wire::call_request_t& call, net::cancellation& cancel);
@@ -27,7 +28,7 @@
 
  private:
   /// The refusal of a call that can't be served here; nothing if it can.
-  [[nodiscard]] std::optional<wire::call_answer_t> Refusal(const wire::call_request_t& call) const;
+  [[nodiscard]] std::optional<wire::call_answer_t> Refusal(const wire::call_request_t& call);
   wire::call_answer_t Admit(const wire::call_request_t& call, net::steady_time deadline,
                             net::cancellation& cancel);
   wire::call_answer_t Exchange(const wire::call_request_t& call, net::steady_time deadline,
@@ -36,6 +37,7 @@
 
   mesh_context& context_;
   const registration& registration_;
+  crash_guard& crashes_;
   using gate = admission::slot_gate<admission::deadline_controller>;
   std::uint32_t slots_ = 1;
   std::shared_ptr<gate> gate_;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -102,6 +102,17 @@
     return result;
   }
 
+  bool Connects(const support::socket_address& address, std::chrono::milliseconds timeout) {
+    connection_ptr item = TakeIdle(address, exchange_options{}.max_idle);
+    if (item == nullptr) {
+      item = std::make_shared<connection>(detail::CurrentContext());
+      item->stream.expires_after(timeout);
+      if (Connect(*item, address)) return false;
+    }
+    PutIdle(address, item);
+    return true;
+  }
+
   void CloseIdle() { idle_[fiber_runtime::CurrentThread()].clear(); }
 
  private:
@@ -225,6 +236,11 @@
   return impl_->Send(address, std::move(request), deadline, cancel, options);
 }
 
+bool http_client::Connects(const support::socket_address& address,
+                           std::chrono::milliseconds timeout) {
+  return impl_->Connects(address, timeout);
+}
+
 void http_client::CloseIdle() { impl_->CloseIdle(); }
 
 }  // namespace siskinrack::net
--- a/lib/node/quarantine_service.cpp
+++ b/lib/node/quarantine_service.cpp
@@ -40,8 +40,7 @@
 
 run_end EndOf(const net::http_result& result, bool cancelled) {
   if (result.stage == net::exchange_stage::kAnswered) return run_end::kAnswered;
-  const bool broken = result.stage == net::exchange_stage::kSent && !result.timed_out && !cancelled;
-  return broken ? run_end::kBroken : run_end::kOther;
+  return result.broken() && !cancelled ? run_end::kBroken : run_end::kOther;
 }
 
 std::string ListText(const std::vector<std::uint64_t>& fingerprints) {
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -1,6 +1,7 @@
 #include "mesh_fleet.h"
 
 #include <fstream>
+#include <iostream>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -23,6 +24,7 @@
 constexpr std::string_view kEndpointKind = "siskinrack-endpoints";
 constexpr milliseconds kReadyTimeout{15'000};
 constexpr milliseconds kSlowAnswer{500};
+constexpr milliseconds kDownTime{700};
 constexpr milliseconds kHeartbeat{200};
 constexpr std::size_t kLongBody = 32U << 20U;
 constexpr std::int64_t kBornMs = 1'700'000'000'000;
@@ -46,16 +48,35 @@
 }  // namespace
 
 instance_stand_in::instance_stand_in(net::fiber_runtime& runtime, std::string ip, std::string id)
-    : id_(std::move(id)),
-      server_(runtime,
-              {.address = {std::move(ip), kUpstreamPort}, .limits = {.body_bytes = kLongBody}},
-              [this](const net::http_request& request, net::cancellation& cancel) {
-                return Handle(request, cancel);
-              }) {
-  server_.Start();
+    : runtime_(runtime), ip_(std::move(ip)), id_(std::move(id)) {
+  StartServer();
 }
 
-instance_stand_in::~instance_stand_in() { server_.Stop(); }
+instance_stand_in::~instance_stand_in() {
+  for (std::thread& crash : crashes_) crash.join();
+  server_->Stop();
+}
+
+void instance_stand_in::StartServer() {
+  server_ = std::make_unique<net::http_server>(
+      runtime_,
+      net::http_server_options{.address = {ip_, kUpstreamPort},
+                               .limits = {.body_bytes = kLongBody}},
+      [this](const net::http_request& request, net::cancellation& cancel) {
+        return Handle(request, cancel);
+      });
+  const std::string error = server_->Start();
+  if (!error.empty()) std::cerr << "stand-in of " << id_ << ": " << error << '\n';
+}
+
+void instance_stand_in::Crash() {
+  const std::lock_guard lock(mutex_);
+  crashes_.emplace_back([this] {
+    server_->Stop();
+    std::this_thread::sleep_for(kDownTime);
+    StartServer();
+  });
+}
 
 std::vector<observed_run> instance_stand_in::runs() const {
   const std::lock_guard lock(mutex_);
@@ -76,6 +97,11 @@
     runs_.push_back({request_id, std::string(net::FindField(request.fields, "Caller")),
                      request.method, request.target, request.body, steady_clock::now()});
   }
+  if (request.target.ends_with("/crash")) {
+    Crash();
+    net::SleepFor(kDownTime / 2);
+    return {500, {}, {}};
+  }
   if (request.target.ends_with("/slow")) net::SleepFor(kSlowAnswer);
   if (request.target.ends_with("/break")) {
     // The node can't use it, and its own answer never comes.
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -31,6 +31,7 @@
 ///   .../break    run, then answered with the answer of another request only
 ///   .../slow     answered after half a second
 ///   .../echo     answered with the request's body
+///   .../crash    run, and the upstream is down for a while without an answer
 ///   .../unstamped  answered without the proof that an upstream made the answer
 class instance_stand_in {
  public:
@@ -43,12 +44,18 @@
 
  private:
   net::http_response Handle(const net::http_request& request, net::cancellation& cancel);
+  void StartServer();
+  /// Ends all connections and starts the server again after a while.
+  void Crash();
 
+  net::fiber_runtime& runtime_;
+  std::string ip_;
   std::string id_;
   std::atomic<bool> refusing_ = false;
   mutable std::mutex mutex_;
   std::vector<observed_run> runs_;
-  net::http_server server_;
+  std::vector<std::thread> crashes_;
+  std::unique_ptr<net::http_server> server_;
 };
 
 /// A mesh of real node processes on loopback addresses of their own, with stand-ins for the store
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -242,6 +242,20 @@
                          [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
 }
 
+// Guards against a request that crashes one upstream after the other, at whichever machine it comes
+// again.
+TEST_F(mesh_test, RequestThatCrashesItsUpstreamsIsHeldBackEverywhere) {
+  EXPECT_EQ(fleet_.Send(0, "/dock/crash").response.status, 502U);
+  const std::size_t crashes = Runs("/dock/crash");
+  EXPECT_EQ(crashes, 2U);
+  std::this_thread::sleep_for(milliseconds(1'500));
+  for (std::size_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(fleet_.Send(i, "/dock/crash").response.status, 503U) << i;
+    EXPECT_EQ(fleet_.Send(i, "/dock/innocent").response.status, 200U) << i;
+  }
+  EXPECT_EQ(Runs("/dock/crash"), crashes);
+}
+
 // Guards against a node that doesn't find its way back after it was killed.
 TEST_F(mesh_test, KilledNodeServesAgain) {
   fleet_.node(1).Signal(SIGKILL);
--- a/test/scenario_runner/process.cpp
+++ b/test/scenario_runner/process.cpp
@@ -22,6 +22,8 @@
 [[noreturn]] void RunChild(std::vector<std::string>& command, const std::string& log_file) {
   // A runner that is killed leaves no process behind.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // Listening sockets of the runner would stay open in the child after the runner has closed them.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   const int log = open(log_file.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, kLogMode);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
