support: the log never waits for its reader and has a budget of lines

Cause: known gap: lines were written by the runtime thread, so a reader that doesn't read stopped the node; overload wrote without bound; answered requests wrote no line. Ruled out: a writer thread (a wake-up a line, and memory for it on machines with a tenth of a core). Change: a line is written only if standard output takes it at once and the budget of its kind allows; drops are counted, told before the next line and on the metrics page. Lines are cut at 4,000 bytes. One in 100 answered requests is logged. lib/mesh keeps no lines in memory: nothing reads them there. Tests: EventLog.ReaderThatDoesNotReadBlocksNothing and LongLineIsCut failed before.

--- a/include/siskinrack/support/event_log.h
+++ b/include/siskinrack/support/event_log.h
@@ -3,6 +3,7 @@
 
 #include <concepts>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <initializer_list>
 #include <mutex>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "siskinrack/support/hybrid_clock.h"
+#include "siskinrack/support/line_budget.h"
 
 namespace siskinrack::support {
 
@@ -32,12 +34,18 @@
 };
 
 /// Writes events as lines of key=value pairs to standard output through log4cplus and keeps the
-/// newest ones in memory, so that the operator program can merge them over all processes.
+/// newest ones in memory, so that the operator program can merge them over all processes. Never
+/// waits for the reader of standard output: lines that it doesn't take, or that exceed the budget,
+/// are dropped and counted, and the next line that is written is preceded by their number.
 /// Safe for use from several threads.
 class event_log {
  public:
-  /// `process` names the source of the events, for example the node id.
-  event_log(std::string process, hybrid_clock& clock, log_level level = log_level::kInfo);
+  static constexpr std::size_t kRecentEvents = 4096;
+
+  /// `process` names the source of the events, for example the node id. `recent_events` is the
+  /// number of lines kept in memory.
+  event_log(std::string process, hybrid_clock& clock, log_level level = log_level::kInfo,
+            std::size_t recent_events = kRecentEvents);
 
   void Write(log_level level, std::string_view event, std::initializer_list<event_field> fields);
   void Info(std::string_view event, std::initializer_list<event_field> fields) {
@@ -49,14 +57,22 @@
 
   /// The newest event lines, oldest first.
   [[nodiscard]] std::vector<std::string> Recent() const;
+  /// Lines that were not written since the start.
+  [[nodiscard]] std::uint64_t dropped() const;
 
  private:
-  static constexpr std::size_t kRecentEvents = 4096;
+  /// Whether a line may be written now without waiting.
+  [[nodiscard]] bool MayWrite(log_level level);
 
   std::string process_;
   hybrid_clock& clock_;
   log_level level_;
+  std::size_t recent_events_;
   mutable std::mutex mutex_;
+  line_budget budget_;
+  std::uint64_t dropped_ = 0;
+  /// Drops that no written line has told of.
+  std::uint64_t untold_drops_ = 0;
   std::deque<std::string> recent_;
 };
 
--- a/lib/mesh/entry_point.cpp
+++ b/lib/mesh/entry_point.cpp
@@ -33,6 +33,8 @@
 /// Deadline of callers that name none and of routes without a timeout.
 constexpr milliseconds kDefaultDeadline{30'000};
 constexpr unsigned kFirstServerError = 500;
+/// One in this many answered requests gets a log line; failures get one each.
+constexpr std::uint64_t kAnsweredSample = 100;
 /// Part of the time left in which an answer is expected to be in time: service times vary.
 constexpr double kInTimePart = 0.8;
 
@@ -284,6 +286,17 @@
     return fleet::OwnAnswer(answer.status, state.call.request_id, answer.reason,
                             come_back ? RetryAfter(left) : milliseconds(0));
   }
+  if (answered_++ % kAnsweredSample == 0) {
+    context_.log.Info("request_answered", {{"request", state.call.request_id},
+                                           {"route", state.route->name},
+                                           {"service", state.service},
+                                           {"status", answer.status},
+                                           {"node", answer.node_id},
+                                           {"tried", state.tried.size()},
+                                           {"took_ms", took.count()},
+                                           {"config_version", state.call.config_version},
+                                           {"one_in", kAnsweredSample}});
+  }
   net::http_response response;
   response.status = answer.status;
   response.fields.reserve(answer.headers.size());
--- a/lib/mesh/entry_point.h
+++ b/lib/mesh/entry_point.h
@@ -88,6 +88,7 @@
   std::map<const routing::route*, routing::weighted_split> splits_;
   std::map<const routing::route*, std::chrono::milliseconds> longest_deadlines_;
   std::map<std::string, routing::retry_share> retries_;
+  std::uint64_t answered_ = 0;
   balancing::endpoint_tracker tracker_;
   std::mt19937_64 random_{std::random_device{}()};
 };
--- a/lib/mesh/mesh_context.h
+++ b/lib/mesh/mesh_context.h
@@ -24,7 +24,7 @@
 struct mesh_context {
   explicit mesh_context(fleet::machine_settings checked)
       : settings(std::move(checked)),
-        log(settings.node_id, clock, support::log_level::kInfo),
+        log(settings.node_id, clock, support::log_level::kInfo, /*recent_events=*/0),
         peer{settings.node_id, &clock, &traffic, settings.ip},
         runtime(1),
         store(runtime, settings.store_address),
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -178,6 +178,9 @@
     page.Sample("siskinrack_config_version", {}, static_cast<double>(context_.version()));
     page.Metric("siskinrack_endpoints", "gauge", "endpoints known from the platform's store");
     page.Sample("siskinrack_endpoints", {}, static_cast<double>(context_.endpoints.All().size()));
+    page.Metric("siskinrack_log_lines_dropped_total", "counter", "log lines that were not written");
+    page.Sample("siskinrack_log_lines_dropped_total", {},
+                static_cast<double>(context_.log.dropped()));
     page.Metric("siskinrack_resident_bytes", "gauge", "resident memory");
     page.Sample("siskinrack_resident_bytes", {}, support::ProcessResidentBytes());
     return {kStatusOk, {{"Content-Type", "text/plain"}}, page.text()};
--- a/lib/support/event_log.cpp
+++ b/lib/support/event_log.cpp
@@ -5,6 +5,8 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -14,6 +16,10 @@
 namespace siskinrack::support {
 namespace {
 
+/// A pipe that is ready for writing takes this many bytes at once (PIPE_BUF), the line's end
+/// included.
+constexpr std::size_t kMaxLineBytes = 4'000;
+
 constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info", "warn", "error"};
 
 bool IsPlain(char c) {
@@ -61,6 +67,12 @@
   return logger;
 }
 
+/// Whether standard output takes a line at once.
+bool OutputTakesALine() {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+}
+
 log4cplus::LogLevel ToLog4cplus(log_level level) {
   switch (level) {
     case log_level::kDebug:
@@ -91,22 +103,48 @@
     line += '=';
     AppendValue(line, field.value);
   }
+  if (line.size() > kMaxLineBytes) line.resize(kMaxLineBytes);
   return line;
 }
 
-event_log::event_log(std::string process, hybrid_clock& clock, log_level level)
-    : process_(std::move(process)), clock_(clock), level_(level) {
+event_log::event_log(std::string process, hybrid_clock& clock, log_level level,
+                     std::size_t recent_events)
+    : process_(std::move(process)), clock_(clock), level_(level), recent_events_(recent_events) {
   RootLogger();
 }
 
 void event_log::Write(log_level level, std::string_view event,
                       std::initializer_list<event_field> fields) {
   if (level < level_) return;
-  std::string line = FormatEvent(clock_.Tick(), process_, level, event, fields);
-  RootLogger().forcedLog(ToLog4cplus(level), line);
   const std::lock_guard lock(mutex_);
+  const bool write = MayWrite(level);
+  if (!write) {
+    ++dropped_;
+    ++untold_drops_;
+    if (recent_events_ == 0) return;
+  }
+  std::string line = FormatEvent(clock_.Tick(), process_, level, event, fields);
+  if (write) RootLogger().forcedLog(ToLog4cplus(level), line);
+  if (recent_events_ == 0) return;
   recent_.push_back(std::move(line));
-  if (recent_.size() > kRecentEvents) recent_.pop_front();
+  if (recent_.size() > recent_events_) recent_.pop_front();
+}
+
+bool event_log::MayWrite(log_level level) {
+  const auto kind = level >= log_level::kWarn ? line_budget::line_kind::kWarning
+                                              : line_budget::line_kind::kRoutine;
+  if (!OutputTakesALine() || !budget_.Take(kind, std::chrono::steady_clock::now())) return false;
+  if (untold_drops_ == 0) return true;
+  RootLogger().forcedLog(log4cplus::WARN_LOG_LEVEL,
+                         FormatEvent(clock_.Tick(), process_, log_level::kWarn, "log_lines_dropped",
+                                     {{"count", untold_drops_}}));
+  untold_drops_ = 0;
+  return OutputTakesALine();
+}
+
+std::uint64_t event_log::dropped() const {
+  const std::lock_guard lock(mutex_);
+  return dropped_;
 }
 
 std::vector<std::string> event_log::Recent() const {
--- a/unittests/support/event_log_test.cpp
+++ b/unittests/support/event_log_test.cpp
@@ -1,6 +1,14 @@
 #include "siskinrack/support/event_log.h"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <thread>
+
+#include "siskinrack/support/line_budget.h"
 
 namespace siskinrack::support {
 namespace {
@@ -22,5 +30,62 @@
   EXPECT_EQ(line, "hlc=1.0 process=n level=warn event=e v=\"\\\"\\\\\\x09\\x80\"");
 }
 
+/// Writes far more than a pipe holds while nobody reads, then reads it and writes one more line.
+[[noreturn]] void WriteWithoutReader(int read_end) {
+  constexpr unsigned kSecondsAllowed = 10;
+  constexpr int kLines = 1'500;
+  alarm(kSecondsAllowed);
+  hybrid_clock clock;
+  event_log log("n", clock);
+  const std::string value(200, 'v');
+  for (int i = 0; i < kLines; ++i) log.Info("routine", {{"value", value}});
+  fcntl(read_end, F_SETFL, O_NONBLOCK);
+  std::array<char, 4096> buffer{};
+  while (read(read_end, buffer.data(), buffer.size()) > 0) {
+  }
+  log.Info("last", {});
+  _exit(0);
+}
+
+// Guards against a reader of the log that doesn't read and so stops the process that writes.
+TEST(EventLog, ReaderThatDoesNotReadBlocksNothing) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(pipe(ends.data()), 0);
+  const pid_t child = fork();
+  if (child == 0) {
+    dup2(ends[1], STDOUT_FILENO);
+    WriteWithoutReader(ends[0]);
+  }
+  close(ends[1]);
+  int status = 0;
+  ASSERT_EQ(waitpid(child, &status, 0), child);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+  std::string rest(4096, '\0');
+  const ssize_t size = read(ends[0], rest.data(), rest.size());
+  close(ends[0]);
+  rest.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+  EXPECT_NE(rest.find("event=log_lines_dropped"), std::string::npos) << rest;
+  EXPECT_NE(rest.find("event=last"), std::string::npos) << rest;
+}
+
+// Guards against a line that is longer than what a pipe takes at once.
+TEST(EventLog, LongLineIsCut) {
+  const std::string line =
+      FormatEvent({1, 0}, "n", log_level::kInfo, "e", {{"v", std::string(100'000, 'x')}});
+  EXPECT_LE(line.size(), 4'000U);
+}
+
+// Guards against warnings that are lost among routine lines, and against a log without bound.
+TEST(LineBudget, RoutineLinesLeaveRoomForWarnings) {
+  line_budget budget;
+  const line_budget::time_point now{std::chrono::hours(1)};
+  int routine = 0;
+  while (budget.Take(line_budget::line_kind::kRoutine, now)) ++routine;
+  EXPECT_LE(routine, 2'000);
+  EXPECT_TRUE(budget.Take(line_budget::line_kind::kWarning, now));
+  EXPECT_FALSE(budget.Take(line_budget::line_kind::kRoutine, now));
+  EXPECT_TRUE(budget.Take(line_budget::line_kind::kRoutine, now + std::chrono::milliseconds(100)));
+}
+
 }  // namespace
 }  // namespace siskinrack::support
