admission: service times that aren't measured again lose weight

Cause: after a cold start the estimate of a route was above its target latency, so its calls counted as late and went behind every less urgent call in time. They never ran, so the estimate stayed. Ruled out: lack of capacity alone (the slots were used for less urgent calls); a wrong priority. Change: an estimate halves its distance from the first assumption each second without a measurement, and a new measurement after a gap counts for more. Test: deadline_controller_test.ServiceTimeOfACallThatNeverRunsDoesNotStayHigh failed before.

--- a/include/siskinrack/admission/deadline_controller.h
+++ b/include/siskinrack/admission/deadline_controller.h
@@ -60,7 +60,16 @@
     auto operator<=>(const urgency&) const = default;
   };
 
-  [[nodiscard]] nanoseconds Service(std::uint64_t work_class) const;
+  /// Smoothed service time of a class.
+  struct service_estimate {
+    nanoseconds time{0};
+    time_point measured_at;
+  };
+
+  /// Expected service time. An old estimate counts less and less: a class whose calls seem to be
+  /// late doesn't run, so its estimate would never be corrected.
+  [[nodiscard]] nanoseconds Service(std::uint64_t work_class, time_point now) const;
+  void Learn(std::uint64_t work_class, call_result result, nanoseconds took, time_point now);
   [[nodiscard]] urgency UrgencyOf(const timed_arrival& call, time_point now) const;
   [[nodiscard]] nanoseconds ExpectedWait(const timed_arrival& call, time_point now) const;
   [[nodiscard]] bool CanEnd(const timed_arrival& call, nanoseconds wait, time_point now) const;
@@ -71,8 +80,7 @@
   std::uint32_t slots_;
   std::vector<timed_arrival> waiting_;
   std::unordered_map<std::uint64_t, running_call> running_;
-  /// Smoothed service times by work class.
-  std::unordered_map<std::uint64_t, nanoseconds> service_;
+  std::unordered_map<std::uint64_t, service_estimate> service_;
 };
 
 }  // namespace siskinrack::admission
--- a/lib/admission/deadline_controller.cpp
+++ b/lib/admission/deadline_controller.cpp
@@ -11,6 +11,9 @@
 /// Service time assumed before the first answer.
 constexpr nanoseconds kFirstService = milliseconds(50);
 constexpr double kServiceWeight = 0.05;
+/// Time in which an estimate that isn't measured again loses half of its weight: several service
+/// times of the usual calls.
+constexpr double kEstimateHalfLifeS = 1;
 /// Bounds memory; routes come and go with the configuration.
 constexpr std::size_t kMaxWorkClasses = 4'096;
 /// Time that a call needs to end with good probability, in mean service times: service times vary
@@ -25,16 +28,24 @@
   return nanoseconds(std::llround(static_cast<double>(time.count()) * factor));
 }
 
+/// Weight that is left of an estimate of this age.
+double Freshness(nanoseconds age) {
+  return std::exp2(-std::chrono::duration<double>(age).count() / kEstimateHalfLifeS);
+}
+
 }  // namespace
 
-nanoseconds deadline_controller::Service(std::uint64_t work_class) const {
+nanoseconds deadline_controller::Service(std::uint64_t work_class, time_point now) const {
   const auto found = service_.find(work_class);
-  return found == service_.end() ? kFirstService : found->second;
+  if (found == service_.end()) return kFirstService;
+  const auto& [time, measured_at] = found->second;
+  if (time <= kFirstService) return time;
+  return kFirstService + Scaled(time - kFirstService, Freshness(now - measured_at));
 }
 
 deadline_controller::urgency deadline_controller::UrgencyOf(const timed_arrival& call,
                                                             time_point now) const {
-  const nanoseconds service = Service(call.work_class);
+  const nanoseconds service = Service(call.work_class, now);
   const auto slack = std::min(call.in_time_by, call.end_by) - now - service;
   urgency::turn when = urgency::turn::kInTime;
   if (slack.count() < 0) when = urgency::turn::kLate;
@@ -51,11 +62,11 @@
   for (const auto& [ticket, other] : running_) {
     // A call that runs for longer than usual is expected to run for as long again.
     const nanoseconds age = now - other.started;
-    const nanoseconds service = Service(other.work_class);
+    const nanoseconds service = Service(other.work_class, now);
     work += age < service ? service - age : age / 2;
   }
   for (const timed_arrival& other : waiting_) {
-    if (UrgencyOf(other, now) < own) work += Service(other.work_class);
+    if (UrgencyOf(other, now) < own) work += Service(other.work_class, now);
   }
   const nanoseconds wait = work / std::max<std::uint32_t>(1, slots_);
   return own.when == urgency::turn::kLate ? Scaled(wait, kLateWaitFactor) : wait;
@@ -63,7 +74,7 @@
 
 bool deadline_controller::CanEnd(const timed_arrival& call, nanoseconds wait,
                                  time_point now) const {
-  return now + wait + Scaled(Service(call.work_class), kSafeService) <= call.end_by;
+  return now + wait + Scaled(Service(call.work_class, now), kSafeService) <= call.end_by;
 }
 
 decisions deadline_controller::Offer(const timed_arrival& call, time_point now) {
@@ -87,18 +98,29 @@
   if (found == running_.end()) return out;
   const running_call call = found->second;
   running_.erase(found);
-  const nanoseconds took = now - call.started;
-  if (service_.size() >= kMaxWorkClasses) service_.clear();
-  const auto [service, first] = service_.try_emplace(call.work_class, took);
-  // A call that failed early says nothing about the service time; a long one is a lower bound.
-  const bool counts = result == call_result::kAnswered ||
-                      (result == call_result::kFailed && took > service->second);
-  if (counts && !first) service->second += Scaled(took - service->second, kServiceWeight);
-  if (!counts && first) service_.erase(service);
+  Learn(call.work_class, result, now - call.started, now);
   Dispatch(now, out);
   return out;
 }
 
+void deadline_controller::Learn(std::uint64_t work_class, call_result result, nanoseconds took,
+                                time_point now) {
+  const auto found = service_.find(work_class);
+  if (found == service_.end()) {
+    if (service_.size() >= kMaxWorkClasses) service_.clear();
+    if (result == call_result::kAnswered) service_.emplace(work_class, service_estimate{took, now});
+    return;
+  }
+  service_estimate& estimate = found->second;
+  // A call that failed early says nothing about the service time; a long one is a lower bound.
+  const bool counts =
+      result == call_result::kAnswered || (result == call_result::kFailed && took > estimate.time);
+  if (!counts) return;
+  const double weight = 1 - (1 - kServiceWeight) * Freshness(now - estimate.measured_at);
+  estimate.time += Scaled(took - estimate.time, weight);
+  estimate.measured_at = now;
+}
+
 bool deadline_controller::Withdraw(std::uint64_t ticket) {
   return std::erase_if(waiting_,
                        [ticket](const timed_arrival& call) { return call.ticket == ticket; }) > 0;
--- a/unittests/admission/deadline_controller_test.cpp
+++ b/unittests/admission/deadline_controller_test.cpp
@@ -68,6 +68,20 @@
   EXPECT_FALSE(Refused(controller_.Offer(quick, At(200)), 2));
 }
 
+// Guards against an urgent class that counts as late for ever: its service time, learned while the
+// upstream was cold, is never measured again because late calls don't run.
+TEST_F(deadline_controller_test, ServiceTimeOfACallThatNeverRunsDoesNotStayHigh) {
+  Teach(2);
+  // A call of the urgent class took 400 ms while the upstream was cold.
+  ASSERT_TRUE(Ran(Offer(1, 0, 5'000, 5'000, 1'000), 1));
+  Finish(1, 1'400);
+  // Three seconds of less urgent calls later, another one is wanted within 300 ms.
+  ASSERT_TRUE(Ran(Offer(2, 2, 4'900, 4'900, 4'400), 2));
+  EXPECT_FALSE(Refused(Offer(3, 2, 4'600, 5'000, 4'410), 3));
+  EXPECT_FALSE(Refused(Offer(4, 0, 4'710, 5'400, 4'410), 4));
+  EXPECT_TRUE(Ran(Finish(2, 4'450), 4));
+}
+
 // Guards against less urgent work that overtakes urgent work of the same kind.
 TEST_F(deadline_controller_test, AmongCallsInTimeTheMoreUrgentGoesFirst) {
   Teach(0), Teach(2);
