mesh: deadlines of first attempts differ and don't make them repeats

Cause: the time that a caller has waited was taken as the difference to the longest deadline on the route. Trial shows first attempts of a calm time with deadlines spread over the target latency, so two thirds of all calls were ordered, and sent to other failure domains, as if they had waited. Ruled out: real waiting (in the same seconds 97% of the answers were in time). Change: a difference up to the target latency means nothing. The rule is a class of its own in lib/routing. Test: CallerWait.DeadlinesOfFirstAttemptsDiffer; there was no class to test before.

--- a/lib/mesh/entry_point.cpp
+++ b/lib/mesh/entry_point.cpp
@@ -108,7 +108,8 @@
   const milliseconds deadline = caller.deadline.value_or(timeout);
   state.end = now + std::min(deadline, timeout);
   state.caller_end = now + deadline;
-  state.in_time_by = now + state.route->target_latency - Waited(*state.route, deadline);
+  const milliseconds target = state.route->target_latency;
+  state.in_time_by = now + target - waits_[state.route].Waited(deadline, target);
   state.call = MakeCall(std::move(request), caller.id, *state.route, state.service,
                         context_.settings.service);
   if (auto refusal = crashes_.Refusal(state.call)) return ToHttp(state, std::move(*refusal));
@@ -117,13 +118,7 @@
 
 void entry_point::OnConfiguration() {
   splits_.clear();
-  longest_deadlines_.clear();
-}
-
-milliseconds entry_point::Waited(const routing::route& route, milliseconds deadline) {
-  milliseconds& longest = longest_deadlines_[&route];
-  longest = std::max(longest, deadline);
-  return longest - deadline;
+  waits_.clear();
 }
 
 const std::string& entry_point::ChooseService(const routing::route& route) {
--- a/lib/mesh/entry_point.h
+++ b/lib/mesh/entry_point.h
@@ -12,6 +12,7 @@
 #include "serving_point.h"
 #include "siskinrack/balancing/endpoint_tracker.h"
 #include "siskinrack/balancing/selection.h"
+#include "siskinrack/routing/caller_wait.h"
 
 namespace siskinrack::mesh {
 
@@ -73,9 +74,6 @@
   net::http_response Refuse(const std::string& id, unsigned status, std::string_view reason);
   /// Pause for a caller that is refused and has `left` to wait.
   std::chrono::milliseconds RetryAfter(std::chrono::milliseconds left);
-  /// Time that the caller has waited before this attempt: callers give what is left of the time
-  /// that they had at first, which is the longest seen on the route.
-  std::chrono::milliseconds Waited(const routing::route& route, std::chrono::milliseconds deadline);
 
   mesh_context& context_;
   serving_point& serving_;
@@ -86,7 +84,7 @@
   /// in the store while it is away.
   std::map<std::string, std::int64_t> departed_;
   std::map<const routing::route*, routing::weighted_split> splits_;
-  std::map<const routing::route*, std::chrono::milliseconds> longest_deadlines_;
+  std::map<const routing::route*, routing::caller_wait> waits_;
   std::map<std::string, routing::retry_share> retries_;
   std::uint64_t answered_ = 0;
   balancing::endpoint_tracker tracker_;
--- a/unittests/routing/routing_test.cpp
+++ b/unittests/routing/routing_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <map>
 
+#include "siskinrack/routing/caller_wait.h"
 #include "siskinrack/routing/endpoint_record.h"
 #include "siskinrack/routing/endpoint_table.h"
 #include "siskinrack/routing/instance.h"
@@ -136,6 +137,16 @@
   return {{std::move(id), born}, std::move(service), "z", {"127.0.0.1", port}, 6, state};
 }
 
+// Guards against first attempts that count as repeats: callers name deadlines that differ by up to
+// the target latency, and two thirds of them were served as if they had waited.
+TEST(CallerWait, DeadlinesOfFirstAttemptsDiffer) {
+  constexpr std::chrono::milliseconds kTarget{300};
+  caller_wait wait;
+  EXPECT_EQ(wait.Waited(std::chrono::milliseconds(2'000), kTarget).count(), 0);
+  EXPECT_EQ(wait.Waited(std::chrono::milliseconds(1'750), kTarget).count(), 0);
+  EXPECT_EQ(wait.Waited(std::chrono::milliseconds(1'400), kTarget).count(), 600);
+}
+
 // Guards against calls to an upstream whose address belongs to another one by now.
 TEST(EndpointTable, AddressBelongsToTheLatestLifetime) {
   endpoint_table table;
