--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -79,7 +79,9 @@
                         const std::string& method = "GET", const std::string& body = {});
 
   [[nodiscard]] object_store_stand_in& store() { return *store_; }
-  [[nodiscard]] instance_stand_in& instance(std::size_t machine) { return *instances_[machine]; }
+  [[nodiscard]] instance_stand_in& instance(std::size_t machine) const {
+    return *instances_[machine];
+  }
   [[nodiscard]] child_process& node(std::size_t machine) { return *nodes_[machine]; }
   [[nodiscard]] std::string Log(std::size_t machine) const;
 
