mesh: endpoints are listed currently once the history is gone; the first watch after a failure is short

Ruled out: a 410 for the configuration (one a node). Change: after 410 the next list is a current one; after a failure the next watch waits 1 ms.

--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -13,6 +13,10 @@
 /// finds out sooner if the store has gone silent.
 inline constexpr std::chrono::milliseconds kWatchWait{30'000};
 
+/// Wait of the first watch call after a failure: a longer one would wait on a connection that may
+/// be silent.
+inline constexpr std::chrono::milliseconds kFirstWatchWait{1};
+
 /// Keeps up with the objects of one kind: lists them, then watches for changes, and lists again
 /// when the store has forgotten its history. `Consumer` has OnList(object_listing) and
 /// OnChange(object_change).
@@ -46,25 +50,32 @@
 
  private:
   void List() {
-    auto result = context_.store.List(kind_, freshness_);
+    // A stale list may be older than the history that is left, so that no watch could go on from
+    // it.
+    auto result =
+        context_.store.List(kind_, history_gone_ ? fleet::read_freshness::kCurrent : freshness_);
     if (const auto* error = std::get_if<fleet::store_error>(&result)) return OnError(*error);
     auto& listing = std::get<fleet::object_listing>(result);
     revision_ = listing.revision;
     listed_ = true;
+    history_gone_ = false;
     consumer_.OnList(std::move(listing));
   }
 
   void Watch() {
     net::cancellation cancel;
     watch_cancel_ = &cancel;
-    auto result = context_.store.Watch(kind_, freshness_, revision_, kWatchWait, &cancel);
+    auto result = context_.store.Watch(kind_, freshness_, revision_,
+                                       unproven_ ? kFirstWatchWait : kWatchWait, &cancel);
     watch_cancel_ = nullptr;
     if (const auto* error = std::get_if<fleet::store_error>(&result)) {
       if (error->code != fleet::store_errc::kHistoryGone) return OnError(*error);
       context_.log.Info("history_gone", {{"kind", kind_}, {"revision", revision_}});
       listed_ = false;
+      history_gone_ = true;
       return;
     }
+    unproven_ = false;
     auto& changes = std::get<fleet::object_changes>(result);
     revision_ = std::max(revision_, changes.revision);
     for (std::size_t i = 0; i < changes.events.size(); ++i) {
@@ -88,6 +99,7 @@
                                      {"detail", error.message},
                                      {"revision", revision_}});
     AwaitStore(context_);
+    unproven_ = true;
     const auto gone = std::chrono::steady_clock::now() - lost_since;
     context_.log.Info(
         "store_regained",
@@ -101,6 +113,9 @@
   Consumer& consumer_;
   std::chrono::milliseconds pause_;
   bool listed_ = false;
+  bool history_gone_ = false;
+  /// The next watch call has to show that its connection works.
+  bool unproven_ = false;
   net::cancellation* watch_cancel_ = nullptr;
   std::uint64_t revision_ = 0;
 };
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -229,6 +229,20 @@
   EXPECT_EQ(fleet_.store().FullPriceCalls("siskinrack-endpoints"), before + 1);
 }
 
+// Guards against a list that is older than the history of the store, and so is made again at once:
+// a compaction cost hundreds of calls a node.
+TEST_F(mesh_test, HistoryThatIsNewerThanStaleReadsIsListedOnce) {
+  fleet_.store().FreezeStaleReads(true);
+  fleet_.Configure(5, "dock");
+  ASSERT_TRUE(Eventually(milliseconds(2'000),
+                         [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
+  const std::size_t before = fleet_.store().Lists("siskinrack-endpoints");
+  fleet_.store().ForgetHistory();
+  std::this_thread::sleep_for(milliseconds(1'500));
+  EXPECT_LE(fleet_.store().Lists("siskinrack-endpoints"), before + 3);
+  EXPECT_EQ(fleet_.Send(1, "/dock/x").response.status, 200U);
+}
+
 // Guards against an outage in which every node repeats calls at the full price.
 TEST_F(mesh_test, OutageOfTheStoreIsWaitedOutWithCheapCalls) {
   fleet_.store().SetDown(true);
--- a/test/mesh/object_store_stand_in.cpp
+++ b/test/mesh/object_store_stand_in.cpp
@@ -79,6 +79,17 @@
   return found == full_price_calls_.end() ? 0 : found->second;
 }
 
+void object_store_stand_in::FreezeStaleReads(bool frozen) {
+  const std::lock_guard lock(mutex_);
+  stale_revision_ = frozen ? revision_ : 0;
+}
+
+std::size_t object_store_stand_in::Lists(const std::string& kind) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = lists_.find(kind);
+  return found == lists_.end() ? 0 : found->second;
+}
+
 void object_store_stand_in::ForgetHistory() {
   const std::lock_guard lock(mutex_);
   forgotten_ = revision_;
@@ -152,6 +163,9 @@
   const std::lock_guard lock(mutex_);
   json::array items;
   bool more = false;
+  if (!request.query.contains("after")) ++lists_[request.kind];
+  const bool stale = request.query.contains("staleOk") && stale_revision_ != 0;
+  const std::uint64_t shown = stale ? stale_revision_ : revision_;
   const auto after = request.query.find("after");
   const auto kind = kinds_.find(request.kind);
   if (kind != kinds_.end()) {
@@ -164,7 +178,7 @@
   }
   return Answer(200, json::object{{"items", std::move(items)},
                                   {"hasMore", more},
-                                  {"currentRev", static_cast<std::int64_t>(revision_)}});
+                                  {"currentRev", static_cast<std::int64_t>(shown)}});
 }
 
 net::http_response object_store_stand_in::Watch(const call& request, net::cancellation& cancel) {
--- a/test/mesh/object_store_stand_in.h
+++ b/test/mesh/object_store_stand_in.h
@@ -32,6 +32,10 @@
   void LoseWriteAnswers(int count);
   /// Calls at the full price that were made for a kind, refused ones included.
   [[nodiscard]] std::size_t FullPriceCalls(const std::string& kind) const;
+  /// Stale reads show the state of now until they are thawed.
+  void FreezeStaleReads(bool frozen);
+  /// Lists that were made of a kind.
+  [[nodiscard]] std::size_t Lists(const std::string& kind) const;
   /// Drops the history: watches from an older revision get 410.
   void ForgetHistory();
 
@@ -73,6 +77,9 @@
   bool silent_ = false;
   int lost_answers_ = 0;
   std::map<std::string, std::size_t> full_price_calls_;
+  mutable std::map<std::string, std::size_t> lists_;
+  /// State that stale reads show; 0 for the newest.
+  std::uint64_t stale_revision_ = 0;
   net::http_server server_;
 };
 
