--- a/include/siskinrack/routing/caller_wait.h
+++ b/include/siskinrack/routing/caller_wait.h
@@ -6,8 +6,9 @@
 
 namespace siskinrack::routing {
 
-/// Tells from the deadlines of one route's callers how long a caller has waited before this attempt:
-/// a repeat names what is left of the time that the caller had at first. Pure; not thread-safe.
+/// Tells from the deadlines of one route's callers how long a caller has waited before this
+/// attempt: a repeat names what is left of the time that the caller had at first. Pure; not
+/// thread-safe.
 class caller_wait {
  public:
   /// `target_latency` is the time in which an answer has its full worth. The deadlines of first
