--- a/include/siskinrack/routing/instance.h
+++ b/include/siskinrack/routing/instance.h
@@ -67,8 +67,8 @@
   /// The current lifetime; nothing before the first heartbeat and after its departure.
   [[nodiscard]] const std::optional<instance_report>& current() const { return current_; }
   [[nodiscard]] bool left() const { return left_; }
-  /// When the current lifetime announced its departure; the earliest time there is if it was leaving
-  /// already when it was first heard of.
+  /// When the current lifetime announced its departure; the earliest time there is if it was
+  /// leaving already when it was first heard of.
   [[nodiscard]] std::optional<time_point> leaving_since() const { return leaving_since_; }
   [[nodiscard]] time_point last_report() const { return last_report_; }
 
