routing: a departure without a start ends the lifetimes that began before it

Its logs: a node restarted, its upstream's DELETE came first and named no start, so it was acknowledged and not kept; a heartbeat that was 2.3 s late then made the upstream current again, and calls went to it. Ruled out: late refusals of a known departure; kept only departures that name a start. Change: without a start, lifetimes of that id that began before the departure, by the time of day, are kept out for 10 s. Tests: LocalInstance.DepartureWithoutAStartEndsLifetimesThatBeganBeforeIt, DepartureOfAnUnknownLifetimeIsForgotten.

--- a/include/siskinrack/routing/instance.h
+++ b/include/siskinrack/routing/instance.h
@@ -62,7 +62,10 @@
 
   report_verdict OnReport(const instance_report& report, time_point now);
   /// The upstream said that it leaves for good. False if this lifetime is not the current one.
-  bool OnLeave(const std::string& instance_id, std::optional<std::int64_t> born_ms, time_point now);
+  /// `wall_ms` is the time of day in Unix milliseconds: a lifetime whose departure names no start
+  /// began before it.
+  bool OnLeave(const std::string& instance_id, std::optional<std::int64_t> born_ms, time_point now,
+               std::int64_t wall_ms);
 
   /// The current lifetime; nothing before the first heartbeat and after its departure.
   [[nodiscard]] const std::optional<instance_report>& current() const { return current_; }
@@ -76,8 +79,16 @@
   std::optional<instance_report> current_;
   bool left_ = false;
   std::optional<time_point> leaving_since_;
-  /// A lifetime that left before any report of it came here.
-  std::optional<lifetime> departed_unknown_;
+  /// A departure that came before any report of the lifetime.
+  struct unknown_departure {
+    std::string instance_id;
+    /// Lifetimes that began later are others.
+    std::int64_t latest_born_ms = 0;
+    time_point until;
+  };
+  [[nodiscard]] bool HasDeparted(const lifetime& life, time_point now) const;
+
+  std::optional<unknown_departure> departed_unknown_;
   time_point last_report_{};
 };
 
--- a/lib/routing/instance.cpp
+++ b/lib/routing/instance.cpp
@@ -2,8 +2,21 @@
 
 namespace siskinrack::routing {
 
+namespace {
+
+/// Heartbeats arrive seconds late at most; the time of day, by which lifetimes are compared, may
+/// jump, so a departure isn't kept for longer.
+constexpr std::chrono::seconds kLateReport{10};
+
+}  // namespace
+
+bool local_instance::HasDeparted(const lifetime& life, time_point now) const {
+  return departed_unknown_ && departed_unknown_->instance_id == life.instance_id &&
+         life.born_ms <= departed_unknown_->latest_born_ms && now < departed_unknown_->until;
+}
+
 report_verdict local_instance::OnReport(const instance_report& report, time_point now) {
-  if (departed_unknown_ == report.life) return report_verdict::kOutdated;
+  if (HasDeparted(report.life, now)) return report_verdict::kOutdated;
   const bool same = current_ && report.life == current_->life;
   if (same && (left_ || report.sequence <= current_->sequence)) return report_verdict::kOutdated;
   if (current_ && !same && report.life.born_ms <= current_->life.born_ms) {
@@ -21,8 +34,8 @@
 }
 
 bool local_instance::OnLeave(const std::string& instance_id, std::optional<std::int64_t> born_ms,
-                             time_point now) {
-  if (!current_ && born_ms) departed_unknown_ = lifetime{instance_id, *born_ms};
+                             time_point now, std::int64_t wall_ms) {
+  if (!current_) departed_unknown_ = {instance_id, born_ms.value_or(wall_ms), now + kLateReport};
   if (!current_ || current_->life.instance_id != instance_id) return false;
   if (born_ms && *born_ms != current_->life.born_ms) return false;
   left_ = true;
--- a/unittests/routing/routing_test.cpp
+++ b/unittests/routing/routing_test.cpp
@@ -98,7 +98,7 @@
   local.OnReport(Report("a", 100, 7, instance_state::kDraining), At(0));
   EXPECT_EQ(local.OnReport(Report("a", 100, 6), At(10)), report_verdict::kOutdated);
   EXPECT_EQ(local.leaving_since(), At(0));
-  EXPECT_TRUE(local.OnLeave("a", std::nullopt, At(20)));
+  EXPECT_TRUE(local.OnLeave("a", std::nullopt, At(20), 150));
   EXPECT_TRUE(local.left());
   EXPECT_EQ(local.OnReport(Report("a", 100, 8), At(30)), report_verdict::kOutdated);
   EXPECT_TRUE(local.left());
@@ -117,18 +117,35 @@
 // restarted node heard of it.
 TEST(LocalInstance, DepartureOfAnUnknownLifetimeIsKept) {
   local_instance local;
-  EXPECT_FALSE(local.OnLeave("a", 100, At(0)));
+  EXPECT_FALSE(local.OnLeave("a", 100, At(0), 150));
   EXPECT_EQ(local.OnReport(Report("a", 100, 7), At(1)), report_verdict::kOutdated);
   EXPECT_FALSE(local.current());
   EXPECT_EQ(local.OnReport(Report("a", 200, 1), At(2)), report_verdict::kApplied);
 }
 
+// Guards against the same where the departure doesn't name the start of the upstream: requests
+// reached it 2.3 s after its departure was acknowledged.
+TEST(LocalInstance, DepartureWithoutAStartEndsLifetimesThatBeganBeforeIt) {
+  local_instance local;
+  EXPECT_FALSE(local.OnLeave("a", std::nullopt, At(0), 150));
+  EXPECT_EQ(local.OnReport(Report("a", 100, 7), At(2'000)), report_verdict::kOutdated);
+  EXPECT_EQ(local.OnReport(Report("b", 100, 7), At(2'000)), report_verdict::kApplied);
+  EXPECT_EQ(local.OnReport(Report("a", 151, 1), At(2'500)), report_verdict::kApplied);
+}
+
+// Guards against a clock that was ahead when an upstream left, and keeps its next lifetime out.
+TEST(LocalInstance, DepartureOfAnUnknownLifetimeIsForgotten) {
+  local_instance local;
+  EXPECT_FALSE(local.OnLeave("a", std::nullopt, At(0), 1'000'000));
+  EXPECT_EQ(local.OnReport(Report("a", 900, 1), At(60'000)), report_verdict::kApplied);
+}
+
 // Guards against the departure of an earlier lifetime that ends the current one.
 TEST(LocalInstance, DepartureOfAnotherLifetimeIsIgnored) {
   local_instance local;
   local.OnReport(Report("a", 200, 1), At(0));
-  EXPECT_FALSE(local.OnLeave("a", 100, At(1)));
-  EXPECT_FALSE(local.OnLeave("b", std::nullopt, At(1)));
+  EXPECT_FALSE(local.OnLeave("a", 100, At(1), 250));
+  EXPECT_FALSE(local.OnLeave("b", std::nullopt, At(1), 250));
   EXPECT_FALSE(local.left());
 }
 
