--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -206,6 +206,7 @@
     }
   }
   std::vector<observed_service> list;
+  list.reserve(services.size());
   for (auto& [name, service] : services) list.push_back(std::move(service));
   return list;
 }
