--- a/lib/mesh/crash_guard.cpp
+++ b/lib/mesh/crash_guard.cpp
@@ -65,13 +65,11 @@
   evidence.suspects = std::move(*suspects);
   context_.log.Warn("upstream_crashed",
                     {{"crash", evidence.crash_id}, {"suspects", evidence.suspects.size()}});
-  Apply(evidence);
-  SendToAll(std::move(evidence));
+  OnEvidence(evidence);
+  SendToAll(evidence);
 }
 
-void crash_guard::OnEvidence(const wire::crash_evidence_t& evidence) { Apply(evidence); }
-
-void crash_guard::Apply(const wire::crash_evidence_t& evidence) {
+void crash_guard::OnEvidence(const wire::crash_evidence_t& evidence) {
   const auto now = steady_clock::now();
   for (const std::uint64_t fingerprint : evidence.cleared) table_.Complete(fingerprint, now);
   if (evidence.suspects.empty()) return;
@@ -86,10 +84,10 @@
   wire::crash_evidence_t clearance;
   clearance.node_id = context_.settings.node_id;
   clearance.cleared = verdict.cleared;
-  SendToAll(std::move(clearance));
+  SendToAll(clearance);
 }
 
-void crash_guard::SendToAll(wire::crash_evidence_t evidence) {
+void crash_guard::SendToAll(const wire::crash_evidence_t& evidence) {
   for (const support::socket_address& node : context_.endpoints.Nodes()) {
     if (node == context_.settings.peer_address) continue;
     context_.peers.Send(node, wire::MakeEnvelope(wire::crash_evidence_t(evidence)));
--- a/lib/mesh/crash_guard.h
+++ b/lib/mesh/crash_guard.h
@@ -23,14 +23,13 @@
   void EndRun(quarantine::crash_detector::token run, const wire::call_request_t& call,
               const net::http_result& result, bool cancelled);
 
-  /// Takes over what another node found out.
+  /// Takes over what this node or another one found out.
   void OnEvidence(const wire::crash_evidence_t& evidence);
 
  private:
   /// Finds out whether broken connections were a crash, and tells the other nodes if so.
   void CheckUpstream();
-  void Apply(const wire::crash_evidence_t& evidence);
-  void SendToAll(wire::crash_evidence_t evidence);
+  void SendToAll(const wire::crash_evidence_t& evidence);
 
   mesh_context& context_;
   quarantine::crash_detector detector_;
