mesh: requests that a stopping node accepted end before its exit

Cause: a node that gets SIGTERM kept the callers' deadlines of the requests that it accepted afterwards. Ruled out: a kill at the end of the grace period; the process logs 'stopped in_flight=1' and exits by itself. Change: admission::shutdown_schedule computes the times of the stop from the grace period. Deadlines of accepted requests end before the recall; at the recall, requests that are still open are withdrawn at the other nodes, which answer whether they ran.

--- a/include/siskinrack/net/cancellation.h
+++ b/include/siskinrack/net/cancellation.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <utility>
 
 namespace siskinrack::net {
 
@@ -31,6 +32,23 @@
   std::map<std::uint64_t, std::function<void()>> callbacks_;
 };
 
+/// Registers a callback of a cancellation, which may be null, for the lifetime of this object.
+class scoped_callback {
+ public:
+  scoped_callback(cancellation* source, std::function<void()> callback) : source_(source) {
+    if (source_ != nullptr) handle_ = source_->AddCallback(std::move(callback));
+  }
+  ~scoped_callback() {
+    if (source_ != nullptr) source_->Remove(handle_);
+  }
+  scoped_callback(const scoped_callback&) = delete;
+  scoped_callback& operator=(const scoped_callback&) = delete;
+
+ private:
+  cancellation* source_;
+  std::uint64_t handle_ = 0;
+};
+
 }  // namespace siskinrack::net
 
 #endif  // SISKINRACK_NET_CANCELLATION_H_
--- a/include/siskinrack/net/peer.h
+++ b/include/siskinrack/net/peer.h
@@ -70,9 +70,12 @@
   ~peer_pool();
 
   /// Sends `message` and waits for the reply, `deadline` or a cancellation. Fails with kNotSent if
-  /// dialling fails or a backoff is in progress.
+  /// dialling fails or a backoff is in progress. A cancellation of `recall` withdraws the request
+  /// at the peer like one of `cancel`, but the reply, which may tell that the request did not run,
+  /// is awaited for another moment.
   peer_result Request(const support::socket_address& address, wire::envelope_t message,
-                      steady_time deadline, cancellation* cancel = nullptr);
+                      steady_time deadline, cancellation* cancel = nullptr,
+                      cancellation* recall = nullptr);
   /// Sets the callback for established links that are closed for any reason other than idleness and
   /// Stop. It runs in a fiber on the thread of the link. Must be called before the first use of the
   /// pool.
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -100,17 +100,20 @@
   request_state state;
   state.started = now;
   state.routes = context_.routes;
-  if (context_.refusing) return Refuse(caller.id, kStatusUnavailable, "node is shutting down");
   if (state.routes == nullptr) {
     return Refuse(caller.id, kStatusUnavailable, "no configuration is active yet");
   }
   state.route = state.routes->Match(request.host, request.target);
   if (state.route == nullptr) return Refuse(caller.id, kStatusNotFound, "no route matches");
+  if (context_.shutdown && !context_.shutdown->Accepts(now, state.route->target_latency)) {
+    return Refuse(caller.id, kStatusUnavailable, "node is shutting down");
+  }
   state.service = ChooseService(*state.route);
   const milliseconds timeout =
       state.route->timeout.count() > 0 ? state.route->timeout : kDefaultTimeout;
   const milliseconds deadline = caller.deadline.value_or(timeout);
   state.deadline = now + std::min(deadline, timeout);
+  if (context_.shutdown) state.deadline = context_.shutdown->LimitDeadline(state.deadline);
   state.caller_deadline = now + deadline;
   const milliseconds target = state.route->target_latency;
   state.in_time_by = now + target - caller_waits_[state.route].EstimateWait(deadline, target);
@@ -211,7 +214,7 @@
   if (answer.cause == answer_cause::quarantined) return false;
   if (answer.cause == answer_cause::no_capacity && ++state.refusals >= kMaxRefusals) return false;
   const auto now = steady_clock::now();
-  if (state.deadline - now < kMinTimeForRetry) return false;
+  if (state.deadline - now < kMinTimeForRetry || context_.recall.cancelled()) return false;
   if (answer.outcome == outcome_kind::unknown) {
     ++state.runs;
     if (state.call.at_most_once || state.runs >= state.route->attempts) return false;
@@ -233,11 +236,14 @@
   state.call.in_time_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, in_time.count()));
   state.call.config_version = state.routes->config().version;
   if (target.node_address == context_.settings.peer_address) {
-    return serving_.Serve(state.call, cancel);
+    net::cancellation withdrawn;
+    const net::scoped_callback on_cancel(&cancel, [&withdrawn] { withdrawn.Cancel(); });
+    const net::scoped_callback on_recall(&context_.recall, [&withdrawn] { withdrawn.Cancel(); });
+    return serving_.Serve(state.call, withdrawn);
   }
   auto result = context_.peers.Request(target.node_address,
                                        wire::MakeEnvelope(wire::call_request_t(state.call)),
-                                       state.deadline + kAnswerMargin, &cancel);
+                                       state.deadline + kAnswerMargin, &cancel, &context_.recall);
   if (result.stage == net::exchange_stage::kNotSent) {
     return MakeNotRunAnswer(answer_cause::unreachable, result.error);
   }
--- a/lib/mesh/mesh_context.h
+++ b/lib/mesh/mesh_context.h
@@ -2,9 +2,12 @@
 #define SISKINRACK_LIB_MESH_MESH_CONTEXT_H_
 
 #include <memory>
+#include <optional>
 
 #include "objects_client.h"
 #include "settings_file.h"
+#include "siskinrack/admission/shutdown_schedule.h"
+#include "siskinrack/net/cancellation.h"
 #include "siskinrack/net/fiber_runtime.h"
 #include "siskinrack/net/http_client.h"
 #include "siskinrack/net/peer.h"
@@ -56,8 +59,11 @@
   route_table_ptr routes;
   /// Set on SIGTERM: the node reports that it is not ready.
   std::atomic<bool> stopping = false;
-  /// Set late in the shutdown: new requests are refused with the outcome "not run".
-  std::atomic<bool> refusing = false;
+  /// Set on SIGTERM.
+  std::optional<admission::shutdown_schedule> shutdown;
+  /// Cancelled shortly before the exit: requests that are open at other nodes are withdrawn there,
+  /// and each of those nodes replies whether the request has run.
+  net::cancellation recall;
 };
 
 }  // namespace siskinrack::mesh
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -27,17 +27,6 @@
 /// memory several times: as read from the caller, as a frame, and as received by the other node. A
 /// few bodies at once have to fit into the memory of a small VM.
 constexpr std::size_t kBodyMemoryDivisor = 16;
-/// Time from the start of the shutdown until callers use other nodes: the platform checks readiness
-/// once a second and removes a node after two failed checks.
-constexpr milliseconds kCallerSwitchTime{2'300};
-/// Time before the end of the grace period at which the process exits by itself.
-constexpr milliseconds kGraceMargin{600};
-/// Time before the exit in which new requests are refused, so that open ones can end: the longest
-/// route timeouts are 2 s.
-constexpr milliseconds kRefusalMargin{2'200};
-/// Time after the start of the shutdown in which calls of other nodes are served; after it, other
-/// nodes have to choose other upstreams.
-constexpr milliseconds kPeerServingTime{1'000};
 /// Pause after a watch call that returned changes; changes made in it arrive in one call.
 /// Configurations and departures have to reach all nodes within 2 s.
 constexpr milliseconds kConfigWatchPause{400};
@@ -125,20 +114,22 @@
   }
 
   void Drain() {
-    const auto started_at = steady_clock::now();
-    const auto latest_exit = started_at + context_.settings.grace_period - kGraceMargin;
+    const admission::shutdown_schedule schedule(steady_clock::now(),
+                                                context_.settings.grace_period);
     context_.stopping = true;
+    context_.runtime.Run(0, [&] { context_.shutdown = schedule; });
     context_.log.Info("drain_started", {{"in_flight", CountOpenRequests()}});
     caller_server_.Drain();
-    std::this_thread::sleep_until(std::min(started_at + kPeerServingTime, latest_exit));
+    std::this_thread::sleep_until(schedule.peer_refusal());
     serving_.StopServing();
-    std::this_thread::sleep_until(
-        std::min(started_at + kCallerSwitchTime, latest_exit - kRefusalMargin));
-    context_.refusing = true;
+    std::this_thread::sleep_until(schedule.caller_refusal());
     caller_server_.CloseIdle();
-    while (CountOpenRequests() > 0 && steady_clock::now() < latest_exit) {
-      std::this_thread::sleep_for(kDrainPollInterval);
+    AwaitOpenRequests(schedule.recall());
+    if (CountOpenRequests() > 0) {
+      context_.log.Info("recall_started", {{"in_flight", CountOpenRequests()}});
+      context_.runtime.Run(0, [this] { context_.recall.Cancel(); });
     }
+    AwaitOpenRequests(schedule.exit());
     context_.log.Info("stopped", {{"in_flight", CountOpenRequests()}});
   }
 
@@ -153,6 +144,13 @@
     return caller_server_.in_flight() + serving_.in_flight() + context_.peer.unwritten_answers;
   }
 
+  /// Blocks until no request is open, but not longer than until `end`.
+  void AwaitOpenRequests(net::steady_time end) const {
+    while (CountOpenRequests() > 0 && steady_clock::now() < end) {
+      std::this_thread::sleep_for(kDrainPollInterval);
+    }
+  }
+
   void OnConfiguration() {
     net::http_limits limits = context_.routes->config().limits;
     limits.body_bytes =
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -47,25 +47,14 @@
 }
 
 /// Closes a connection on cancellation, which may come from any thread.
-class cancel_guard {
+class cancel_guard : scoped_callback {
  public:
-  cancel_guard(cancellation* cancel, const connection_ptr& conn) : cancel_(cancel) {
-    if (cancel_ == nullptr) return;
-    handle_ = cancel_->AddCallback([weak = std::weak_ptr(conn), &io = detail::GetCurrentContext()] {
-      asio::post(io, [weak] {
-        if (const auto conn = weak.lock()) detail::CloseQuietly(conn->stream.socket());
-      });
-    });
-  }
-  ~cancel_guard() {
-    if (cancel_ != nullptr) cancel_->Remove(handle_);
-  }
-  cancel_guard(const cancel_guard&) = delete;
-  cancel_guard& operator=(const cancel_guard&) = delete;
-
- private:
-  cancellation* cancel_;
-  std::uint64_t handle_ = 0;
+  cancel_guard(cancellation* cancel, const connection_ptr& conn)
+      : scoped_callback(cancel, [weak = std::weak_ptr(conn), &io = detail::GetCurrentContext()] {
+          asio::post(io, [weak] {
+            if (const auto conn = weak.lock()) detail::CloseQuietly(conn->stream.socket());
+          });
+        }) {}
 };
 
 http_result MakeFailure(exchange_stage stage, const boost::system::error_code& error) {
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -23,6 +23,9 @@
 /// link is closed. Allows for several round trips between failure domains and for the delays of a
 /// node that is short of CPU time.
 constexpr std::chrono::milliseconds kLivenessInterval{600};
+/// Wait for the reply to a recalled request: a round trip between failure domains and the time that
+/// a busy node needs to withdraw it.
+constexpr std::chrono::milliseconds kRecallReplyTime{150};
 
 }  // namespace
 
@@ -130,8 +133,26 @@
   if (!queue_.empty() && !closed_) StartWrite();
 }
 
-peer_result peer_link::Request(wire::envelope_t message, steady_time deadline,
-                               cancellation* cancel) {
+bool peer_link::IsQueued(std::uint64_t correlation_id) const {
+  return std::any_of(queue_.begin(), queue_.end(), [correlation_id](const auto& frame) {
+    return frame.correlation_id == correlation_id;
+  });
+}
+
+bool peer_link::AwaitReply(std::uint64_t correlation_id, pending_request& pending) {
+  while (true) {
+    const auto wait_error =
+        AwaitDone([&](auto handler) { pending.timer.async_wait(std::move(handler)); });
+    if (pending.reply != nullptr || closed_ || !pending.recalled) return bool(wait_error);
+    pending.recalled = false;
+    if (IsQueued(correlation_id)) return true;
+    SendCancel(correlation_id);
+    pending.timer.expires_after(kRecallReplyTime);
+  }
+}
+
+peer_result peer_link::Request(wire::envelope_t message, steady_time deadline, cancellation* cancel,
+                               cancellation* recall) {
   if (closed_) return {exchange_stage::kNotSent, nullptr, "link is closed", false};
   const auto self = shared_from_this();
   auto pending = std::make_shared<pending_request>(GetCurrentContext());
@@ -147,15 +168,16 @@
   }
   StartLivenessChecks();
 
-  std::uint64_t cancel_handle = 0;
-  if (cancel != nullptr) {
-    cancel_handle = cancel->AddCallback([pending, &io = GetCurrentContext()] {
-      asio::post(io, [pending] { pending->timer.cancel(); });
+  asio::io_context& io = GetCurrentContext();
+  const scoped_callback on_cancel(
+      cancel, [pending, &io] { asio::post(io, [pending] { pending->timer.cancel(); }); });
+  const scoped_callback on_recall(recall, [pending, &io] {
+    asio::post(io, [pending] {
+      pending->recalled = true;
+      pending->timer.cancel();
     });
-  }
-  const auto wait_error =
-      AwaitDone([&](auto handler) { pending->timer.async_wait(std::move(handler)); });
-  if (cancel != nullptr) cancel->Remove(cancel_handle);
+  });
+  const bool timed_out = !AwaitReply(id, *pending);
   if (pending->reply != nullptr) {
     return {exchange_stage::kAnswered, std::move(pending->reply), {}, false};
   }
@@ -166,13 +188,13 @@
     queue_.erase(queued);
     return {exchange_stage::kNotSent, nullptr,
             "request was not sent before the deadline, a cancellation or the end of the link",
-            !wait_error};
+            timed_out};
   }
   SendCancel(id);
   return {exchange_stage::kSent, nullptr,
           closed_ ? "link was closed before the reply"
                   : "no reply before the deadline or a cancellation",
-          !wait_error};
+          timed_out};
 }
 
 void peer_link::StartLivenessChecks() {
--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -31,8 +31,9 @@
   /// full.
   void Send(wire::envelope_t message);
   /// Sends a request and suspends the fiber until the reply, the deadline, a cancellation or the
-  /// end of the connection.
-  peer_result Request(wire::envelope_t message, steady_time deadline, cancellation* cancel);
+  /// end of the connection. See peer_pool::Request for `recall`.
+  peer_result Request(wire::envelope_t message, steady_time deadline, cancellation* cancel,
+                      cancellation* recall = nullptr);
   /// Closes the connection and resumes the fibers that wait for replies.
   void Close();
   /// Closes the link once no frame was sent or received for `timeout`. While a request waits for
@@ -48,6 +49,7 @@
     explicit pending_request(boost::asio::io_context& io) : timer(io) {}
     boost::asio::steady_timer timer;
     std::unique_ptr<wire::envelope_t> reply;
+    bool recalled = false;
   };
   struct queued_frame {
     std::string bytes;
@@ -62,6 +64,11 @@
   /// Handles one encoded envelope. Returns false if it is malformed.
   bool Dispatch(std::span<const std::uint8_t> bytes);
   void SendCancel(std::uint64_t correlation_id);
+  /// Suspends the fiber until the request is done. A recalled request whose frame was sent gets
+  /// another short wait for its reply. Returns false if the wait ended by its time limit.
+  bool AwaitReply(std::uint64_t correlation_id, pending_request& pending);
+  /// Returns true if the frame of the request has not been passed to the socket.
+  [[nodiscard]] bool IsQueued(std::uint64_t correlation_id) const;
   /// Starts liveness checks, which run while requests wait for replies and close the link if the
   /// peer stops responding. A peer whose VM lost power or its connection state sends neither FIN
   /// nor RST, so the socket reports no error.
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -24,6 +24,7 @@
 constexpr std::string_view kEndpointKind = "siskinrack-endpoints";
 constexpr milliseconds kReadyTimeout{15'000};
 constexpr milliseconds kSlowAnswerDelay{500};
+constexpr milliseconds kLongAnswerDelay{8'000};
 constexpr milliseconds kDownTime{700};
 constexpr milliseconds kHeartbeatInterval{200};
 constexpr std::size_t kMaxBodyBytes = 32U << 20U;
@@ -37,15 +38,6 @@
   return "127." + std::to_string(octet(random)) + '.' + std::to_string(octet(random)) + '.';
 }
 
-json::object MakeRoute(const std::string& prefix, const std::string& service, bool repeatable) {
-  return {{"name", prefix},
-          {"kind", repeatable ? "idempotent" : "non_idempotent"},
-          {"targetLatencyS", 1},
-          {"priority", 1},
-          {"match", {{"pathPrefix", prefix}}},
-          {"action", {{"service", service}, {"timeoutS", 3}, {"attempts", 2}}}};
-}
-
 }  // namespace
 
 instance_stand_in::instance_stand_in(net::fiber_runtime& runtime, std::string ip, std::string id)
@@ -105,6 +97,7 @@
     return {500, {}, {}};
   }
   if (request.target.ends_with("/slow")) net::SleepFor(kSlowAnswerDelay);
+  if (request.target.ends_with("/long")) net::SleepFor(kLongAnswerDelay);
   if (request.target.ends_with("/break")) {
     // The node can't use this answer, and the right one is never sent.
     return {200, {{"Request-Id", "another"}, {"Server-Stamp", "stamp"}}, {}};
@@ -181,6 +174,17 @@
   std::ofstream(MakePath(machine, ".json")) << json::serialize(settings);
 }
 
+json::object mesh_fleet::MakeRoute(const std::string& prefix, const std::string& service,
+                                   bool repeatable) const {
+  return {
+      {"name", prefix},
+      {"kind", repeatable ? "idempotent" : "non_idempotent"},
+      {"targetLatencyS", 1},
+      {"priority", 1},
+      {"match", {{"pathPrefix", prefix}}},
+      {"action", {{"service", service}, {"timeoutS", route_timeout_.count()}, {"attempts", 2}}}};
+}
+
 void mesh_fleet::Configure(std::uint64_t version, const std::string& extra) {
   json::array rules;
   json::array clusters;
@@ -216,9 +220,9 @@
                                       net::http_request request) {
   net::http_result result;
   runtime_.Run(0, [&] {
-    result =
-        client_.Send(address, std::move(request), steady_clock::now() + std::chrono::seconds(5),
-                     nullptr, {.max_idle = milliseconds(100)});
+    result = client_.Send(address, std::move(request),
+                          steady_clock::now() + route_timeout_ + std::chrono::seconds(2), nullptr,
+                          {.max_idle = milliseconds(100)});
   });
   return result;
 }
@@ -260,7 +264,7 @@
                                   const std::string& method, const std::string& body) {
   net::http_request request{method, target, {}, body, "shop.example"};
   request.fields = {{"Request-Id", "r-" + std::to_string(++last_request_)},
-                    {"Deadline-Ms", "3000"},
+                    {"Deadline-Ms", std::to_string(milliseconds(route_timeout_).count())},
                     {"Caller", "forged"}};
   return Exchange({MakeIp(machine), kCallerPort}, std::move(request));
 }
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -32,6 +32,7 @@
 ///   /refuse     refuses the request as not run
 ///   /break      runs the request, but answers with the id of another request
 ///   /slow       runs the request and answers after half a second
+///   /long       runs the request and answers after eight seconds
 ///   /echo       runs the request and answers with its body
 ///   /crash      runs the request, closes all connections without an answer and restarts after a
 ///               delay
@@ -87,8 +88,11 @@
   /// Returns true once all nodes are ready and list all endpoints, or false after 15 s.
   [[nodiscard]] bool AwaitReady();
 
-  /// Sends a request to the caller port of a machine's node, with a new request id, a deadline of
-  /// 3 s and a forged caller name. Waits up to 5 s for the answer.
+  /// Sets the timeout that the next Configure writes to all routes. The initial one is 3 s.
+  void SetRouteTimeout(std::chrono::seconds timeout) { route_timeout_ = timeout; }
+
+  /// Sends a request to the caller port of a machine's node, with a new request id, the route's
+  /// timeout as its deadline and a forged caller name. Waits 2 s longer for the answer.
   net::http_result Send(std::size_t machine, const std::string& target,
                         const std::string& method = "GET", const std::string& body = {});
 
@@ -104,6 +108,9 @@
  private:
   [[nodiscard]] std::string MakeIp(std::size_t machine) const;
   net::http_result Exchange(const support::socket_address& address, net::http_request request);
+  /// Makes the configuration of one route.
+  [[nodiscard]] boost::json::object MakeRoute(const std::string& prefix, const std::string& service,
+                                              bool repeatable) const;
   void WriteSettings(std::size_t machine);
   [[nodiscard]] std::filesystem::path MakePath(std::size_t machine,
                                                const std::string& suffix) const;
@@ -124,6 +131,7 @@
   std::atomic<bool> stopped_ = false;
   std::thread heartbeat_thread_;
   std::atomic<std::uint64_t> last_request_ = 0;
+  std::chrono::seconds route_timeout_{3};
 };
 
 }  // namespace siskinrack::test
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <array>
 #include <csignal>
 #include <thread>
 
@@ -184,6 +185,32 @@
   EXPECT_LE(steady_clock::now() - started_at, milliseconds(6'000));
 }
 
+// Guards against a request that is cut off because it waits in another node's queue when the node
+// that accepted it exits, whether it arrived before or after the SIGTERM.
+TEST_F(mesh_test, ShutdownAnswersRequestsThatWaitAtOtherNodes) {
+  fleet_.SetRouteTimeout(std::chrono::seconds(9));
+  fleet_.Configure(5, "dock");
+  ASSERT_TRUE(Eventually(milliseconds(2'000),
+                         [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
+  // Both upstreams have four slots.
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&] { fleet_.Send(1, "/once/dock/long", "POST"); });
+  }
+  ASSERT_TRUE(Eventually(milliseconds(2'000), [&] { return CountRuns("/once/dock/long") == 8; }));
+  std::array<net::http_result, 2> results;
+  callers.emplace_back([&] { results[0] = fleet_.Send(0, "/once/dock/before", "POST"); });
+  std::this_thread::sleep_for(milliseconds(100));
+  fleet_.node(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(1'500));
+  callers.emplace_back([&] { results[1] = fleet_.Send(0, "/once/dock/after", "POST"); });
+  for (std::thread& caller : callers) caller.join();
+  for (const net::http_result& result : results) {
+    EXPECT_EQ(result.response.status, 503U) << result.error;
+  }
+  EXPECT_EQ(CountRuns("/once/dock/before") + CountRuns("/once/dock/after"), 0U);
+}
+
 // Guards against a SIGHUP that terminates the process.
 TEST_F(mesh_test, ReloadKeepsServing) {
   fleet_.node(0).Signal(SIGHUP);
