--- a/include/siskinrack/balancing/endpoint_state.h
+++ b/include/siskinrack/balancing/endpoint_state.h
@@ -45,6 +45,8 @@
   nanoseconds retry_after{0};
   /// Time that the upstream itself took; zero if unknown.
   nanoseconds service{0};
+  /// Service time that was expected of an average upstream (call_profile); zero if unknown.
+  nanoseconds expected_service{0};
 };
 
 /// Availability of an endpoint for new calls.
@@ -77,8 +79,10 @@
     /// End of the pause that the upstream requested; a past time if there is none.
     time_point paused_until;
   };
-  /// Returns a snapshot of the state at `now`.
-  [[nodiscard]] view View(time_point now) const;
+  /// Returns a snapshot of the state at `now`. `expected_service` is the service time that is
+  /// expected of an average upstream for the call to be sent; if it is zero, the prediction uses
+  /// the mean service time of all calls to this endpoint.
+  [[nodiscard]] view View(time_point now, nanoseconds expected_service = nanoseconds(0)) const;
 
   /// Returns the time after which a missing answer counts as a failure: a multiple of the smoothed
   /// latency plus a margin; before the first answer only the margin.
@@ -93,7 +97,7 @@
   static constexpr double kTimeoutFactor = 4;
   static constexpr double kTimeoutMarginMs = 100;
 
-  [[nodiscard]] double PredictedMs(time_point now) const;
+  [[nodiscard]] double PredictedMs(time_point now, nanoseconds expected_service) const;
   [[nodiscard]] double AnswerTimeoutMs() const {
     return kTimeoutFactor * latency_ms_ + kTimeoutMarginMs;
   }
@@ -106,6 +110,8 @@
   std::size_t in_flight_ = 0;
   double latency_ms_ = 0;
   double service_ms_ = 0;
+  /// Smoothed ratio of the service time to the expected one.
+  double slowness_ = 1;
   /// Calls of this node in flight when the load was reported.
   std::size_t in_flight_at_report_ = 0;
   double penalty_ms_ = 0;
--- a/include/siskinrack/balancing/selection.h
+++ b/include/siskinrack/balancing/selection.h
@@ -19,6 +19,10 @@
   bool same_domain = false;
 };
 
+/// Waiting time that one kilobyte sent between failure domains is worth. Traffic between domains is
+/// expensive: a large body crosses only if the wait in the own domain would be very long.
+inline constexpr double kCrossDomainMsPerKilobyte = 10;
+
 /// Criteria for selecting an endpoint by expected completion time.
 struct completion_goal {
   /// Remaining time in which an answer has its full worth.
@@ -28,6 +32,10 @@
   double min_remote_gain_ms = 0;
   /// True if an ejected endpoint may be selected when no other one is available.
   bool use_ejected = true;
+  /// Expected service time of the call at an average upstream; zero if unknown.
+  nanoseconds expected_service{0};
+  /// Expected size of the request and its answer, in kilobytes.
+  double kilobytes = 0;
 };
 
 /// Result of an endpoint selection.
@@ -36,6 +44,8 @@
   std::optional<std::size_t> index;
   /// Time until the first pause ends if no candidate was selected; zero if none is paused.
   nanoseconds retry_after{0};
+  /// True if the endpoint is expected to answer in time (ChooseByCompletion only).
+  bool in_time = false;
 };
 
 /// Selects an endpoint by power of two choices. An endpoint that is due for a probe comes first;
@@ -48,7 +58,8 @@
 
 /// Selects the endpoint with the earliest expected answer. Endpoints in the own failure domain take
 /// precedence; one in another domain is selected if only it is expected to answer in time, or if
-/// none is and it saves more than `min_remote_gain_ms`. An endpoint that is due for a probe comes
+/// none is and it saves more than `min_remote_gain_ms`; the expected bytes count as additional time
+/// there. An endpoint that is due for a probe comes
 /// first, an ejected one last; a paused one is never selected. `random` must be uniform over all
 /// values; it varies the choice between endpoints with similar expectations.
 selection ChooseByCompletion(std::span<const candidate> candidates, const completion_goal& goal,
--- a/lib/balancing/endpoint_state.cpp
+++ b/lib/balancing/endpoint_state.cpp
@@ -38,13 +38,13 @@
 
 }  // namespace
 
-endpoint_state::view endpoint_state::View(time_point now) const {
+endpoint_state::view endpoint_state::View(time_point now, nanoseconds expected_service) const {
   const std::lock_guard lock(mutex_);
   view result;
   const double latency = (latency_ms_ > 0 ? latency_ms_ : kInitialLatencyMs) + PenaltyMs(now);
   const double load = Decay(load_, now - load_reported_at_, kLoadTimeConstant);
   result.cost_ms = latency * (static_cast<double>(in_flight_) + load + 1) / slots_;
-  result.predicted_ms = PredictedMs(now);
+  result.predicted_ms = PredictedMs(now, expected_service);
   result.paused_until = paused_until_;
   if (now < paused_until_) {
     result.ready = readiness::kPaused;
@@ -54,7 +54,7 @@
   return result;
 }
 
-double endpoint_state::PredictedMs(time_point now) const {
+double endpoint_state::PredictedMs(time_point now, nanoseconds expected_service) const {
   const double service = service_ms_ > 0 ? service_ms_ : kInitialLatencyMs;
   // The reported load includes calls of this node. They are subtracted, because the calls that this
   // node has in flight are counted directly.
@@ -64,7 +64,9 @@
       Decay(load_of_other_nodes, now - load_reported_at_, kLoadTimeConstant) +
       static_cast<double>(in_flight_) + 1 - static_cast<double>(slots_);
   const double wait = calls_beyond_slots > 0 ? calls_beyond_slots * service / slots_ : 0;
-  return wait + service + PenaltyMs(now);
+  const double own_service =
+      expected_service.count() > 0 ? Ms(expected_service) * slowness_ : service;
+  return wait + own_service + PenaltyMs(now);
 }
 
 void endpoint_state::Start(time_point now) {
@@ -87,6 +89,9 @@
   if (report.service.count() > 0) {
     service_ms_ += (Ms(report.service) - service_ms_) * (service_ms_ > 0 ? kLatencyWeight : 1);
   }
+  if (report.service.count() > 0 && report.expected_service.count() > 0) {
+    slowness_ += (Ms(report.service) / Ms(report.expected_service) - slowness_) * kLatencyWeight;
+  }
   if (report.load) {
     load_ = report.load->in_flight + report.load->queued;
     load_reported_at_ = now;
--- a/lib/balancing/selection.cpp
+++ b/lib/balancing/selection.cpp
@@ -141,7 +141,7 @@
   earliest_completion ejected(random * 3);
   time_point first_pause_end = time_point::max();
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const endpoint_state::view view = candidates[i].state->View(now);
+    const endpoint_state::view view = candidates[i].state->View(now, goal.expected_service);
     switch (view.ready) {
       case readiness::kAvailable:
         (candidates[i].same_domain ? local : remote).Offer(i, view.predicted_ms);
@@ -156,17 +156,19 @@
         break;
     }
   }
+  const double remote_ms =
+      remote.predicted_ms() + 2 * kCrossDomainDelayMs + goal.kilobytes * kCrossDomainMsPerKilobyte;
+  const bool local_in_time = !local.empty() && local.predicted_ms() <= goal.in_time_ms;
+  const bool remote_in_time = !remote.empty() && remote_ms <= goal.in_time_ms;
   if (!local.empty() && !remote.empty()) {
-    const double remote_ms = remote.predicted_ms() + 2 * kCrossDomainDelayMs;
-    const bool local_in_time = local.predicted_ms() <= goal.in_time_ms;
-    const bool only_remote_in_time = !local_in_time && remote_ms <= goal.in_time_ms;
     const bool remote_much_sooner =
         !local_in_time && remote_ms + goal.min_remote_gain_ms < local.predicted_ms();
-    return {only_remote_in_time || remote_much_sooner ? remote.index() : local.index(), {}};
-  }
-  for (const earliest_completion* best : {&local, &remote, &ejected}) {
-    if (!best->empty()) return {best->index(), {}};
+    const bool use_remote = (!local_in_time && remote_in_time) || remote_much_sooner;
+    return {use_remote ? remote.index() : local.index(), {}, local_in_time || remote_in_time};
   }
+  if (!local.empty()) return {local.index(), {}, local_in_time};
+  if (!remote.empty()) return {remote.index(), {}, remote_in_time};
+  if (!ejected.empty()) return {ejected.index(), {}};
   if (first_pause_end == time_point::max()) return {};
   return {std::nullopt, first_pause_end - now};
 }
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -60,6 +60,11 @@
   }
 }
 
+double CountKilobytes(const wire::call_request_t& call, const wire::call_answer_t& answer) {
+  constexpr double kBytesPerKilobyte = 1'024;
+  return static_cast<double>(call.body.size() + answer.body.size()) / kBytesPerKilobyte;
+}
+
 balancing::call_report MakeCallReport(const wire::call_answer_t& answer, bool cancelled,
                                       steady_clock::duration latency) {
   balancing::call_report report{ToCallOutcome(answer, cancelled), latency, {}, {}};
@@ -70,13 +75,18 @@
   return report;
 }
 
+/// Returns the work class of a route's calls, which is the same on all nodes.
+std::uint64_t ToWorkClass(const routing::route& route) {
+  return std::hash<std::string>{}(route.name);
+}
+
 wire::call_request_t MakeCall(net::http_request request, const std::string& request_id,
                               const routing::route& route, const std::string& service,
                               const std::string& caller) {
   wire::call_request_t call;
   call.service = service;
   call.priority = route.priority;
-  call.work_class = std::hash<std::string>{}(route.name);
+  call.work_class = ToWorkClass(route);
   call.caller = caller;
   call.request_id = request_id;
   call.at_most_once = route.repeats == routing::repeatability::kAtMostOnce;
@@ -126,6 +136,11 @@
 void entry_service::OnConfiguration() {
   splits_.clear();
   caller_waits_.clear();
+  std::set<std::uint64_t> classes;
+  for (const routing::route& route : context_.routes->config().routes) {
+    classes.insert(ToWorkClass(route));
+  }
+  std::erase_if(profiles_, [&](const auto& entry) { return !classes.contains(entry.first); });
 }
 
 const std::string& entry_service::ChooseService(const routing::route& route) {
@@ -161,9 +176,10 @@
   }
   const auto now = steady_clock::now();
   const auto left = std::chrono::duration<double, std::milli>(state.in_time_by - now);
-  const balancing::completion_goal goal{left.count() * kInTimeFraction,
-                                        static_cast<double>(state.route->target_latency.count()),
-                                        /*use_ejected=*/state.refusals == 0};
+  const balancing::call_profile& profile = profiles_[state.call.work_class];
+  const balancing::completion_goal goal{
+      left.count() * kInTimeFraction, static_cast<double>(state.route->target_latency.count()),
+      /*use_ejected=*/state.refusals == 0, profile.service(), profile.kilobytes()};
   const auto choice = balancing::ChooseByCompletion(untried, goal, now, random_());
   if (!choice.index) return std::nullopt;
   return indices[*choice.index];
@@ -199,7 +215,9 @@
     last = SendTo(target, state, cancel);
     const auto now = steady_clock::now();
     OnAnswer(target, last);
-    endpoint_state->Finish(MakeCallReport(last, cancel.cancelled(), now - sent_at), now);
+    balancing::call_report report = MakeCallReport(last, cancel.cancelled(), now - sent_at);
+    RecordProfile(state, last, report);
+    endpoint_state->Finish(report, now);
     if (cancel.cancelled() || !AllowRetry(state, last)) return last;
     context_.log.Info("call_resent", {{"request", state.call.request_id},
                                       {"after", wire::EnumNameanswer_cause(last.cause)},
@@ -209,6 +227,14 @@
   }
 }
 
+void entry_service::RecordProfile(const request_state& state, const wire::call_answer_t& answer,
+                                  balancing::call_report& report) {
+  if (answer.outcome != outcome_kind::answered || answer.service_ms == 0) return;
+  balancing::call_profile& profile = profiles_[state.call.work_class];
+  report.expected_service = profile.service();
+  profile.Record(report.service, CountKilobytes(state.call, answer));
+}
+
 bool entry_service::AllowRetry(request_state& state, const wire::call_answer_t& answer) {
   if (answer.outcome == outcome_kind::answered) return false;
   if (answer.cause == answer_cause::quarantined) return false;
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -10,6 +10,7 @@
 #include "endpoint_reaper.h"
 #include "mesh_context.h"
 #include "serving_service.h"
+#include "siskinrack/balancing/call_profile.h"
 #include "siskinrack/balancing/selection.h"
 #include "siskinrack/balancing/sharded_registry.h"
 #include "siskinrack/routing/caller_wait.h"
@@ -70,6 +71,9 @@
   void OnAnswer(const routing::endpoint& target, const wire::call_answer_t& answer);
   /// Sends the request to endpoints until it is answered or must not be sent again.
   wire::call_answer_t SendWithRetries(request_state& state, net::cancellation& cancel);
+  /// Adds the answer to the profile of its route and the expected service time to `report`.
+  void RecordProfile(const request_state& state, const wire::call_answer_t& answer,
+                     balancing::call_report& report);
   /// Counts the failed attempt in `state`; returns true if another one is allowed.
   [[nodiscard]] bool AllowRetry(request_state& state, const wire::call_answer_t& answer);
   /// Returns the index of an endpoint that was not tried yet, or std::nullopt if there is none.
@@ -93,6 +97,8 @@
   std::map<std::string, std::int64_t> departed_;
   std::map<const routing::route*, routing::weighted_split> splits_;
   std::map<const routing::route*, routing::caller_wait> caller_waits_;
+  /// Profiles by work class. They outlive a change of the configuration that keeps the route.
+  std::map<std::uint64_t, balancing::call_profile> profiles_;
   std::map<std::string, routing::retry_share> retries_;
   std::uint64_t answered_ = 0;
   balancing::endpoint_tracker tracker_;
--- a/unittests/balancing/completion_test.cpp
+++ b/unittests/balancing/completion_test.cpp
@@ -2,6 +2,7 @@
 
 #include <random>
 
+#include "siskinrack/balancing/call_profile.h"
 #include "siskinrack/balancing/selection.h"
 
 namespace siskinrack::balancing {
@@ -29,13 +30,15 @@
   double Share(std::size_t index, double in_time_ms) {
     int times_selected = 0;
     for (int i = 0; i < 1000; ++i) {
-      const auto chosen = ChooseByCompletion(candidates_, {in_time_ms, 500}, At(1), random_());
+      goal_.in_time_ms = in_time_ms;
+      const auto chosen = ChooseByCompletion(candidates_, goal_, At(1), random_());
       if (chosen.index == index) ++times_selected;
     }
     return times_selected / 1000.0;
   }
 
   std::vector<candidate> candidates_;
+  completion_goal goal_{0, 500};
   std::mt19937_64 random_{11};
 };
 
@@ -70,5 +73,65 @@
   EXPECT_NEAR(Share(first, 400), 0.5, 0.1);
 }
 
+// Guards against large bodies between domains: the downloads of one route were most of the traffic
+// between domains, because the endpoint's mean service time included the long calls of another
+// route.
+TEST_F(completion_test, LargeAnswerStaysInTheOwnDomain) {
+  const auto local = Add(true, 200);
+  const auto remote = Add(false, 200);
+  Load(local, 8);
+  goal_ = {400, 500, true, milliseconds(80), /*kilobytes=*/90};
+  EXPECT_EQ(Share(local, 400), 1.0);
+  goal_.kilobytes = 1;
+  EXPECT_EQ(Share(remote, 400), 1.0);
+}
+
+// Guards against a domain whose endpoints are far behind: its callers wait for large answers until
+// their deadlines while other domains are idle.
+TEST_F(completion_test, LargeAnswerLeavesADomainThatIsFarBehind) {
+  const auto local = Add(true, 200);
+  const auto remote = Add(false, 200);
+  Load(local, 40);
+  goal_ = {400, 500, true, milliseconds(80), /*kilobytes=*/90};
+  EXPECT_EQ(Share(remote, 400), 1.0);
+}
+
+// Guards against predicting a short call by the mean service time of an endpoint that mostly runs
+// long ones: the call left its domain although it would have been in time there.
+TEST_F(completion_test, ShortCallIsPredictedByItsOwnServiceTime) {
+  const auto local = Add(true, 410);
+  Add(false, 410);
+  goal_.expected_service = milliseconds(82);
+  EXPECT_EQ(Share(local, 320), 1.0);
+}
+
+// Guards against losing the difference between fast and slow endpoints when the expected service
+// time is the same for both.
+TEST_F(completion_test, SlownessOfAnEndpointScalesTheExpectedServiceTime) {
+  const auto slow = Add(true, 300);
+  const auto fast = Add(true, 100);
+  for (const auto index : {slow, fast}) {
+    for (int i = 0; i < 20; ++i) {
+      candidates_[index].state->Start(At(0));
+      const auto took = milliseconds(index == slow ? 300 : 100);
+      candidates_[index].state->Finish(
+          {call_outcome::kAnswered, took, {}, {}, took, milliseconds(200)}, At(0));
+    }
+  }
+  goal_.expected_service = milliseconds(50);
+  EXPECT_EQ(Share(fast, 400), 1.0);
+}
+
+TEST(call_profile_test, AveragesTheFirstAnswersAndFollowsLaterOnes) {
+  call_profile profile;
+  EXPECT_EQ(profile.service(), milliseconds(0));
+  profile.Record(milliseconds(100), 90);
+  EXPECT_EQ(profile.service(), milliseconds(100));
+  EXPECT_EQ(profile.kilobytes(), 90);
+  for (int i = 0; i < 300; ++i) profile.Record(milliseconds(300), 1);
+  EXPECT_NEAR(std::chrono::duration<double>(profile.service()).count(), 0.3, 0.01);
+  EXPECT_NEAR(profile.kilobytes(), 1, 0.1);
+}
+
 }  // namespace
 }  // namespace siskinrack::balancing
