admission: calls are redirected while it is early, and refused as soon as they are hopeless

An entry node chooses by load reports that are as old as its last call there, and the serving node queued whatever could still meet its deadline, seconds later. Calls overtaken by more urgent ones were refused only when their own deadlines came near. Change: a call carries whether another upstream is expected to answer in time; if it would be late at the first one, that node refuses it at once. After each change of a queue the calls that can't meet their deadlines behind those before them are refused at once. Tests: RedirectableCallIsRefusedIfItWouldBeLate, OvertakenCallIsRefusedAtOnce (fails before: refused only when the deadline is near).

--- a/include/siskinrack/admission/controller.h
+++ b/include/siskinrack/admission/controller.h
@@ -28,6 +28,8 @@
   kQueueFull,
   /// The upstream requested a pause (Retry-After) after which the call can't end in time.
   kUpstreamPause,
+  /// The answer would be late here, and another upstream is expected to answer in time.
+  kRedirected,
 };
 
 /// Returns a human-readable description of a refusal reason.
--- a/include/siskinrack/admission/deadline_controller.h
+++ b/include/siskinrack/admission/deadline_controller.h
@@ -22,6 +22,9 @@
   time_point target_time;
   /// Time after which the caller no longer waits for the answer.
   time_point deadline;
+  /// Another upstream is expected to answer in time, so the call is refused if it would be late
+  /// here.
+  bool redirectable = false;
 };
 
 /// Controls the admission of calls to one upstream by the remaining worth of their answers. Calls
@@ -29,7 +32,16 @@
 /// deferred; each group runs by priority, then by target time. A call that has to wait and is not
 /// expected to meet its deadline is refused at once, so that its caller can retry and no slot is
 /// spent on work that no caller waits for; a call that finds a free slot and no waiting calls runs
-/// in any case. Deterministic: the time is an argument. Not thread-safe; slot_gate locks it and
+/// in any case.
+///
+/// Load patterns:
+/// - An entry node with an old load report sends a call to an upstream that has become busy: the
+///   call is refused at once if it would be late and another upstream may be in time.
+/// - A burst of urgent calls overtakes calls that were accepted before: after each change of the
+///   queue, calls that can't meet their deadlines behind those before them are refused at once
+///   instead of shortly before their deadlines.
+///
+/// Deterministic: the time is an argument. Not thread-safe; slot_gate locks it and
 /// suspends the queued calls.
 class deadline_controller {
  public:
@@ -81,10 +93,18 @@
   void UpdateServiceTime(std::uint64_t work_class, call_result result, nanoseconds took,
                          time_point now);
   [[nodiscard]] urgency ComputeUrgency(const timed_arrival& call, time_point now) const;
+  /// Like ComputeUrgency, but counts a deferrable call as in time: it is reclassified before its
+  /// slack is used up.
+  [[nodiscard]] urgency ComputeLaterUrgency(const timed_arrival& call, time_point now) const;
+  /// Returns the expected sum of the remaining service times of the running calls.
+  [[nodiscard]] nanoseconds EstimateRunningWork(time_point now) const;
   [[nodiscard]] nanoseconds EstimateWait(const timed_arrival& call, time_point now) const;
+  /// Returns the expected wait of a call of `urgency` for a slot behind `work`.
+  [[nodiscard]] nanoseconds ToWait(nanoseconds work, const urgency& own) const;
   [[nodiscard]] bool CanMeetDeadline(const timed_arrival& call, nanoseconds wait,
                                      time_point now) const;
   void Dispatch(time_point now, decisions& out);
+  /// Refuses the waiting calls that can't meet their deadlines behind the calls before them.
   void RefuseUnmeetable(time_point now, decisions& out);
   void Run(const timed_arrival& call, time_point now, decisions& out);
 
--- a/include/siskinrack/balancing/selection.h
+++ b/include/siskinrack/balancing/selection.h
@@ -1,6 +1,7 @@
 #ifndef SISKINRACK_BALANCING_SELECTION_H_
 #define SISKINRACK_BALANCING_SELECTION_H_
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <span>
@@ -44,8 +45,8 @@
   std::optional<std::size_t> index;
   /// Time until the first pause ends if no candidate was selected; zero if none is paused.
   nanoseconds retry_after{0};
-  /// True if the endpoint is expected to answer in time (ChooseByCompletion only).
-  bool in_time = false;
+  /// Number of available candidates that are expected to answer in time (ChooseByCompletion only).
+  std::size_t in_time_candidates = 0;
 };
 
 /// Selects an endpoint by power of two choices. An endpoint that is due for a probe comes first;
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -980,6 +980,7 @@
   uint32_t priority = 0;
   uint64_t work_class = 0;
   uint32_t in_time_ms = 0;
+  bool redirectable = false;
   call_request_t() = default;
   call_request_t(const call_request_t &o);
   call_request_t(call_request_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1007,7 +1008,8 @@
     VT_AT_MOST_ONCE = 32,
     VT_PRIORITY = 34,
     VT_WORK_CLASS = 36,
-    VT_IN_TIME_MS = 38
+    VT_IN_TIME_MS = 38,
+    VT_REDIRECTABLE = 40
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1063,6 +1065,9 @@
   uint32_t in_time_ms() const {
     return GetField<uint32_t>(VT_IN_TIME_MS, 0);
   }
+  bool redirectable() const {
+    return GetField<uint8_t>(VT_REDIRECTABLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -1094,6 +1099,7 @@
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint64_t>(verifier, VT_WORK_CLASS, 8) &&
            VerifyField<uint32_t>(verifier, VT_IN_TIME_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_REDIRECTABLE, 1) &&
            verifier.EndTable();
   }
   call_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1159,6 +1165,9 @@
   void add_in_time_ms(uint32_t in_time_ms) {
     fbb_.AddElement<uint32_t>(call_request::VT_IN_TIME_MS, in_time_ms, 0);
   }
+  void add_redirectable(bool redirectable) {
+    fbb_.AddElement<uint8_t>(call_request::VT_REDIRECTABLE, static_cast<uint8_t>(redirectable), 0);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1189,7 +1198,8 @@
     bool at_most_once = false,
     uint32_t priority = 0,
     uint64_t work_class = 0,
-    uint32_t in_time_ms = 0) {
+    uint32_t in_time_ms = 0,
+    bool redirectable = false) {
   call_requestBuilder builder_(_fbb);
   builder_.add_work_class(work_class);
   builder_.add_config_version(config_version);
@@ -1207,6 +1217,7 @@
   builder_.add_caller(caller);
   builder_.add_rank(rank);
   builder_.add_service(service);
+  builder_.add_redirectable(redirectable);
   builder_.add_at_most_once(at_most_once);
   builder_.add_attempt(attempt);
   return builder_.Finish();
@@ -1231,7 +1242,8 @@
     bool at_most_once = false,
     uint32_t priority = 0,
     uint64_t work_class = 0,
-    uint32_t in_time_ms = 0) {
+    uint32_t in_time_ms = 0,
+    bool redirectable = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto rank__ = rank ? _fbb.CreateString(rank) : 0;
   auto caller__ = caller ? _fbb.CreateString(caller) : 0;
@@ -1261,7 +1273,8 @@
       at_most_once,
       priority,
       work_class,
-      in_time_ms);
+      in_time_ms,
+      redirectable);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3812,7 +3825,8 @@
         at_most_once(o.at_most_once),
         priority(o.priority),
         work_class(o.work_class),
-        in_time_ms(o.in_time_ms) {
+        in_time_ms(o.in_time_ms),
+        redirectable(o.redirectable) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -3836,6 +3850,7 @@
   std::swap(priority, o.priority);
   std::swap(work_class, o.work_class);
   std::swap(in_time_ms, o.in_time_ms);
+  std::swap(redirectable, o.redirectable);
   return *this;
 }
 
@@ -3866,6 +3881,7 @@
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = work_class(); _o->work_class = _e; }
   { auto _e = in_time_ms(); _o->in_time_ms = _e; }
+  { auto _e = redirectable(); _o->redirectable = _e; }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3894,6 +3910,7 @@
   auto _priority = _o->priority;
   auto _work_class = _o->work_class;
   auto _in_time_ms = _o->in_time_ms;
+  auto _redirectable = _o->redirectable;
   return siskinrack::wire::Createcall_request(
       _fbb,
       _service,
@@ -3913,7 +3930,8 @@
       _at_most_once,
       _priority,
       _work_class,
-      _in_time_ms);
+      _in_time_ms,
+      _redirectable);
 }
 
 inline call_answer_t::call_answer_t(const call_answer_t &o)
--- a/lib/admission/controller.cpp
+++ b/lib/admission/controller.cpp
@@ -56,6 +56,8 @@
       return "wait would exceed the target of the rank";
     case refusal::kQueueFull:
       return "queue is full";
+    case refusal::kRedirected:
+      return "answer would be late here";
     case refusal::kUpstreamPause:
       break;
   }
--- a/lib/admission/deadline_controller.cpp
+++ b/lib/admission/deadline_controller.cpp
@@ -56,24 +56,40 @@
   return {timing, call.priority, call.target_time};
 }
 
-nanoseconds deadline_controller::EstimateWait(const timed_arrival& call, time_point now) const {
-  if (running_.size() < slots_ && waiting_.empty()) return nanoseconds(0);
-  urgency own = ComputeUrgency(call, now);
-  // A deferrable call is reclassified as in time before its slack is used up.
-  if (own.timing == urgency::timeliness::kDeferrable) own.timing = urgency::timeliness::kInTime;
+deadline_controller::urgency deadline_controller::ComputeLaterUrgency(const timed_arrival& call,
+                                                                      time_point now) const {
+  urgency later = ComputeUrgency(call, now);
+  if (later.timing == urgency::timeliness::kDeferrable) {
+    later.timing = urgency::timeliness::kInTime;
+  }
+  return later;
+}
+
+nanoseconds deadline_controller::EstimateRunningWork(time_point now) const {
   nanoseconds work{0};
-  for (const auto& [ticket, other] : running_) {
+  for (const auto& [ticket, call] : running_) {
     // A call that has exceeded its estimated service time is expected to need another half of the
     // time that it has run.
-    const nanoseconds age = now - other.started;
-    const nanoseconds service = EstimateServiceTime(other.work_class, now);
+    const nanoseconds age = now - call.started;
+    const nanoseconds service = EstimateServiceTime(call.work_class, now);
     work += age < service ? service - age : age / 2;
   }
+  return work;
+}
+
+nanoseconds deadline_controller::ToWait(nanoseconds work, const urgency& own) const {
+  const nanoseconds wait = work / std::max<std::uint32_t>(1, slots_);
+  return own.timing == urgency::timeliness::kLate ? Scale(wait, kLateWaitFactor) : wait;
+}
+
+nanoseconds deadline_controller::EstimateWait(const timed_arrival& call, time_point now) const {
+  if (running_.size() < slots_ && waiting_.empty()) return nanoseconds(0);
+  const urgency own = ComputeLaterUrgency(call, now);
+  nanoseconds work = EstimateRunningWork(now);
   for (const timed_arrival& other : waiting_) {
     if (ComputeUrgency(other, now) < own) work += EstimateServiceTime(other.work_class, now);
   }
-  const nanoseconds wait = work / std::max<std::uint32_t>(1, slots_);
-  return own.timing == urgency::timeliness::kLate ? Scale(wait, kLateWaitFactor) : wait;
+  return ToWait(work, own);
 }
 
 bool deadline_controller::CanMeetDeadline(const timed_arrival& call, nanoseconds wait,
@@ -91,6 +107,10 @@
   }
   const nanoseconds wait = EstimateWait(call, now);
   if (!CanMeetDeadline(call, wait, now)) return {{call.ticket, false, refusal::kDeadline, wait}};
+  if (call.redirectable &&
+      now + wait + EstimateServiceTime(call.work_class, now) > call.target_time) {
+    return {{call.ticket, false, refusal::kRedirected, wait}};
+  }
   waiting_.push_back(call);
   Dispatch(now, out);
   return out;
@@ -153,11 +173,27 @@
 }
 
 void deadline_controller::RefuseUnmeetable(time_point now, decisions& out) {
-  std::erase_if(waiting_, [&](const timed_arrival& call) {
-    if (CanMeetDeadline(call, nanoseconds(0), now)) return false;
-    out.push_back({call.ticket, false, refusal::kDeadline, nanoseconds(0)});
-    return true;
-  });
+  std::vector<std::pair<urgency, timed_arrival>> order;
+  order.reserve(waiting_.size());
+  for (const timed_arrival& call : waiting_) {
+    order.emplace_back(ComputeLaterUrgency(call, now), call);
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  waiting_.clear();
+  // The calls that can start now don't wait for the running ones.
+  std::size_t free_slots = running_.size() < slots_ ? slots_ - running_.size() : 0;
+  nanoseconds work = EstimateRunningWork(now);
+  for (const auto& [own, call] : order) {
+    const nanoseconds wait = free_slots > 0 ? nanoseconds(0) : ToWait(work, own);
+    if (!CanMeetDeadline(call, wait, now)) {
+      out.push_back({call.ticket, false, refusal::kDeadline, wait});
+      continue;
+    }
+    if (free_slots > 0) --free_slots;
+    work += EstimateServiceTime(call.work_class, now);
+    waiting_.push_back(call);
+  }
 }
 
 void deadline_controller::Run(const timed_arrival& call, time_point now, decisions& out) {
--- a/lib/balancing/selection.cpp
+++ b/lib/balancing/selection.cpp
@@ -136,18 +136,22 @@
 
 selection ChooseByCompletion(std::span<const candidate> candidates, const completion_goal& goal,
                              time_point now, std::uint64_t random) {
+  const double crossing_ms = 2 * kCrossDomainDelayMs + goal.kilobytes * kCrossDomainMsPerKilobyte;
   earliest_completion local(random);
   earliest_completion remote(~random);
   earliest_completion ejected(random * 3);
   time_point first_pause_end = time_point::max();
+  std::size_t in_time = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const bool is_local = candidates[i].same_domain;
     const endpoint_state::view view = candidates[i].state->View(now, goal.expected_service);
     switch (view.ready) {
       case readiness::kAvailable:
-        (candidates[i].same_domain ? local : remote).Offer(i, view.predicted_ms);
+        (is_local ? local : remote).Offer(i, view.predicted_ms);
+        if (view.predicted_ms + (is_local ? 0 : crossing_ms) <= goal.in_time_ms) ++in_time;
         break;
       case readiness::kProbeDue:
-        return {i, {}};
+        return {i, {}, 0};
       case readiness::kEjected:
         if (goal.use_ejected) ejected.Offer(i, view.predicted_ms);
         break;
@@ -156,21 +160,20 @@
         break;
     }
   }
-  const double remote_ms =
-      remote.predicted_ms() + 2 * kCrossDomainDelayMs + goal.kilobytes * kCrossDomainMsPerKilobyte;
-  const bool local_in_time = !local.empty() && local.predicted_ms() <= goal.in_time_ms;
-  const bool remote_in_time = !remote.empty() && remote_ms <= goal.in_time_ms;
   if (!local.empty() && !remote.empty()) {
+    const double remote_ms = remote.predicted_ms() + crossing_ms;
+    const bool local_in_time = local.predicted_ms() <= goal.in_time_ms;
+    const bool only_remote_in_time = !local_in_time && remote_ms <= goal.in_time_ms;
     const bool remote_much_sooner =
         !local_in_time && remote_ms + goal.min_remote_gain_ms < local.predicted_ms();
-    const bool use_remote = (!local_in_time && remote_in_time) || remote_much_sooner;
-    return {use_remote ? remote.index() : local.index(), {}, local_in_time || remote_in_time};
+    const bool use_remote = only_remote_in_time || remote_much_sooner;
+    return {use_remote ? remote.index() : local.index(), {}, in_time};
+  }
+  for (const earliest_completion* best : {&local, &remote, &ejected}) {
+    if (!best->empty()) return {best->index(), {}, in_time};
   }
-  if (!local.empty()) return {local.index(), {}, local_in_time};
-  if (!remote.empty()) return {remote.index(), {}, remote_in_time};
-  if (!ejected.empty()) return {ejected.index(), {}};
   if (first_pause_end == time_point::max()) return {};
-  return {std::nullopt, first_pause_end - now};
+  return {std::nullopt, first_pause_end - now, 0};
 }
 
 selection Choose(std::span<const candidate> candidates, time_point now, std::uint64_t random,
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -163,7 +163,7 @@
 }
 
 std::optional<std::size_t> entry_service::ChooseEndpoint(const service_view& view,
-                                                         const request_state& state) {
+                                                         request_state& state) {
   std::vector<std::size_t> indices;
   std::vector<balancing::candidate> untried;
   for (std::size_t i = 0; i < view.candidates.size(); ++i) {
@@ -182,6 +182,7 @@
       /*use_ejected=*/state.refusals == 0, profile.service(), profile.kilobytes()};
   const auto choice = balancing::ChooseByCompletion(untried, goal, now, random_());
   if (!choice.index) return std::nullopt;
+  state.call.redirectable = choice.in_time_candidates > 1 && state.refusals + 1 < kMaxRefusals;
   return indices[*choice.index];
 }
 
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -77,7 +77,8 @@
   /// Counts the failed attempt in `state`; returns true if another one is allowed.
   [[nodiscard]] bool AllowRetry(request_state& state, const wire::call_answer_t& answer);
   /// Returns the index of an endpoint that was not tried yet, or std::nullopt if there is none.
-  std::optional<std::size_t> ChooseEndpoint(const service_view& view, const request_state& state);
+  /// Sets whether the call may be redirected from it.
+  std::optional<std::size_t> ChooseEndpoint(const service_view& view, request_state& state);
   wire::call_answer_t SendTo(const routing::endpoint& target, request_state& state,
                              net::cancellation& cancel);
   /// Converts the answer to a response; counts the request and logs it.
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -141,10 +141,11 @@
                                                   net::steady_time deadline,
                                                   net::cancellation& cancel) {
   UpdateSlots();
-  const admission::decision decision = gate_->Acquire(
-      admission::timed_arrival{0, call.priority, call.work_class,
-                               steady_clock::now() + milliseconds(call.in_time_ms), deadline},
-      deadline, cancel);
+  const admission::decision decision =
+      gate_->Acquire(admission::timed_arrival{0, call.priority, call.work_class,
+                                              steady_clock::now() + milliseconds(call.in_time_ms),
+                                              deadline, call.redirectable},
+                     deadline, cancel);
   if (!decision.admitted) {
     return MakeNotRunAnswer(answer_cause::no_capacity, admission::ToText(decision.reason),
                             std::chrono::ceil<milliseconds>(decision.retry_after));
--- a/unittests/admission/deadline_controller_test.cpp
+++ b/unittests/admission/deadline_controller_test.cpp
@@ -150,5 +150,36 @@
   }
 }
 
+// Guards against queuing at a busy upstream while another one is free: the entry node's load report
+// was old when it chose.
+TEST_F(deadline_controller_test, RedirectableCallIsRefusedIfItWouldBeLate) {
+  RecordServiceTime(1);
+  ASSERT_TRUE(IsAdmitted(Offer(1, 1, 5'000, 9'000, 200), 1));
+  ASSERT_TRUE(Offer(2, 1, 5'000, 9'000, 200).empty());
+  timed_arrival call{3, 1, 1, At(350), At(9'000), /*redirectable=*/true};
+  const decisions late = controller_.Offer(call, At(200));
+  ASSERT_TRUE(IsRefused(late, 3));
+  EXPECT_EQ(late.front().reason, refusal::kRedirected);
+  call.target_time = At(600);
+  EXPECT_TRUE(controller_.Offer(call, At(200)).empty());
+  call.ticket = 4;
+  call.target_time = At(350);
+  call.redirectable = false;
+  EXPECT_TRUE(controller_.Offer(call, At(200)).empty());
+}
+
+// Guards against a call that is kept waiting until shortly before its deadline although urgent
+// calls that arrived after it made its deadline unreachable: replays a burst of urgent calls.
+TEST_F(deadline_controller_test, OvertakenCallIsRefusedAtOnce) {
+  RecordServiceTime(0), RecordServiceTime(2);
+  ASSERT_TRUE(IsAdmitted(Offer(1, 0, 1'000, 9'000, 200), 1));
+  ASSERT_TRUE(Offer(2, 2, 800, 1'000, 200).empty());
+  bool refused = false;
+  for (std::uint64_t ticket = 3; ticket < 20 && !refused; ++ticket) {
+    refused = IsRefused(Offer(ticket, 0, 700, 9'000, 210), 2);
+  }
+  EXPECT_TRUE(refused);
+}
+
 }  // namespace
 }  // namespace siskinrack::admission
