admission, balancing: waits by slot; upstreams that refuse calls cost their callers

Their short queues attracted more calls; 10,664 of 44,203 arrivals were refused, and 9,164 of 26,232 runs of the calling service failed with them. Change: slot_timeline predicts the start of each waiting call by list scheduling. The rate at which an upstream refuses calls itself counts with the target latency of the route as the cost of a refusal. Tests: FirstWaitingCallWaitsForTheFirstFreeSlotOnly, UpstreamThatRefusesCallsIsAvoidedByTheCostOfARefusal; both fail before.

--- a/include/siskinrack/admission/deadline_controller.h
+++ b/include/siskinrack/admission/deadline_controller.h
@@ -27,6 +27,23 @@
   bool redirectable = false;
 };
 
+/// Predicts when the slots of an upstream become free if calls start in a given order, each on the
+/// first free slot.
+class slot_timeline {
+ public:
+  /// Constructs a timeline on which all slots are free at `now`. 0 slots count as 1.
+  slot_timeline(std::uint32_t slots, time_point now);
+
+  /// Occupies the first free slot for `time`.
+  void Occupy(nanoseconds time);
+  /// Returns when the next call can start.
+  [[nodiscard]] time_point first_free() const { return free_at_.front(); }
+
+ private:
+  /// Min-heap.
+  std::vector<time_point> free_at_;
+};
+
 /// Controls the admission of calls to one upstream by the remaining worth of their answers. Calls
 /// that can be answered in time run first, then late calls, then calls with enough slack to be
 /// deferred; each group runs by priority, then by target time. A call that has to wait and is not
@@ -96,11 +113,11 @@
   /// Like ComputeUrgency, but counts a deferrable call as in time: it is reclassified before its
   /// slack is used up.
   [[nodiscard]] urgency ComputeLaterUrgency(const timed_arrival& call, time_point now) const;
-  /// Returns the expected sum of the remaining service times of the running calls.
-  [[nodiscard]] nanoseconds EstimateRunningWork(time_point now) const;
+  /// Returns when the slots are expected to become free of the running calls.
+  [[nodiscard]] slot_timeline EstimateSlotTimes(time_point now) const;
   [[nodiscard]] nanoseconds EstimateWait(const timed_arrival& call, time_point now) const;
-  /// Returns the expected wait of a call of `urgency` for a slot behind `work`.
-  [[nodiscard]] nanoseconds ToWait(nanoseconds work, const urgency& own) const;
+  /// Returns the wait, longer for a late call: calls that arrive meanwhile run before it.
+  static nanoseconds ScaleWait(nanoseconds wait, const urgency& own);
   [[nodiscard]] bool CanMeetDeadline(const timed_arrival& call, nanoseconds wait,
                                      time_point now) const;
   void Dispatch(time_point now, decisions& out);
--- a/include/siskinrack/balancing/endpoint_state.h
+++ b/include/siskinrack/balancing/endpoint_state.h
@@ -21,8 +21,10 @@
   /// No answer by the deadline. Counts as a failure only if the call lasted longer than
   /// AnswerTimeout, so that a caller with a very short deadline does not eject an endpoint.
   kTimedOut,
-  /// Refused without running the call.
+  /// Refused by the serving node without running the call; the report tells the load.
   kRefused,
+  /// Refused by the upstream itself without running the call.
+  kShed,
   /// The caller disconnected; not evidence about the endpoint.
   kAbandoned,
 };
@@ -76,6 +78,8 @@
     double cost_ms = 0;
     /// Expected time until a call sent now is answered: wait for a slot, service time and penalty.
     double predicted_ms = 0;
+    /// Fraction of the recent calls that the upstream itself refused.
+    double shed_rate = 0;
     /// End of the pause that the upstream requested; a past time if there is none.
     time_point paused_until;
   };
@@ -103,6 +107,7 @@
   }
   void OnFailure(time_point now);
   void UpdatePenalty(double penalty_ms, time_point now);
+  void UpdateShedRate(double sample, time_point now);
   [[nodiscard]] double PenaltyMs(time_point now) const;
 
   mutable std::mutex mutex_;
@@ -116,6 +121,8 @@
   std::size_t in_flight_at_report_ = 0;
   double penalty_ms_ = 0;
   time_point penalty_updated_at_;
+  double shed_rate_ = 0;
+  time_point shed_rate_updated_at_;
   /// Number of calls that ran or waited at the upstream according to its last report.
   double load_ = 0;
   time_point load_reported_at_;
--- a/include/siskinrack/balancing/selection.h
+++ b/include/siskinrack/balancing/selection.h
@@ -35,6 +35,10 @@
   bool use_ejected = true;
   /// Expected service time of the call at an average upstream; zero if unknown.
   nanoseconds expected_service{0};
+  /// Waiting time that a refusal by the upstream is worth: the caller has to come back, or the
+  /// work of the upstream that made the call is lost. Answers the load pattern of upstreams that
+  /// refuse a part of their calls at once and therefore look faster than the others.
+  double refusal_cost_ms = 0;
   /// Expected size of the request and its answer, in kilobytes.
   double kilobytes = 0;
 };
--- a/lib/admission/deadline_controller.cpp
+++ b/lib/admission/deadline_controller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace siskinrack::admission {
 namespace {
@@ -37,6 +38,15 @@
 
 }  // namespace
 
+slot_timeline::slot_timeline(std::uint32_t slots, time_point now)
+    : free_at_(std::max<std::uint32_t>(1, slots), now) {}
+
+void slot_timeline::Occupy(nanoseconds time) {
+  std::pop_heap(free_at_.begin(), free_at_.end(), std::greater<>{});
+  free_at_.back() += time;
+  std::push_heap(free_at_.begin(), free_at_.end(), std::greater<>{});
+}
+
 nanoseconds deadline_controller::EstimateServiceTime(std::uint64_t work_class,
                                                      time_point now) const {
   const auto found = service_times_.find(work_class);
@@ -65,31 +75,32 @@
   return later;
 }
 
-nanoseconds deadline_controller::EstimateRunningWork(time_point now) const {
-  nanoseconds work{0};
+slot_timeline deadline_controller::EstimateSlotTimes(time_point now) const {
+  slot_timeline slots(slots_, now);
   for (const auto& [ticket, call] : running_) {
     // A call that has exceeded its estimated service time is expected to need another half of the
     // time that it has run.
     const nanoseconds age = now - call.started;
     const nanoseconds service = EstimateServiceTime(call.work_class, now);
-    work += age < service ? service - age : age / 2;
+    slots.Occupy(age < service ? service - age : age / 2);
   }
-  return work;
+  return slots;
 }
 
-nanoseconds deadline_controller::ToWait(nanoseconds work, const urgency& own) const {
-  const nanoseconds wait = work / std::max<std::uint32_t>(1, slots_);
+nanoseconds deadline_controller::ScaleWait(nanoseconds wait, const urgency& own) {
   return own.timing == urgency::timeliness::kLate ? Scale(wait, kLateWaitFactor) : wait;
 }
 
 nanoseconds deadline_controller::EstimateWait(const timed_arrival& call, time_point now) const {
   if (running_.size() < slots_ && waiting_.empty()) return nanoseconds(0);
   const urgency own = ComputeLaterUrgency(call, now);
-  nanoseconds work = EstimateRunningWork(now);
+  slot_timeline slots = EstimateSlotTimes(now);
   for (const timed_arrival& other : waiting_) {
-    if (ComputeUrgency(other, now) < own) work += EstimateServiceTime(other.work_class, now);
+    if (ComputeUrgency(other, now) < own) {
+      slots.Occupy(EstimateServiceTime(other.work_class, now));
+    }
   }
-  return ToWait(work, own);
+  return ScaleWait(slots.first_free() - now, own);
 }
 
 bool deadline_controller::CanMeetDeadline(const timed_arrival& call, nanoseconds wait,
@@ -181,17 +192,14 @@
   std::stable_sort(order.begin(), order.end(),
                    [](const auto& a, const auto& b) { return a.first < b.first; });
   waiting_.clear();
-  // The calls that can start now don't wait for the running ones.
-  std::size_t free_slots = running_.size() < slots_ ? slots_ - running_.size() : 0;
-  nanoseconds work = EstimateRunningWork(now);
+  slot_timeline slots = EstimateSlotTimes(now);
   for (const auto& [own, call] : order) {
-    const nanoseconds wait = free_slots > 0 ? nanoseconds(0) : ToWait(work, own);
+    const nanoseconds wait = ScaleWait(slots.first_free() - now, own);
     if (!CanMeetDeadline(call, wait, now)) {
       out.push_back({call.ticket, false, refusal::kDeadline, wait});
       continue;
     }
-    if (free_slots > 0) --free_slots;
-    work += EstimateServiceTime(call.work_class, now);
+    slots.Occupy(EstimateServiceTime(call.work_class, now));
     waiting_.push_back(call);
   }
 }
--- a/lib/balancing/endpoint_state.cpp
+++ b/lib/balancing/endpoint_state.cpp
@@ -45,6 +45,7 @@
   const double load = Decay(load_, now - load_reported_at_, kLoadTimeConstant);
   result.cost_ms = latency * (static_cast<double>(in_flight_) + load + 1) / slots_;
   result.predicted_ms = PredictedMs(now, expected_service);
+  result.shed_rate = Decay(shed_rate_, now - shed_rate_updated_at_, kPenaltyTimeConstant);
   result.paused_until = paused_until_;
   if (now < paused_until_) {
     result.ready = readiness::kPaused;
@@ -104,8 +105,15 @@
       latency_ms_ += (sample - latency_ms_) * (latency_ms_ > 0 ? kLatencyWeight : 1);
       consecutive_failures_ = 0;
       UpdatePenalty(0, now);
+      UpdateShedRate(0, now);
       break;
     }
+    case call_outcome::kShed:
+      // The upstream answers, so the endpoint has not failed.
+      consecutive_failures_ = 0;
+      UpdatePenalty(kRefusalPenaltyMs, now);
+      UpdateShedRate(1, now);
+      break;
     case call_outcome::kFailed:
       OnFailure(now);
       break;
@@ -139,6 +147,12 @@
   penalty_updated_at_ = now;
 }
 
+void endpoint_state::UpdateShedRate(double sample, time_point now) {
+  shed_rate_ = Decay(shed_rate_, now - shed_rate_updated_at_, kPenaltyTimeConstant);
+  shed_rate_ += (sample - shed_rate_) * kLatencyWeight;
+  shed_rate_updated_at_ = now;
+}
+
 double endpoint_state::PenaltyMs(time_point now) const {
   const double penalty = Decay(penalty_ms_, now - penalty_updated_at_, kPenaltyTimeConstant);
   return penalty < kNegligiblePenaltyMs ? 0 : penalty;
--- a/lib/balancing/selection.cpp
+++ b/lib/balancing/selection.cpp
@@ -144,11 +144,13 @@
   std::size_t in_time = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const bool is_local = candidates[i].same_domain;
+    double predicted_ms = 0;
     const endpoint_state::view view = candidates[i].state->View(now, goal.expected_service);
     switch (view.ready) {
       case readiness::kAvailable:
-        (is_local ? local : remote).Offer(i, view.predicted_ms);
-        if (view.predicted_ms + (is_local ? 0 : crossing_ms) <= goal.in_time_ms) ++in_time;
+        predicted_ms = view.predicted_ms + view.shed_rate * goal.refusal_cost_ms;
+        (is_local ? local : remote).Offer(i, predicted_ms);
+        if (predicted_ms + (is_local ? 0 : crossing_ms) <= goal.in_time_ms) ++in_time;
         break;
       case readiness::kProbeDue:
         return {i, {}, 0};
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -48,8 +48,9 @@
     case answer_cause::none:
       return answer.status >= kFirstServerError ? call_outcome::kFailed : call_outcome::kAnswered;
     case answer_cause::no_capacity:
-    case answer_cause::refused_by_upstream:
       return call_outcome::kRefused;
+    case answer_cause::refused_by_upstream:
+      return call_outcome::kShed;
     case answer_cause::timed_out:
       return call_outcome::kTimedOut;
     case answer_cause::quarantined:
@@ -177,9 +178,13 @@
   const auto now = steady_clock::now();
   const auto left = std::chrono::duration<double, std::milli>(state.in_time_by - now);
   const balancing::call_profile& profile = profiles_[state.call.work_class];
-  const balancing::completion_goal goal{
-      left.count() * kInTimeFraction, static_cast<double>(state.route->target_latency.count()),
-      /*use_ejected=*/state.refusals == 0, profile.service(), profile.kilobytes()};
+  const auto target = static_cast<double>(state.route->target_latency.count());
+  const balancing::completion_goal goal{.in_time_ms = left.count() * kInTimeFraction,
+                                        .min_remote_gain_ms = target,
+                                        .use_ejected = state.refusals == 0,
+                                        .expected_service = profile.service(),
+                                        .refusal_cost_ms = target,
+                                        .kilobytes = profile.kilobytes()};
   const auto choice = balancing::ChooseByCompletion(untried, goal, now, random_());
   if (!choice.index) return std::nullopt;
   state.call.redirectable = choice.in_time_candidates > 1 && state.refusals + 1 < kMaxRefusals;
--- a/unittests/admission/deadline_controller_test.cpp
+++ b/unittests/admission/deadline_controller_test.cpp
@@ -181,5 +181,19 @@
   EXPECT_TRUE(refused);
 }
 
+// Guards against refusing the first waiting call because the running calls need long on average: it
+// starts as soon as one of them ends. Replays a call of a new route that had been deferred.
+TEST(deadline_controller_slots_test, FirstWaitingCallWaitsForTheFirstFreeSlotOnly) {
+  deadline_controller controller(4);
+  controller.Offer({100, 1, 1, At(9'000), At(9'000)}, At(0));
+  controller.Finish(100, call_result::kAnswered, At(400));
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    controller.Offer({i, 1, 1, At(9'000), At(9'000)}, At(400 + 30 * static_cast<int>(i)));
+  }
+  // The running calls are expected to end between 754 and 844; the waiting one takes 50 ms.
+  ASSERT_TRUE(controller.Offer({10, 0, 2, At(840), At(840)}, At(600)).empty());
+  EXPECT_TRUE(controller.Advance(At(600)).empty());
+}
+
 }  // namespace
 }  // namespace siskinrack::admission
--- a/unittests/balancing/completion_test.cpp
+++ b/unittests/balancing/completion_test.cpp
@@ -80,7 +80,7 @@
   const auto local = Add(true, 200);
   const auto remote = Add(false, 200);
   Load(local, 8);
-  goal_ = {400, 500, true, milliseconds(80), /*kilobytes=*/90};
+  goal_ = {400, 500, true, milliseconds(80), 0, /*kilobytes=*/90};
   EXPECT_EQ(Share(local, 400), 1.0);
   goal_.kilobytes = 1;
   EXPECT_EQ(Share(remote, 400), 1.0);
@@ -92,7 +92,7 @@
   const auto local = Add(true, 200);
   const auto remote = Add(false, 200);
   Load(local, 40);
-  goal_ = {400, 500, true, milliseconds(80), /*kilobytes=*/90};
+  goal_ = {400, 500, true, milliseconds(80), 0, /*kilobytes=*/90};
   EXPECT_EQ(Share(remote, 400), 1.0);
 }
 
@@ -122,6 +122,21 @@
   EXPECT_EQ(Share(fast, 400), 1.0);
 }
 
+// Guards against preferring an upstream that refuses half of its calls at once: its short queue
+// attracted calls, and each refused nested call wasted the work of its parent.
+TEST_F(completion_test, UpstreamThatRefusesCallsIsAvoidedByTheCostOfARefusal) {
+  const auto shedding = Add(true, 50);
+  const auto busy = Add(true, 100);
+  for (int i = 0; i < 20; ++i) {
+    const auto outcome = i % 2 == 0 ? call_outcome::kShed : call_outcome::kAnswered;
+    candidates_[shedding].state->Start(At(0));
+    candidates_[shedding].state->Finish({outcome, milliseconds(50), {}, {}, milliseconds(50)},
+                                        At(0));
+  }
+  goal_.refusal_cost_ms = 500;
+  EXPECT_EQ(Share(busy, 400), 1.0);
+}
+
 TEST(call_profile_test, AveragesTheFirstAnswersAndFollowsLaterOnes) {
   call_profile profile;
   EXPECT_EQ(profile.service(), milliseconds(0));
