mesh: a series of configurations is read once per pause

Ruled out: time for parsing (mean processor use 0.016 of a core). Change: the pause is a fraction of the platform's time limits; in a series the feed reads the current configuration only.

--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -27,10 +27,14 @@
 /// memory several times: as read from the caller, as a frame, and as received by the other node. A
 /// few bodies at once have to fit into the memory of a small VM.
 constexpr std::size_t kBodyMemoryDivisor = 16;
-/// Pause after a watch call that returned changes; changes made in it arrive in one call.
-/// Configurations and departures have to reach all nodes within 2 s.
-constexpr milliseconds kConfigWatchPause{400};
-constexpr milliseconds kEndpointWatchPause{800};
+/// Pause after a watch call that returned changes, as a fraction of the time within which these
+/// must have an effect; changes made in the pause arrive in one call. Leaves the rest for the call
+/// itself, one repetition of it and the activation.
+constexpr double kWatchPauseFraction = 0.4;
+
+milliseconds ComputeWatchPause(milliseconds limit) {
+  return std::chrono::duration_cast<milliseconds>(limit * kWatchPauseFraction);
+}
 
 }  // namespace
 
@@ -54,9 +58,13 @@
                      registration_.OnOwnRecord(id, revision);
                    }),
         config_feed_(context_, platform_adapter::kConfigurationKind,
-                     platform_adapter::read_freshness::kCurrent, configs_, kConfigWatchPause),
+                     platform_adapter::read_freshness::kCurrent, configs_,
+                     ComputeWatchPause(context_.settings.activation_limit),
+                     platform_adapter::kConfigurationName),
         endpoint_feed_(context_, kEndpointKind, platform_adapter::read_freshness::kMayBeStale,
-                       endpoints_, kEndpointWatchPause),
+                       endpoints_,
+                       ComputeWatchPause(std::min(context_.settings.activation_limit,
+                                                  context_.settings.drain_period))),
         monitor_(
             context_,
             [this] { return std::max(config_feed_.revision(), endpoint_feed_.revision()); },
--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -20,15 +20,25 @@
 /// Follows the objects of one kind: lists them, then watches for changes, and lists again when the
 /// store has discarded the history since the last revision. `Consumer` has OnList(object_listing)
 /// and OnChange(object_change).
+///
+/// A watch call returns every version of an object since the last call. During a series of changes
+/// of a large object, its versions would saturate the link of a small VM. A feed with a polled
+/// object therefore reads only its current version, once per pause, until the series ends.
 template <typename Consumer>
 class object_feed {
  public:
-  /// `pause` is the time from a watch call that returned changes to the next one; changes made in
-  /// it arrive together.
+  /// `pause` is the time between two calls during a series of changes; changes made in it arrive
+  /// together. `polled` is the name of the object that is read during a series; if it is empty, the
+  /// feed goes on watching.
   object_feed(mesh_context& context, std::string_view kind,
               platform_adapter::read_freshness freshness, Consumer& consumer,
-              std::chrono::milliseconds pause)
-      : context_(context), kind_(kind), freshness_(freshness), consumer_(consumer), pause_(pause) {}
+              std::chrono::milliseconds pause, std::string_view polled = {})
+      : context_(context),
+        kind_(kind),
+        freshness_(freshness),
+        consumer_(consumer),
+        pause_(pause),
+        polled_(polled) {}
 
   /// Runs until the process ends, in a fiber of its own.
   void Run() {
@@ -53,6 +63,10 @@
   }
 
  private:
+  /// The pause after a single change is `pause_` divided by this number: short enough that a second
+  /// watch call returns few versions if the change began a series.
+  static constexpr int kSeriesDetectionDivisor = 4;
+
   void List() {
     // A stale list may be older than the remaining history, so that no watch could continue from
     // it.
@@ -86,7 +100,34 @@
     for (std::size_t i = 0; i < changes.events.size(); ++i) {
       if (!IsSuperseded(changes.events, i)) consumer_.OnChange(std::move(changes.events[i]));
     }
-    if (!changes.events.empty() && pause_.count() > 0) net::SleepFor(pause_);
+    if (!changes.events.empty()) AwaitMoreChanges();
+  }
+
+  /// Waits after a change, so that further ones arrive with fewer calls.
+  void AwaitMoreChanges() {
+    if (polled_.empty()) return net::SleepFor(pause_);
+    const auto now = std::chrono::steady_clock::now();
+    const bool is_series = now - last_change_ < 2 * pause_;
+    last_change_ = now;
+    if (!is_series) return net::SleepFor(pause_ / kSeriesDetectionDivisor);
+    while (PollOnce()) {
+    }
+  }
+
+  /// Reads the polled object after a pause; returns false if it has not changed or can't be read.
+  bool PollOnce() {
+    net::SleepFor(pause_);
+    auto result = context_.store.Get(kind_, polled_);
+    if (const auto* error = std::get_if<platform_adapter::store_error>(&result)) {
+      OnError(*error);
+      return false;
+    }
+    auto& object = std::get<platform_adapter::versioned_object>(result);
+    if (object.revision <= revision_) return false;
+    revision_ = object.revision;
+    last_change_ = std::chrono::steady_clock::now();
+    consumer_.OnChange({std::move(object), /*deleted=*/false});
+    return true;
   }
 
   /// Returns true if a later event of the batch is about the same object.
@@ -118,6 +159,9 @@
   platform_adapter::read_freshness freshness_;
   Consumer& consumer_;
   std::chrono::milliseconds pause_;
+  std::string_view polled_;
+  /// Time of the last change of a feed with a polled object.
+  net::steady_time last_change_{};
   bool listed_ = false;
   bool history_gone_ = false;
   /// True after a failure, until a watch call has shown that its connection works.
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -169,7 +169,9 @@
       {"portRange", {kMetricsPort, kMetricsPort + 10}},
       {"heartbeatS", 0.5},
       {"limits", {{"memoryMb", 260}}},
-      {"bounds", {"drainS=1", "graceS=6", "budgetRatio=0.2", "budgetExtra=60", "budgetWindowS=10"}},
+      {"bounds",
+       {"configApplyS=2", "drainS=1", "graceS=6", "budgetRatio=0.2", "budgetExtra=60",
+        "budgetWindowS=10"}},
       {"platform", {{"address", network_ + "251:" + std::to_string(kStorePort)}}}};
   std::ofstream(MakePath(machine, ".json")) << json::serialize(settings);
 }
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -138,6 +138,25 @@
   }
 }
 
+// Guards against store calls at full cost whose number grows with the fleet times the changes: each
+// version of a series ended one watch call of every node.
+TEST_F(mesh_test, SeriesOfVersionsCausesFewWatchCalls) {
+  ASSERT_EQ(fleet_.Send(0, "/dock/x").response.status, 200U);
+  const std::size_t before = fleet_.store().CountNonStaleCalls("config");
+  const auto end = steady_clock::now() + milliseconds(5'000);
+  std::uint64_t version = 10;
+  for (; steady_clock::now() < end; ++version) {
+    fleet_.Configure(version);
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  fleet_.Configure(version, "dock");
+  EXPECT_TRUE(Eventually(milliseconds(2'000),
+                         [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
+  // Each node makes two watch calls, a read every 0.8 s, and at the end one read and one watch
+  // call.
+  EXPECT_LE(fleet_.store().CountNonStaleCalls("config") - before, 3U * (2 + 7 + 2));
+}
+
 // Guards against an older version that replaces the active one.
 TEST_F(mesh_test, OlderVersionIsNotActivated) {
   fleet_.Configure(5, "dock");
--- a/unittests/platform/platform_codec_test.cpp
+++ b/unittests/platform/platform_codec_test.cpp
@@ -17,7 +17,7 @@
   "listen": {"inbound": "10.1.0.35:8145", "outbound": "10.1.0.35:8141",
              "ready": "10.1.0.35:8140", "control": "10.1.0.35:8146"},
   "portRange": [7660, 7675], "limits": {"cpuShare": 0.2, "memoryMb": 260}, "heartbeatS": 1.5,
-  "bounds": ["drainS=2", "graceS=6", "budgetRatio=0.2", "budgetWindowS=10", "budgetExtra=62",
+  "bounds": ["configApplyS=2.5", "drainS=2", "graceS=6", "budgetRatio=0.2", "budgetWindowS=10", "budgetExtra=62",
              "someFlag=true"],
   "appAddr": "10.1.0.35:8147", "service": "huvo11a", "somethingNew": [1, 2],
   "platform": {"address": "10.200.1.7:8142"}})";
@@ -30,6 +30,7 @@
   EXPECT_EQ(settings.heartbeat_address.ToText(), "10.1.0.35:8146");
   EXPECT_EQ(settings.store_address.ToText(), "10.200.1.7:8142");
   EXPECT_EQ(settings.heartbeat_interval, milliseconds(1500));
+  EXPECT_EQ(settings.activation_limit, milliseconds(2500));
   EXPECT_EQ(settings.drain_period, milliseconds(2000));
   EXPECT_DOUBLE_EQ(settings.retries.extra, 62);
   EXPECT_EQ(settings.memory_bytes, 260'000'000U);
