net: responses without end are closed within a bound of bytes

Cause: the client's parser sets no limit to a chunk header or a trailer section, and the client skipped interim responses and responses to other requests until its deadline: in 20 s it took 7.1 GB of a chunk extension, 124 MB of trailers and 357 MB of interim responses. Bodies were bounded one by one only (16 MB each). Change: the receive buffer is bounded to 64 KiB, skipped responses to 16, and the bodies that are received at once to an eighth of the memory of the VM. All of these end as 'may have run'.

--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -56,12 +57,16 @@
 /// called from fibers of the runtime.
 class http_client {
  public:
-  explicit http_client(fiber_runtime& runtime, std::size_t max_idle_per_thread = 64);
+  /// `body_budget` bounds the bytes of all response bodies that are being received; an exchange
+  /// that exceeds it fails. A server may send a body without end.
+  explicit http_client(fiber_runtime& runtime, std::size_t max_idle_per_thread = 64,
+                       std::size_t body_budget = std::numeric_limits<std::size_t>::max());
   ~http_client();
 
   /// Sends a request and waits for the response, `deadline` or a cancellation. A cancelled or
   /// timed-out exchange closes its connection, so that a late response isn't matched to a later
-  /// request.
+  /// request. A response is bounded in the size of its header section, its body (kMaxResponseBytes)
+  /// and its framing, and in the number of interim and other responses before it.
   http_result Send(const support::socket_address& address, http_request request,
                    steady_time deadline, cancellation* cancel = nullptr,
                    const exchange_options& options = {});
--- a/lib/mesh/mesh_context.h
+++ b/lib/mesh/mesh_context.h
@@ -31,7 +31,8 @@
         peer{settings.node_id, &clock, &traffic, settings.ip},
         runtime(1),
         store(runtime, settings.store_address),
-        upstream_client(runtime),
+        upstream_client(runtime, kMaxIdleUpstreamConnections,
+                        settings.memory_bytes / kResponseMemoryDivisor),
         peers(runtime, peer, {.dial_timeout = kPeerDialTimeout, .backoff_max = kPeerBackoffMax}) {}
 
   /// Returns the active configuration version, or 0 if there is none.
@@ -44,6 +45,11 @@
   static constexpr std::chrono::milliseconds kPeerDialTimeout{250};
   static constexpr std::chrono::milliseconds kPeerBackoffMax{800};
 
+  static constexpr std::size_t kMaxIdleUpstreamConnections = 64;
+  /// Response bodies that are being received take at most the memory of the VM divided by this
+  /// number. They are copied into a frame for the entry node when they are complete.
+  static constexpr std::size_t kResponseMemoryDivisor = 8;
+
   platform_adapter::machine_settings settings;
   support::hybrid_clock clock;
   support::event_log log;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -21,17 +21,45 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 using detail::Await;
+using response_parser = http::response_parser<http::string_body>;
 
 constexpr unsigned kStatusOk = 200;
 /// Time before the announced close of an idle connection at which the client stops reusing it. A
 /// request sent later could arrive after the server has closed the connection.
 constexpr std::chrono::milliseconds kCloseMargin{500};
 
+/// Largest number of received bytes that wait to be parsed. The parser needs a whole header
+/// section, chunk header or trailer section at once and sets no limit to the latter two.
+constexpr std::size_t kMaxBufferedBytes = 4 * kMaxHeaderBytes;
+/// Limit of the interim responses and the responses to other requests that precede a response.
+constexpr int kMaxSkippedResponses = 16;
+
+/// Counts the bytes of one response body in the total of its client.
+class body_share {
+ public:
+  body_share(std::size_t& total, std::size_t budget) : total_(total), budget_(budget) {}
+  ~body_share() { total_ -= own_; }
+  body_share(const body_share&) = delete;
+  body_share& operator=(const body_share&) = delete;
+
+  /// Sets the number of bytes; returns false if the budget is exceeded.
+  [[nodiscard]] bool Set(std::size_t bytes) {
+    total_ += bytes - own_;
+    own_ = bytes;
+    return total_ <= budget_;
+  }
+
+ private:
+  std::size_t& total_;
+  std::size_t budget_;
+  std::size_t own_ = 0;
+};
+
 /// Connection to a server, used on one thread only.
 struct connection {
   explicit connection(asio::io_context& io) : stream(io) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   steady_time idle_since{};
   /// Time after which the connection isn't reused because the server is about to close it,
   /// according to its Keep-Alive field.
@@ -65,8 +93,11 @@
 
 class http_client::impl {
  public:
-  impl(fiber_runtime& runtime, std::size_t max_idle)
-      : max_idle_(max_idle), idle_(runtime.thread_count()) {}
+  impl(fiber_runtime& runtime, std::size_t max_idle, std::size_t body_budget)
+      : max_idle_(max_idle),
+        body_budget_(body_budget / runtime.thread_count()),
+        idle_(runtime.thread_count()),
+        body_bytes_(runtime.thread_count()) {}
 
   http_result Send(const support::socket_address& address, http_request request,
                    steady_time deadline, cancellation* cancel, const exchange_options& options) {
@@ -146,22 +177,19 @@
 
   /// Sends a request and reads its response. Sets `keep_alive` to true if the connection can be
   /// reused; otherwise leaves it unchanged.
-  static http_result Exchange(const connection_ptr& conn, detail::beast_request message,
-                              const exchange_options& options, bool& keep_alive) {
+  http_result Exchange(const connection_ptr& conn, detail::beast_request message,
+                       const exchange_options& options, bool& keep_alive) {
     const bool is_head = message.method() == http::verb::head;
     const auto pending = StartWrite(conn, std::move(message));
     bool response_skipped = false;
-    while (true) {
-      http::response_parser<http::string_body> parser;
+    for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
+      response_parser parser;
       parser.header_limit(kMaxHeaderBytes);
       parser.body_limit(kMaxResponseBytes);
       if (is_head) parser.skip(true);
-      const auto read = Await<std::size_t>(
-          [&](auto handler) { http::async_read(conn->stream, conn->buffer, parser, handler); });
-      if (read.error) {
+      if (const auto error = ReadResponse(*conn, parser)) {
         const bool nothing_sent = pending->done && pending->error && !pending->any_byte_sent;
-        return MakeFailure(nothing_sent ? exchange_stage::kNotSent : exchange_stage::kSent,
-                           read.error);
+        return MakeFailure(nothing_sent ? exchange_stage::kNotSent : exchange_stage::kSent, error);
       }
       const bool is_interim = parser.get().result_int() < kStatusOk;
       const bool reusable = parser.get().keep_alive() && !parser.get().need_eof();
@@ -179,6 +207,20 @@
                    conn->buffer.size() == 0;
       return {exchange_stage::kAnswered, std::move(response), {}, false};
     }
+    return {
+        exchange_stage::kSent, {}, "too many responses that don't belong to the request", false};
+  }
+
+  /// Reads one response into `parser`.
+  boost::system::error_code ReadResponse(connection& conn, response_parser& parser) {
+    body_share share(body_bytes_[fiber_runtime::GetCurrentThreadIndex()], body_budget_);
+    while (!parser.is_done()) {
+      const auto read = Await<std::size_t>(
+          [&](auto handler) { http::async_read_some(conn.stream, conn.buffer, parser, handler); });
+      if (read.error) return read.error;
+      if (!share.Set(parser.get().body().size())) return http::error::body_limit;
+    }
+    return {};
   }
 
   /// Sets `closes_at` from the value of a Keep-Alive field (timeout=N, in whole seconds).
@@ -220,12 +262,17 @@
   }
 
   std::size_t max_idle_;
+  /// Limit of the bytes that one thread receives at a time.
+  std::size_t body_budget_;
   /// Idle connections by thread; each pool is used on its thread only.
   std::vector<pool> idle_;
+  /// Bytes of the bodies that are being received, by thread.
+  std::vector<std::size_t> body_bytes_;
 };
 
-http_client::http_client(fiber_runtime& runtime, std::size_t max_idle_per_thread)
-    : impl_(std::make_unique<impl>(runtime, max_idle_per_thread)) {}
+http_client::http_client(fiber_runtime& runtime, std::size_t max_idle_per_thread,
+                         std::size_t body_budget)
+    : impl_(std::make_unique<impl>(runtime, max_idle_per_thread, body_budget)) {}
 
 http_client::~http_client() = default;
 
--- /dev/null
+++ b/unittests/net/http_client_test.cpp
@@ -0,0 +1,196 @@
+#include "siskinrack/net/http_client.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+namespace siskinrack::net {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// Bytes that the client may receive of a response without end: its body limit, and what the socket
+/// buffers of both sides hold.
+constexpr std::size_t kSocketBufferBytes = 12U << 20U;
+
+/// Server that reads one request per connection and answers it with `first`, followed by `rest`
+/// until the client closes the connection, or once if `endless` is false.
+class raw_server {
+ public:
+  raw_server(std::string first, std::string rest, bool endless)
+      : first_(std::move(first)), rest_(std::move(rest)), endless_(endless) {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), size), 0);
+    EXPECT_EQ(listen(listener_, 64), 0);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    acceptor_ = std::thread([this] { Accept(); });
+  }
+  ~raw_server() {
+    shutdown(listener_, SHUT_RDWR);
+    acceptor_.join();
+    for (std::thread& connection : connections_) connection.join();
+    close(listener_);
+  }
+  raw_server(const raw_server&) = delete;
+  raw_server& operator=(const raw_server&) = delete;
+
+  [[nodiscard]] support::socket_address address() const { return {"127.0.0.1", port_}; }
+  /// Returns the number of bytes that were passed to the sockets.
+  [[nodiscard]] std::size_t sent() const { return sent_; }
+
+ private:
+  void Accept() {
+    for (int fd = 0; (fd = accept(listener_, nullptr, nullptr)) >= 0;) {
+      connections_.emplace_back([this, fd] { Serve(fd); });
+    }
+  }
+  void Serve(int fd) {
+    char request[4096];
+    if (recv(fd, request, sizeof request, 0) > 0 && SendAll(fd, first_) && SendAll(fd, rest_)) {
+      while (endless_ && SendAll(fd, rest_)) {
+      }
+    }
+    close(fd);
+  }
+  bool SendAll(int fd, const std::string& bytes) {
+    const ssize_t size = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (size > 0) sent_ += static_cast<std::size_t>(size);
+    return size == static_cast<ssize_t>(bytes.size());
+  }
+
+  std::string first_;
+  std::string rest_;
+  bool endless_;
+  int listener_ = -1;
+  std::uint16_t port_ = 0;
+  std::atomic<std::size_t> sent_ = 0;
+  std::vector<std::thread> connections_;
+  std::thread acceptor_;
+};
+
+class http_client_test : public testing::Test {
+ protected:
+  http_result Send(const raw_server& server, milliseconds timeout = milliseconds(5'000),
+                   const exchange_options& options = {}) {
+    http_result result;
+    runtime_.Run(0, [&] {
+      result = client_.Send(server.address(), {"GET", "/", {}, {}, "host"},
+                            steady_clock::now() + timeout, nullptr, options);
+    });
+    return result;
+  }
+
+  fiber_runtime runtime_{1};
+  http_client client_{runtime_};
+};
+
+struct endless_response {
+  const char* name;
+  std::string first;
+  std::string rest;
+};
+
+class endless_response_test : public http_client_test,
+                              public testing::WithParamInterface<endless_response> {};
+
+// Guards against memory and time that a server without end takes: the client read until its
+// deadline and kept what it read. The request may have run, so the result must be kSent.
+TEST_P(endless_response_test, IsClosedWithinABoundOfBytes) {
+  raw_server server(GetParam().first, GetParam().rest, /*endless=*/true);
+  const auto started_at = steady_clock::now();
+  const http_result result = Send(server, milliseconds(20'000));
+  EXPECT_EQ(result.stage, exchange_stage::kSent);
+  EXPECT_FALSE(result.timed_out);
+  EXPECT_LT(steady_clock::now() - started_at, milliseconds(15'000));
+  EXPECT_LT(server.sent(), kMaxResponseBytes + kSocketBufferBytes);
+}
+
+const std::string kOk = "HTTP/1.1 200 OK\r\n";
+const std::string kManyBytes(16'384, 'x');
+
+INSTANTIATE_TEST_SUITE_P(
+    responses, endless_response_test,
+    testing::Values(
+        endless_response{"status_line", "HTTP/1.1 200 ", kManyBytes},
+        endless_response{"field", kOk + "A: ", kManyBytes},
+        endless_response{"fields", kOk, "A: b\r\n"},
+        endless_response{"body_with_length", kOk + "Content-Length: 900000000000\r\n\r\n",
+                         kManyBytes},
+        endless_response{"body_without_length", kOk + "Connection: close\r\n\r\n", kManyBytes},
+        endless_response{"chunks", kOk + "Transfer-Encoding: chunked\r\n\r\n",
+                         "4000\r\n" + kManyBytes + "\r\n"},
+        endless_response{"chunk_extension", kOk + "Transfer-Encoding: chunked\r\n\r\n1;",
+                         kManyBytes},
+        endless_response{"trailers", kOk + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+        endless_response{"interim_responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        endless_response{"no_http", "", kManyBytes}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against responses to other requests without end on one connection.
+TEST_F(http_client_test, EndlessResponsesToOtherRequestsAreClosed) {
+  raw_server server("", kOk + "Content-Length: 1\r\nRequest-Id: other\r\n\r\nx", /*endless=*/true);
+  const http_result result =
+      Send(server, milliseconds(20'000),
+           {.is_matching_response = [](const http_response&) { return false; }});
+  EXPECT_EQ(result.stage, exchange_stage::kSent);
+  EXPECT_FALSE(result.timed_out);
+}
+
+// Guards against the memory of many bodies without end at once: each is within its limit, but their
+// sum exceeds the memory of a small VM.
+TEST_F(http_client_test, BodiesReceivedAtOnceShareOneBudget) {
+  constexpr int kExchanges = 20;
+  constexpr std::size_t kBudget = 4U << 20U;
+  raw_server server(kOk + "Connection: close\r\n\r\n", kManyBytes, /*endless=*/true);
+  http_client client(runtime_, 4, kBudget);
+  std::atomic<int> unknown = 0;
+  std::atomic<int> ended = 0;
+  for (int i = 0; i < kExchanges; ++i) {
+    runtime_.Post(0, [&] {
+      const auto result = client.Send(server.address(), {"GET", "/", {}, {}, "host"},
+                                      steady_clock::now() + milliseconds(15'000));
+      unknown += result.stage == exchange_stage::kSent && !result.timed_out;
+      ++ended;
+    });
+  }
+  while (ended < kExchanges) std::this_thread::sleep_for(milliseconds(5));
+  EXPECT_EQ(unknown, kExchanges);
+  EXPECT_LT(server.sent(), kBudget + kExchanges * kSocketBufferBytes);
+}
+
+struct broken_response {
+  const char* name;
+  std::string bytes;
+};
+
+class broken_response_test : public http_client_test,
+                             public testing::WithParamInterface<broken_response> {};
+
+// Guards against a response that breaks off halfway and counts as complete.
+TEST_P(broken_response_test, IsNoAnswer) {
+  raw_server server(GetParam().bytes, "", /*endless=*/false);
+  EXPECT_EQ(Send(server).stage, exchange_stage::kSent);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    responses, broken_response_test,
+    testing::Values(broken_response{"header", kOk + "Content-Le"},
+                    broken_response{"body", kOk + "Content-Length: 10\r\n\r\nhalf"},
+                    broken_response{"chunk", kOk + "Transfer-Encoding: chunked\r\n\r\na\r\nhalf"},
+                    broken_response{"last_chunk",
+                                    kOk + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace siskinrack::net
