net: a cancellation that comes with the response doesn't break the next request

Cause: http_client closed the connection of a cancelled exchange in a posted handler. Callers that leave under overload make it frequent. Ruled out: the exit of the entry node (it served on), the recall (5.1 s after SIGTERM), liveness checks of links (1.2 s). Change: the connection of a cancelled exchange is never reused. Test: CancelledExchangeDoesNotBreakTheNextRequest fails before with 'Operation canceled'. LateSecondCopyOfAResponseIsNotTheNextResponse passed from the start.

--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -105,17 +105,12 @@
     connection_ptr conn = TakeIdle(address, options.max_idle);
     const bool reused = conn != nullptr;
     if (!reused) conn = std::make_shared<connection>(detail::GetCurrentContext());
-    const cancel_guard guard(cancel, conn);
-    if (!reused) {
-      conn->stream.expires_at(
-          std::min(deadline, std::chrono::steady_clock::now() + options.connect_timeout));
-      const auto error = Connect(*conn, address);
-      if (error) return MakeFailure(exchange_stage::kNotSent, error);
-    }
-    conn->stream.expires_at(deadline);
     bool keep_alive = false;
-    http_result result = Exchange(
-        conn, detail::ToBeastRequest(std::move(request), address.ToText()), options, keep_alive);
+    http_result result =
+        SendOn(conn, reused, address, std::move(request), deadline, cancel, options, keep_alive);
+    // A cancellation that came with the response closes the connection later, when it could be in
+    // use again.
+    if (cancel != nullptr && cancel->cancelled()) keep_alive = false;
     if (keep_alive) {
       PutIdle(address, conn);
     } else {
@@ -140,6 +135,24 @@
  private:
   using pool = std::map<support::socket_address, std::vector<connection_ptr>>;
 
+  /// Sends the request on `conn` after connecting it, unless it is reused. Sets `keep_alive` to
+  /// true if the connection can be reused afterwards.
+  http_result SendOn(const connection_ptr& conn, bool reused,
+                     const support::socket_address& address, http_request request,
+                     steady_time deadline, cancellation* cancel, const exchange_options& options,
+                     bool& keep_alive) {
+    const cancel_guard guard(cancel, conn);
+    if (!reused) {
+      conn->stream.expires_at(
+          std::min(deadline, std::chrono::steady_clock::now() + options.connect_timeout));
+      const auto error = Connect(*conn, address);
+      if (error) return MakeFailure(exchange_stage::kNotSent, error);
+    }
+    conn->stream.expires_at(deadline);
+    return Exchange(conn, detail::ToBeastRequest(std::move(request), address.ToText()), options,
+                    keep_alive);
+  }
+
   static boost::system::error_code Connect(connection& conn,
                                            const support::socket_address& address) {
     boost::system::error_code error;
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -9,6 +9,8 @@
 #include <thread>
 #include <vector>
 
+#include "siskinrack/net/http_server.h"
+
 namespace siskinrack::net {
 namespace {
 
@@ -192,5 +194,49 @@
                                     kOk + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against a cancellation that arrives together with the response: the connection was reused
+// and then closed while the next request was running on it.
+TEST_F(http_client_test, CancelledExchangeDoesNotBreakTheNextRequest) {
+  http_server server(runtime_, {.address = {"127.0.0.1", 0}},
+                     [](const http_request& request, cancellation&) {
+                       if (request.target == "/next") SleepFor(milliseconds(50));
+                       return http_response{200, {}, request.target};
+                     });
+  ASSERT_EQ(server.Start(), "");
+  http_result next;
+  runtime_.Run(0, [&] {
+    const support::socket_address address{"127.0.0.1", server.port()};
+    const auto deadline = steady_clock::now() + milliseconds(2'000);
+    cancellation cancel;
+    const exchange_options cancel_on_response{.is_matching_response = [&](const http_response&) {
+      cancel.Cancel();
+      return true;
+    }};
+    client_.Send(address, {"GET", "/first", {}, {}, "host"}, deadline, &cancel, cancel_on_response);
+    next = client_.Send(address, {"GET", "/next", {}, {}, "host"}, deadline);
+  });
+  EXPECT_EQ(next.stage, exchange_stage::kAnswered) << next.error;
+  EXPECT_EQ(next.response.body, "/next");
+  runtime_.Run(0, [&] { client_.CloseIdle(); });
+  server.Stop();
+}
+
+// Guards against a second copy of a response that arrives late, when the connection is in use
+// again: the next request got it as its own response.
+TEST_F(http_client_test, LateSecondCopyOfAResponseIsNotTheNextResponse) {
+  const auto respond = [](const std::string& id) {
+    return kOk + "Content-Length: 1\r\nRequest-Id: " + id + "\r\n\r\nx";
+  };
+  raw_server server(respond("first"), respond("first") + respond("second"), /*endless=*/false);
+  for (const char* id : {"first", "second"}) {
+    const http_result result = Send(server, milliseconds(500),
+                                    {.is_matching_response = [&](const http_response& response) {
+                                      return FindField(response.fields, "Request-Id") == id;
+                                    }});
+    if (result.stage != exchange_stage::kAnswered) continue;
+    EXPECT_EQ(FindField(result.response.fields, "Request-Id"), id);
+  }
+}
+
 }  // namespace
 }  // namespace siskinrack::net
