mesh: a stopping node tells the others for how long not to call it

Cause: a node that stops refuses calls from 1 s after SIGTERM, but the others only ejected it for 0.1 s, then 0.2 s and so on and called again until its exit. Change: the refusal carries the time until the node has restarted, in which the endpoint is paused; the process exits after 60 ms without a call.

--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -53,6 +53,7 @@
       return call_outcome::kShed;
     case answer_cause::timed_out:
       return call_outcome::kTimedOut;
+    case answer_cause::draining:
     case answer_cause::quarantined:
     case answer_cause::cancelled:
       return call_outcome::kAbandoned;
@@ -73,6 +74,9 @@
     report.load = balancing::reported_load{answer.in_flight, answer.queued, answer.slots};
   }
   report.service = milliseconds(answer.service_ms);
+  if (answer.cause == answer_cause::draining) {
+    report.retry_after = milliseconds(answer.retry_after_ms);
+  }
   return report;
 }
 
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -23,6 +23,9 @@
 
 constexpr unsigned kStatusOk = 200;
 constexpr milliseconds kDrainPollInterval{20};
+/// Time without a call of another node before the exit: several round trips between failure
+/// domains.
+constexpr milliseconds kQuietTime{60};
 /// The largest accepted body is the memory of the VM divided by this number. A body is held in
 /// memory several times: as read from the caller, as a frame, and as received by the other node. A
 /// few bodies at once have to fit into the memory of a small VM.
@@ -137,7 +140,7 @@
       context_.log.Info("recall_started", {{"in_flight", CountOpenRequests()}});
       context_.runtime.Run(0, [this] { context_.recall.Cancel(); });
     }
-    AwaitOpenRequests(schedule.exit());
+    AwaitQuiet(schedule.exit());
     context_.log.Info("stopped", {{"in_flight", CountOpenRequests()}});
   }
 
@@ -159,6 +162,17 @@
     }
   }
 
+  /// Blocks until no request is open and no call has arrived for a while, but not longer than until
+  /// `end`. A call that is unread at the exit resets its link, and with it the answers that the
+  /// other node has not read.
+  void AwaitQuiet(net::steady_time end) const {
+    do {
+      AwaitOpenRequests(end);
+      std::this_thread::sleep_until(std::min(end, serving_.last_call() + kQuietTime));
+    } while (steady_clock::now() < end &&
+             (CountOpenRequests() > 0 || steady_clock::now() < serving_.last_call() + kQuietTime));
+  }
+
   void OnConfiguration() {
     net::http_limits limits = context_.routes->config().limits;
     limits.body_bytes =
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -1,5 +1,7 @@
 #include "serving_service.h"
 
+#include <algorithm>
+
 #include "call_answers.h"
 #include "request_codec.h"
 #include "siskinrack/net/wire_fields.h"
@@ -23,6 +25,9 @@
 constexpr milliseconds kMaxIdleRepeatable{5'000};
 constexpr milliseconds kMaxIdleAtMostOnce{3'000};
 
+/// Time that a node needs to start again after its exit.
+constexpr milliseconds kRestartTime{500};
+
 /// Largest service time that is reported; the wire field has 16 bits.
 constexpr std::int64_t kMaxServiceMs = 60'000;
 
@@ -93,7 +98,12 @@
 }
 
 std::optional<wire::call_answer_t> serving_service::FindRefusal(const wire::call_request_t& call) {
-  if (stopped_) return MakeNotRunAnswer(answer_cause::draining, "node is shutting down");
+  if (stopped_) {
+    const auto until_exit =
+        std::chrono::ceil<milliseconds>(context_.shutdown->caller_refusal() - steady_clock::now());
+    return MakeNotRunAnswer(answer_cause::draining, "node is shutting down",
+                            std::max(milliseconds(0), until_exit) + kRestartTime);
+  }
   const routing::local_instance& local = registration_.instance();
   if (!registration_.IsAlive()) {
     return MakeNotRunAnswer(answer_cause::wrong_instance,
@@ -113,6 +123,7 @@
 wire::call_answer_t serving_service::Serve(const wire::call_request_t& call,
                                            net::cancellation& cancel) {
   const support::in_flight_guard count(in_flight_);
+  last_call_ = steady_clock::now();
   const auto deadline = steady_clock::now() + milliseconds(call.deadline_ms);
   auto refusal = FindRefusal(call);
   wire::call_answer_t answer = refusal ? std::move(*refusal) : AdmitAndSend(call, deadline, cancel);
--- a/lib/mesh/serving_service.h
+++ b/lib/mesh/serving_service.h
@@ -1,6 +1,7 @@
 #ifndef SISKINRACK_LIB_MESH_SERVING_SERVICE_H_
 #define SISKINRACK_LIB_MESH_SERVING_SERVICE_H_
 
+#include <atomic>
 #include <memory>
 
 #include "crash_guard.h"
@@ -21,11 +22,14 @@
   /// answer shows whether the call ran. May suspend the calling fiber.
   wire::call_answer_t Serve(const wire::call_request_t& call, net::cancellation& cancel);
 
-  /// Refuses all calls from now on, because the node is about to exit.
+  /// Refuses all calls from now on, because the node is about to exit. Requires
+  /// mesh_context::shutdown. The answers tell other nodes for how long not to call again.
   void StopServing() { stopped_ = true; }
 
   /// Returns the number of calls that run or wait for a slot.
   [[nodiscard]] std::size_t in_flight() const { return in_flight_; }
+  /// Returns when the last call arrived; the epoch before the first one.
+  [[nodiscard]] net::steady_time last_call() const { return last_call_; }
 
  private:
   /// Returns the refusal of a call that can't be served here, or std::nullopt if it can.
@@ -44,6 +48,7 @@
   std::uint32_t slots_ = 1;
   std::shared_ptr<gate> gate_;
   std::atomic<std::size_t> in_flight_ = 0;
+  std::atomic<net::steady_time> last_call_{};
   std::atomic<bool> stopped_ = false;
 };
 
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -230,6 +230,23 @@
   EXPECT_EQ(CountRuns("/once/dock/before") + CountRuns("/once/dock/after"), 0U);
 }
 
+// Guards against calls to a stopping node: other nodes called it again after each short ejection,
+// and those calls that were unread at its exit ended as unknown.
+TEST_F(mesh_test, StoppingNodeRefusesEachOtherNodeOnce) {
+  fleet_.node(1).Signal(SIGTERM);
+  const auto started_at = steady_clock::now();
+  while (!fleet_.node(1).Poll() && steady_clock::now() < started_at + milliseconds(8'000)) {
+    EXPECT_EQ(fleet_.Send(0, "/once/dock/x", "POST").response.status, 200U);
+  }
+  EXPECT_EQ(fleet_.node(1).Poll(), 0);
+  const std::string log = fleet_.ReadLog(1);
+  std::size_t refusals = 0;
+  for (std::size_t at = 0; (at = log.find("cause=draining", at)) != std::string::npos; ++at) {
+    ++refusals;
+  }
+  EXPECT_LE(refusals, 1U);
+}
+
 // Guards against a SIGHUP that terminates the process.
 TEST_F(mesh_test, ReloadKeepsServing) {
   fleet_.node(0).Signal(SIGHUP);
