net: an exception in a request handler fails one request, not the process

Cause: found by reading after a report of similar systems: an exception that leaves the fiber of a handler ends the process. Change: the HTTP server answers 500, the peer server closes the link (both mean 'may have run'), and both log it. Test: http_client_test.ThrowingHandlerFailsOneRequestOnly (the process ended before).

--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -11,6 +11,7 @@
 #include <set>
 
 #include "await.h"
+#include "handler_failure.h"
 #include "http_fields.h"
 #include "http_framing.h"
 #include "listener.h"
@@ -202,7 +203,7 @@
     return read.error;
   }
 
-  /// Runs the handler and cancels it if the client disconnects.
+  /// Runs the handler, which may throw, and cancels it if the client disconnects.
   http_response RunHandler(connection& conn, http_request request) {
     auto cancel = std::make_shared<cancellation>();
     tcp::socket& socket = conn.stream.socket();
@@ -211,7 +212,12 @@
                       [cancel, finished, &socket](boost::system::error_code error) {
                         if (!error && !*finished && IsClosedByPeer(socket)) cancel->Cancel();
                       });
-    http_response response = handler_(std::move(request), *cancel);
+    http_response response{kStatusInternalError, {}, "internal error\n"};
+    try {
+      response = handler_(std::move(request), *cancel);
+    } catch (const std::exception& failure) {
+      detail::LogHandlerFailure("http", failure);
+    }
     *finished = true;
     boost::system::error_code ignored;
     socket.cancel(ignored);
@@ -236,6 +242,7 @@
 
   static constexpr unsigned kHttp11 = 11;
   static constexpr unsigned kStatusBadRequest = 400;
+  static constexpr unsigned kStatusInternalError = 500;
   static constexpr std::size_t kReadChunkBytes = 4096;
 
   http_server_options options_;
--- a/lib/net/peer_server.cpp
+++ b/lib/net/peer_server.cpp
@@ -1,6 +1,7 @@
 #include <map>
 #include <set>
 
+#include "handler_failure.h"
 #include "listener.h"
 #include "peer_link.h"
 #include "siskinrack/net/peer.h"
@@ -72,7 +73,14 @@
     if (id != 0) running->emplace(id, cancel);
     std::shared_ptr<wire::envelope_t> request = std::move(message);
     Spawn([self = shared_from_this(), link, running, request, cancel, id] {
-      auto reply = self->handler_(*request, *cancel);
+      std::optional<wire::envelope_t> reply;
+      try {
+        reply = self->handler_(*request, *cancel);
+      } catch (const std::exception& failure) {
+        detail::LogHandlerFailure("peer", failure);
+        // The peer can't tell whether the request ran.
+        if (id != 0) link->Close();
+      }
       if (id == 0) return;
       running->erase(id);
       if (!reply) return;
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -221,6 +221,28 @@
   server.Stop();
 }
 
+// Guards against an exception in one handler that ends the process and with it all other requests.
+TEST_F(http_client_test, ThrowingHandlerFailsOneRequestOnly) {
+  http_server server(runtime_, {.address = {"127.0.0.1", 0}},
+                     [](const http_request& request, cancellation&) {
+                       if (request.target == "/throw") throw std::bad_alloc();
+                       return http_response{200, {}, request.target};
+                     });
+  ASSERT_EQ(server.Start(), "");
+  std::vector<unsigned> statuses;
+  runtime_.Run(0, [&] {
+    for (const char* target : {"/throw", "/next"}) {
+      const auto result =
+          client_.Send({"127.0.0.1", server.port()}, {"GET", target, {}, {}, "host"},
+                       steady_clock::now() + milliseconds(2'000));
+      statuses.push_back(result.response.status);
+    }
+    client_.CloseIdle();
+  });
+  EXPECT_EQ(statuses, (std::vector<unsigned>{500, 200}));
+  server.Stop();
+}
+
 // Guards against a second copy of a response that arrives late, when the connection is in use
 // again: the next request got it as its own response.
 TEST_F(http_client_test, LateSecondCopyOfAResponseIsNotTheNextResponse) {
