net, platform: a large answer that keeps arriving isn't aborted; scenarios have their own addresses

Cause 1: a call to the store ended after 1 s, however far its answer had come. Test: DeadlineIsExtendedWhileTheResponseKeepsArriving fails without the option; ExtensionOfTheDeadlineIsBounded. Each runner process uses a loopback address of its own for everything but links between nodes.

--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -51,6 +51,11 @@
   /// Time limit for connecting. The kernel retransmits a lost SYN only after 1 s, so a new attempt
   /// after this limit is faster.
   std::chrono::milliseconds connect_timeout{600};
+  /// Time by which the deadline is extended at most while bytes of the response keep arriving, each
+  /// at most kProgressInterval after the one before. A large response on a slow link would
+  /// otherwise be aborted and requested again without end.
+  std::chrono::milliseconds progress_extension{0};
+  static constexpr std::chrono::milliseconds kProgressInterval{1'000};
 };
 
 /// HTTP/1.1 client with one pool of keep-alive connections per thread. Thread-safe, but must be
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -149,8 +149,8 @@
       if (error) return MakeFailure(exchange_stage::kNotSent, error);
     }
     conn->stream.expires_at(deadline);
-    return Exchange(conn, detail::ToBeastRequest(std::move(request), address.ToText()), options,
-                    keep_alive);
+    return Exchange(conn, detail::ToBeastRequest(std::move(request), address.ToText()), deadline,
+                    options, keep_alive);
   }
 
   static boost::system::error_code Connect(connection& conn,
@@ -191,7 +191,7 @@
   /// Sends a request and reads its response. Sets `keep_alive` to true if the connection can be
   /// reused; otherwise leaves it unchanged.
   http_result Exchange(const connection_ptr& conn, detail::beast_request message,
-                       const exchange_options& options, bool& keep_alive) {
+                       steady_time deadline, const exchange_options& options, bool& keep_alive) {
     const bool is_head = message.method() == http::verb::head;
     const auto pending = StartWrite(conn, std::move(message));
     bool response_skipped = false;
@@ -200,7 +200,7 @@
       parser.header_limit(kMaxHeaderBytes);
       parser.body_limit(kMaxResponseBytes);
       if (is_head) parser.skip(true);
-      if (const auto error = ReadResponse(*conn, parser)) {
+      if (const auto error = ReadResponse(*conn, parser, deadline, options)) {
         const bool nothing_sent = pending->done && pending->error && !pending->any_byte_sent;
         return MakeFailure(nothing_sent ? exchange_stage::kNotSent : exchange_stage::kSent, error);
       }
@@ -225,13 +225,19 @@
   }
 
   /// Reads one response into `parser`.
-  boost::system::error_code ReadResponse(connection& conn, response_parser& parser) {
+  boost::system::error_code ReadResponse(connection& conn, response_parser& parser,
+                                         steady_time deadline, const exchange_options& options) {
+    const steady_time latest_end = deadline + options.progress_extension;
     body_share share(body_bytes_[fiber_runtime::GetCurrentThreadIndex()], body_budget_);
     while (!parser.is_done()) {
       const auto read = Await<std::size_t>(
           [&](auto handler) { http::async_read_some(conn.stream, conn.buffer, parser, handler); });
       if (read.error) return read.error;
       if (!share.Set(parser.get().body().size())) return http::error::body_limit;
+      if (latest_end > deadline) {
+        const auto next = std::chrono::steady_clock::now() + exchange_options::kProgressInterval;
+        conn.stream.expires_at(std::min(std::max(deadline, next), latest_end));
+      }
     }
     return {};
   }
--- a/test/scenario_runner/fleet.cpp
+++ b/test/scenario_runner/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <stdexcept>
@@ -23,10 +25,19 @@
   return static_cast<std::uint16_t>(std::stoul(text));
 }
 
+/// Returns a loopback address that other runner processes don't use, so that a port that a killed
+/// process leaves free isn't taken by a process of another scenario.
+std::string MakeHost() {
+  constexpr int kOctets = 250;
+  const int id = getpid();
+  return "127." + std::to_string(1 + id / kOctets % kOctets) + '.' +
+         std::to_string(1 + id % kOctets) + ".1";
+}
+
 }  // namespace
 
 fleet::fleet(std::filesystem::path binaries, std::filesystem::path work, std::uint64_t seed)
-    : binaries_(std::move(binaries)), work_(std::move(work)), random_(seed) {}
+    : binaries_(std::move(binaries)), work_(std::move(work)), random_(seed), host_(MakeHost()) {}
 
 std::string fleet::WaitForField(const std::string& log, const std::string& field,
                                 std::size_t from_line) {
@@ -46,35 +57,36 @@
 void fleet::StartPlatform() {
   const std::string log = LogPath("platform");
   platform_process_ = std::make_unique<child_process>(
-      std::vector<std::string>{BinaryPath("platform_stand_in")}, log);
-  platform_ = {"127.0.0.1", ToPort(WaitForField(log, "port", 0))};
+      std::vector<std::string>{BinaryPath("platform_stand_in"), "--address=" + host_ + ":0"}, log);
+  platform_ = {host_, ToPort(WaitForField(log, "port", 0))};
 }
 
 void fleet::StartUpstream(fleet_node& node) {
   const std::string log = LogPath("upstream-" + node.id);
   const std::size_t lines_before = ReadLines(log).size();
-  const std::string address = node.upstream.port == 0 ? "127.0.0.1:0" : node.upstream.ToText();
+  const std::string address = node.upstream.port == 0 ? host_ + ":0" : node.upstream.ToText();
   node.upstream_process = std::make_unique<child_process>(
       std::vector<std::string>{BinaryPath("upstream_stand_in"), "--name=" + node.id,
                                "--address=" + address},
       log);
-  node.upstream = {"127.0.0.1", ToPort(WaitForField(log, "port", lines_before))};
+  node.upstream = {host_, ToPort(WaitForField(log, "port", lines_before))};
 }
 
 void fleet::StartNode(fleet_node& node) {
   const std::string log = LogPath(node.id);
   const std::size_t lines_before = ReadLines(log).size();
   std::vector<std::string> command = node.command;
+  node.caller.ip = node.admin.ip = host_;
+  command.push_back("--caller-address=" + node.caller.ToText());
+  command.push_back("--admin-address=" + node.admin.ToText());
   if (node.peer_port != 0) {
-    command.push_back("--caller-address=" + node.caller.ToText());
-    command.push_back("--admin-address=" + node.admin.ToText());
     command.push_back("--peer-address=127.0.0.1:" + std::to_string(node.peer_port));
   }
   node.process = std::make_unique<child_process>(command, log);
   node.stopped = false;
   node.peer_port = ToPort(WaitForField(log, "peer_port", lines_before));
-  node.caller = {"127.0.0.1", ToPort(WaitForField(log, "caller_port", lines_before))};
-  node.admin = {"127.0.0.1", ToPort(WaitForField(log, "admin_port", lines_before))};
+  node.caller = {host_, ToPort(WaitForField(log, "caller_port", lines_before))};
+  node.admin = {host_, ToPort(WaitForField(log, "admin_port", lines_before))};
   relay_->SetTarget(node.relay_port, node.peer_port);
 }
 
--- a/test/scenario_runner/fleet.h
+++ b/test/scenario_runner/fleet.h
@@ -126,6 +126,8 @@
   std::filesystem::path binaries_;
   std::filesystem::path work_;
   std::mt19937_64 random_;
+  /// IP address of the platform, the upstreams and the ports for callers and operators.
+  std::string host_;
   support::socket_address platform_;
   std::unique_ptr<child_process> platform_process_;
   std::unique_ptr<link_relay> relay_;
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -22,11 +22,12 @@
 constexpr std::size_t kSocketBufferBytes = 12U << 20U;
 
 /// Server that reads one request per connection and answers it with `first`, followed by `rest`
-/// until the client closes the connection, or once if `endless` is false.
+/// until the client closes the connection, or once if `endless` is false. Waits for `pause` before
+/// each `rest`.
 class raw_server {
  public:
-  raw_server(std::string first, std::string rest, bool endless)
-      : first_(std::move(first)), rest_(std::move(rest)), endless_(endless) {
+  raw_server(std::string first, std::string rest, bool endless, milliseconds pause = {})
+      : first_(std::move(first)), rest_(std::move(rest)), endless_(endless), pause_(pause) {
     listener_ = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -66,6 +67,7 @@
     close(fd);
   }
   bool SendAll(int fd, const std::string& bytes) {
+    if (pause_.count() > 0) std::this_thread::sleep_for(pause_);
     const ssize_t size = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (size > 0) sent_ += static_cast<std::size_t>(size);
     return size == static_cast<ssize_t>(bytes.size());
@@ -74,6 +76,7 @@
   std::string first_;
   std::string rest_;
   bool endless_;
+  milliseconds pause_;
   int listener_ = -1;
   std::uint16_t port_ = 0;
   std::atomic<std::size_t> sent_ = 0;
@@ -221,6 +224,29 @@
   server.Stop();
 }
 
+// Guards against aborting a large response on a slow link again and again: a node on a busy link of
+// 10 Mbit/s asked the store for the same configuration for 4 s.
+TEST_F(http_client_test, DeadlineIsExtendedWhileTheResponseKeepsArriving) {
+  const std::string head = kOk + "Content-Length: 40\r\n\r\n";
+  raw_server server(head, "0123456789", /*endless=*/true, milliseconds(80));
+  EXPECT_EQ(Send(server, milliseconds(200)).stage, exchange_stage::kSent);
+  const http_result result =
+      Send(server, milliseconds(200), {.progress_extension = milliseconds(5'000)});
+  EXPECT_EQ(result.stage, exchange_stage::kAnswered) << result.error;
+  EXPECT_EQ(result.response.body.size(), 40U);
+}
+
+// Guards against an extended deadline without a bound.
+TEST_F(http_client_test, ExtensionOfTheDeadlineIsBounded) {
+  raw_server server(kOk + "Content-Length: 4000\r\n\r\n", "0123456789", /*endless=*/true,
+                    milliseconds(20));
+  const auto started_at = steady_clock::now();
+  const http_result result =
+      Send(server, milliseconds(100), {.progress_extension = milliseconds(300)});
+  EXPECT_TRUE(result.timed_out);
+  EXPECT_LT(steady_clock::now() - started_at, milliseconds(3'000));
+}
+
 // Guards against an exception in one handler that ends the process and with it all other requests.
 TEST_F(http_client_test, ThrowingHandlerFailsOneRequestOnly) {
   http_server server(runtime_, {.address = {"127.0.0.1", 0}},
