--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -40,6 +40,7 @@
     acceptor_ = std::thread([this] { Accept(); });
   }
   ~raw_server() {
+    stopped_ = true;
     shutdown(listener_, SHUT_RDWR);
     acceptor_.join();
     for (std::thread& connection : connections_) connection.join();
@@ -61,7 +62,7 @@
   void Serve(int fd) {
     char request[4096];
     if (recv(fd, request, sizeof request, 0) > 0 && SendAll(fd, first_) && SendAll(fd, rest_)) {
-      while (endless_ && SendAll(fd, rest_)) {
+      while (endless_ && !stopped_ && SendAll(fd, rest_)) {
       }
     }
     close(fd);
@@ -80,6 +81,7 @@
   int listener_ = -1;
   std::uint16_t port_ = 0;
   std::atomic<std::size_t> sent_ = 0;
+  std::atomic<bool> stopped_ = false;
   std::vector<std::thread> connections_;
   std::thread acceptor_;
 };
