--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -213,6 +213,7 @@
                          [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
   // Both upstreams have four slots.
   std::vector<std::thread> callers;
+  callers.reserve(10);
   for (int i = 0; i < 8; ++i) {
     callers.emplace_back([&] { fleet_.Send(1, "/once/dock/long", "POST"); });
   }
