--- a/utils/bench_table.py
+++ b/utils/bench_table.py
@@ -24,17 +24,22 @@
     return ", ".join(f"{name} {part:.3f}" for name, _, part in highest if part >= 0.0005)
 
 
+def name_days(entry):
+    return next((kind for kind in ("small", "quick") if f"--{kind}" in entry["argv"]), "all")
+
+
 def print_scores(site, scores):
     print(f"## {site}\n")
-    print("| run | base commit | score | gate | rules broken | why |")
-    print("| --- | --- | --- | --- | --- | --- |")
+    print("| run | days | base commit | score | gate | rules broken | why |")
+    print("| --- | --- | --- | --- | --- | --- | --- |")
     for entry in scores:
         broken = sorted({rule for day in entry["days"] for rule in day["rules"]})
         gate = "passed" if all(day["gate"] for day in entry["days"]) else "failed"
         commit = entry["head"][:7] + ("+" if entry["dirty"] else "")
-        print(f"| {entry['id']} | {commit} | {entry['score']:.3f} | {gate} | "
+        print(f"| {entry['id']} | {name_days(entry)} | {commit} | {entry['score']:.3f} | {gate} | "
               f"{', '.join(broken) or '-'} | {entry['why']} |")
-    latest = scores[-1]
+    # The days of a small twin can't be compared with those of the site.
+    latest = [entry for entry in scores if name_days(entry) != "small"][-1]
     print(f"\nDays of run {latest['id']}:\n")
     print("| day | score | worth | served | refused | failed | longest prices |")
     print("| --- | --- | --- | --- | --- | --- | --- |")
