--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -86,6 +86,7 @@
   if (refusing_ || request.target.ends_with("/refuse")) {
     return {503, {{"Request-Id", request_id}, {"Not-Run", "1"}}, {}};
   }
+  if (failing_) return {500, {{"Request-Id", request_id}, {"Server-Stamp", "stamp"}}, {}};
   {
     const std::lock_guard lock(mutex_);
     runs_.push_back({request_id, std::string(net::FindField(request.fields, "Caller")),
@@ -102,6 +103,7 @@
     // The node can't use this answer, and the right one is never sent.
     return {200, {{"Request-Id", "another"}, {"Server-Stamp", "stamp"}}, {}};
   }
+  if (request.target.ends_with("/malformed")) return {200, {{"Server-Stamp", "\x01"}}, {}};
   if (cancel.cancelled()) return {500, {}, {}};
   net::http_response response{200, {{"Request-Id", request_id}}, "by " + id_};
   if (request.target.ends_with("/echo")) response.body = request.body;
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -31,6 +31,7 @@
 /// end of the path of a request selects the answer:
 ///   /refuse     refuses the request as not run
 ///   /break      runs the request, but answers with the id of another request
+///   /malformed  runs the request and answers with a header section that can't be parsed
 ///   /slow       runs the request and answers after half a second
 ///   /long       runs the request and answers after eight seconds
 ///   /echo       runs the request and answers with its body
@@ -47,6 +48,8 @@
   [[nodiscard]] std::vector<observed_run> runs() const;
   /// Refuses every request as not run while `refusing` is true.
   void SetRefusing(bool refusing) { refusing_ = refusing; }
+  /// Answers every request with a server error while `failing` is true, without running it.
+  void SetFailing(bool failing) { failing_ = failing; }
   [[nodiscard]] const std::string& id() const { return id_; }
 
  private:
@@ -59,6 +62,7 @@
   std::string ip_;
   std::string id_;
   std::atomic<bool> refusing_ = false;
+  std::atomic<bool> failing_ = false;
   mutable std::mutex mutex_;
   std::vector<observed_run> runs_;
   std::vector<std::thread> crash_threads_;
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <csignal>
+#include <functional>
 #include <thread>
 
 #include "mesh_fleet.h"
@@ -43,6 +44,22 @@
     return count;
   }
 
+  /// Upstreams that a request may crash: the platform allows three crashes and three repetitions.
+  static constexpr std::size_t kMaxCrasherRuns = 6;
+
+  /// Sends a crashing request at each node in turn, each time after `before`, with pauses in which
+  /// the upstreams come back. Returns how often it has run since the start of the test.
+  std::size_t CountRunsOfRepeatedCrasher(
+      const std::function<void(std::size_t)>& before = [](std::size_t) {}) {
+    constexpr std::size_t kRepetitions = 8;
+    for (std::size_t i = 0; i < kRepetitions; ++i) {
+      before(i);
+      fleet_.Send(i % 3, "/dock/crash");
+      std::this_thread::sleep_for(milliseconds(1'500));
+    }
+    return CountRuns("/dock/crash");
+  }
+
   mesh_fleet fleet_{{"shop", "dock", "dock"}};
 };
 
@@ -336,6 +353,48 @@
   EXPECT_EQ(CountRuns("/dock/crash"), crashes);
 }
 
+// Guards against a refusal or a failure of an overloaded upstream that counts as proof that the
+// request is harmless: it cleared the crash evidence, and the request crashed upstreams without end.
+TEST_F(mesh_test, RefusedOrFailedRunDoesNotClearCrashEvidence) {
+  fleet_.instance(2).SetRefusing(true);
+  EXPECT_NE(fleet_.Send(0, "/dock/crash").response.status, 200U);
+  std::this_thread::sleep_for(milliseconds(300));
+  for (int i = 0; i < 4; ++i) EXPECT_NE(fleet_.Send(0, "/dock/crash").response.status, 200U);
+  fleet_.instance(2).SetRefusing(false);
+  fleet_.instance(2).SetFailing(true);
+  for (int i = 0; i < 4; ++i) EXPECT_NE(fleet_.Send(0, "/dock/crash").response.status, 200U);
+  fleet_.instance(2).SetFailing(false);
+  EXPECT_LE(CountRunsOfRepeatedCrasher(), kMaxCrasherRuns);
+}
+
+// Guards against a crash that is lost because another connection broke harmlessly just before it.
+TEST_F(mesh_test, HarmlessBreaksDoNotHideCrashes) {
+  EXPECT_LE(CountRunsOfRepeatedCrasher([&](std::size_t i) {
+              fleet_.Send(i % 3, "/dock/" + std::to_string(i) + "/malformed");
+            }),
+            kMaxCrasherRuns);
+  for (std::size_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(fleet_.Send(i, "/dock/innocent").response.status, 200U) << i;
+  }
+}
+
+// Guards against a node that lets a crashing request through because it started after the crashes.
+TEST_F(mesh_test, NodesThatStartAfterTheCrashesRefuseTheRequest) {
+  EXPECT_EQ(fleet_.Send(0, "/dock/crash").response.status, 502U);
+  const std::size_t crashes = CountRuns("/dock/crash");
+  std::this_thread::sleep_for(milliseconds(1'500));
+  for (std::size_t i = 0; i < 3; ++i) {
+    fleet_.StartNode(i);
+    ASSERT_TRUE(fleet_.AwaitReady());
+    std::this_thread::sleep_for(milliseconds(500));
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(fleet_.Send(i, "/dock/crash").response.status, 503U) << i;
+    EXPECT_EQ(fleet_.Send(i, "/dock/innocent").response.status, 200U) << i;
+  }
+  EXPECT_EQ(CountRuns("/dock/crash"), crashes);
+}
+
 // Guards against a node that doesn't rejoin the mesh after it was killed.
 TEST_F(mesh_test, KilledNodeServesAgain) {
   fleet_.node(1).Signal(SIGKILL);
