--- a/lib/mesh/crash_guard.cpp
+++ b/lib/mesh/crash_guard.cpp
@@ -47,7 +47,11 @@
   const bool completed = run_result == request_outcome::kAnswered && !table_.empty();
   const bool broken = run_result == request_outcome::kBroken;
   const std::uint64_t fingerprint = completed || broken ? ComputeFingerprint(call) : 0;
-  if (completed) table_.Complete(fingerprint, steady_clock::now());
+  if (completed && !table_.Complete(fingerprint, steady_clock::now()).cleared.empty()) {
+    context_.log.Info("suspect_cleared", {{"fingerprint", FormatFingerprint(fingerprint)},
+                                          {"request", call.request_id},
+                                          {"status", result.response.status}});
+  }
   if (detector_.End(run, run_result, fingerprint)) net::Spawn([this] { CheckUpstream(); });
 }
 
@@ -56,7 +60,10 @@
   const bool reachable =
       context_.upstream_client.CanConnect(context_.settings.upstream_address, kConnectTimeout);
   auto suspects = detector_.OnHealthCheck(reachable);
-  if (!suspects) return;
+  if (!suspects) {
+    context_.log.Info("upstream_not_crashed", {{"reachable", reachable}});
+    return;
+  }
   if (suspects->size() > quarantine::kMaxSuspects) suspects->resize(quarantine::kMaxSuspects);
   // Wall clock time, so that a restarted node doesn't reuse the crash ids of its previous run.
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
--- a/lib/node/quarantine_service.cpp
+++ b/lib/node/quarantine_service.cpp
@@ -95,6 +95,11 @@
     check = detector_.End(run, outcome, fingerprint);
     if (completed) change = table_.Complete(fingerprint, steady_clock::now());
   }
+  if (!change.cleared.empty()) {
+    context_.log.Info("suspect_cleared", {{"fingerprint", FormatFingerprint(fingerprint)},
+                                          {"request", call.request_id},
+                                          {"status", result.response.status}});
+  }
   LogQuarantined(change.quarantined);
   SpreadCleared(change.cleared);
   if (check) fibers_.Spawn([this] { CheckUpstream(); });
@@ -115,7 +120,10 @@
     const std::lock_guard lock(mutex_);
     auto suspects = detector_.OnHealthCheck(responds);
     // During a drain, the upstream may be stopped deliberately and close its connections.
-    if (!suspects || context_.draining) return;
+    if (!suspects || context_.draining) {
+      context_.log.Info("upstream_not_crashed", {{"responds", responds}});
+      return;
+    }
     if (suspects->size() > quarantine::kMaxSuspects) suspects->resize(quarantine::kMaxSuspects);
     evidence.suspects = std::move(*suspects);
   }
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -49,8 +49,8 @@
 
   /// Sends a crashing request at each node in turn, each time after `before`, with pauses in which
   /// the upstreams come back. Returns how often it has run since the start of the test.
-  std::size_t CountRunsOfRepeatedCrasher(
-      const std::function<void(std::size_t)>& before = [](std::size_t) {}) {
+  std::size_t CountRunsOfRepeatedCrasher(const std::function<void(std::size_t)>& before =
+                                             [](std::size_t) {}) {
     constexpr std::size_t kRepetitions = 8;
     for (std::size_t i = 0; i < kRepetitions; ++i) {
       before(i);
@@ -354,7 +354,8 @@
 }
 
 // Guards against a refusal or a failure of an overloaded upstream that counts as proof that the
-// request is harmless: it cleared the crash evidence, and the request crashed upstreams without end.
+// request is harmless: it cleared the crash evidence, and the request crashed upstreams without
+// end.
 TEST_F(mesh_test, RefusedOrFailedRunDoesNotClearCrashEvidence) {
   fleet_.instance(2).SetRefusing(true);
   EXPECT_NE(fleet_.Send(0, "/dock/crash").response.status, 200U);
