quarantine: attribute a crash to every request that the upstream may not have survived

Callers saw a crashing request sent on and on, and harmless ones refused in its place: in the reproduction (mesh_test.HarmlessBreaksDoNotHideCrashes) it ran 16 times in 8 sends, and 8 harmless requests were quarantined.

Cause: crash_detector took the first broken connection for the beginning of the crash. A connection that broke for another reason (a spoiled or reset answer) opened an incident of 100 ms, and requests that began in it were never suspects. The incident was dropped if another request was still open after 100 ms or if an answer that had been sent before was read after the break. A request whose caller had left was never a suspect.

Now a request that ended without a response stays a suspect until the upstream proves that it survived: by a response to a request that began later, or by accepting a connection later. A refused connection is a crash; one that isn't answered in time is one only when no request is open that may still be answered. Requests that are open at that moment are suspects of the same crash, not of another one. Both node programs use ToRequestOutcome.

--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -41,6 +41,15 @@
   [[nodiscard]] bool broken() const { return stage == exchange_stage::kSent && !timed_out; }
 };
 
+/// Result of a connection attempt.
+enum class connect_result {
+  kConnected,
+  /// The server's VM responded that nothing listens at the address.
+  kRefused,
+  /// Any other failure: no response within the time limit, or an error on this side.
+  kFailed,
+};
+
 /// Options of one exchange.
 struct exchange_options {
   /// Returns true if a response belongs to the request. Other responses are discarded, and the
@@ -76,9 +85,10 @@
                    steady_time deadline, cancellation* cancel = nullptr,
                    const exchange_options& options = {});
 
-  /// Returns true if an idle connection to the server is open or a new one can be established. The
-  /// connection is kept for the next request.
-  bool CanConnect(const support::socket_address& address, std::chrono::milliseconds timeout);
+  /// Connects to the server unless an idle connection to it is open. The connection is kept for the
+  /// next request.
+  connect_result TryConnect(const support::socket_address& address,
+                            std::chrono::milliseconds timeout);
 
   /// Closes the idle connections in the pool of the calling thread.
   void CloseIdle();
--- a/lib/mesh/crash_guard.cpp
+++ b/lib/mesh/crash_guard.cpp
@@ -4,6 +4,7 @@
 
 #include "call_answers.h"
 #include "siskinrack/quarantine/fingerprint.h"
+#include "siskinrack/quarantine/run_outcome.h"
 
 namespace siskinrack::mesh {
 namespace {
@@ -23,9 +24,16 @@
   return quarantine::ComputeFingerprint(call.service, call.method, call.target, call.body);
 }
 
-request_outcome ClassifyRunEnd(const net::http_result& result, bool cancelled) {
-  if (result.stage == net::exchange_stage::kAnswered) return request_outcome::kAnswered;
-  return result.broken() && !cancelled ? request_outcome::kBroken : request_outcome::kOther;
+quarantine::upstream_health ToHealth(net::connect_result result) {
+  switch (result) {
+    case net::connect_result::kConnected:
+      return quarantine::upstream_health::kReachable;
+    case net::connect_result::kRefused:
+      return quarantine::upstream_health::kUnreachable;
+    case net::connect_result::kFailed:
+      break;
+  }
+  return quarantine::upstream_health::kUnknown;
 }
 
 }  // namespace
@@ -39,32 +47,44 @@
                           "request is quarantined: it crashed upstreams");
 }
 
+quarantine::crash_detector::token crash_guard::BeginRun(const wire::call_request_t& call) {
+  return detector_.Begin([&call] { return ComputeFingerprint(call); });
+}
+
 void crash_guard::EndRun(quarantine::crash_detector::token run, const wire::call_request_t& call,
                          const net::http_result& result, bool cancelled) {
-  const request_outcome run_result = ClassifyRunEnd(result, cancelled);
+  const request_outcome outcome = quarantine::ToRequestOutcome(result, cancelled);
   // Completed runs are recorded only while there is crash evidence, so that the fingerprint is not
   // computed for every request.
-  const bool completed = run_result == request_outcome::kAnswered && !table_.empty();
-  const bool broken = run_result == request_outcome::kBroken;
-  const std::uint64_t fingerprint = completed || broken ? ComputeFingerprint(call) : 0;
-  if (completed && !table_.Complete(fingerprint, steady_clock::now()).cleared.empty()) {
-    context_.log.Info("suspect_cleared", {{"fingerprint", FormatFingerprint(fingerprint)},
-                                          {"request", call.request_id},
-                                          {"status", result.response.status}});
+  if (outcome == request_outcome::kAnswered && !table_.empty()) {
+    const std::uint64_t fingerprint = ComputeFingerprint(call);
+    if (!table_.Complete(fingerprint, steady_clock::now()).cleared.empty()) {
+      context_.log.Info("suspect_cleared", {{"fingerprint", FormatFingerprint(fingerprint)},
+                                            {"request", call.request_id},
+                                            {"status", result.response.status}});
+    }
   }
-  if (detector_.End(run, run_result, fingerprint)) net::Spawn([this] { CheckUpstream(); });
+  if (detector_.End(run, outcome)) net::Spawn([this] { CheckUpstream(); });
 }
 
 void crash_guard::CheckUpstream() {
-  net::SleepFor(kUpstreamCheckDelay);
-  const bool reachable =
-      context_.upstream_client.CanConnect(context_.settings.upstream_address, kConnectTimeout);
-  auto suspects = detector_.OnHealthCheck(reachable);
-  if (!suspects) {
-    context_.log.Info("upstream_not_crashed", {{"reachable", reachable}});
+  quarantine::crash_detector::check_result result;
+  do {
+    net::SleepFor(kUpstreamCheckDelay);
+    detector_.BeginCheck();
+    const auto health = ToHealth(
+        context_.upstream_client.TryConnect(context_.settings.upstream_address, kConnectTimeout));
+    result = detector_.OnHealthCheck(health);
+  } while (result.repeat);
+  if (result.suspects.empty()) {
+    context_.log.Info("upstream_not_crashed", {});
     return;
   }
-  if (suspects->size() > quarantine::kMaxSuspects) suspects->resize(quarantine::kMaxSuspects);
+  ReportCrash(std::move(result.suspects));
+}
+
+void crash_guard::ReportCrash(std::vector<std::uint64_t> suspects) {
+  if (suspects.size() > quarantine::kMaxSuspects) suspects.resize(quarantine::kMaxSuspects);
   // Wall clock time, so that a restarted node doesn't reuse the crash ids of its previous run.
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
   const auto wall_us = std::chrono::duration_cast<std::chrono::microseconds>(wall).count();
@@ -72,7 +92,7 @@
   wire::crash_evidence_t evidence;
   evidence.node_id = context_.settings.node_id;
   evidence.crash_id = last_crash_id_;
-  evidence.suspects = std::move(*suspects);
+  evidence.suspects = std::move(suspects);
   context_.log.Warn("upstream_crashed",
                     {{"crash", evidence.crash_id}, {"suspects", evidence.suspects.size()}});
   OnEvidence(evidence);
--- a/lib/mesh/crash_guard.h
+++ b/lib/mesh/crash_guard.h
@@ -19,8 +19,8 @@
   [[nodiscard]] std::optional<wire::call_answer_t> FindRefusal(const wire::call_request_t& call);
 
   /// Records that the local upstream starts to run a request. The returned token must be passed to
-  /// EndRun once.
-  quarantine::crash_detector::token BeginRun() { return detector_.Begin(); }
+  /// EndRun once; `call` must be valid until then.
+  quarantine::crash_detector::token BeginRun(const wire::call_request_t& call);
   /// Records the result of the run and checks for a crash if its connection broke.
   void EndRun(quarantine::crash_detector::token run, const wire::call_request_t& call,
               const net::http_result& result, bool cancelled);
@@ -30,9 +30,10 @@
   void OnEvidence(const wire::crash_evidence_t& evidence);
 
  private:
-  /// Checks whether broken connections were a crash of the upstream; if so, sends crash evidence to
-  /// the other nodes.
+  /// Checks whether broken connections were a crash of the upstream, and reports it.
   void CheckUpstream();
+  /// Applies evidence of a crash of the local upstream and sends it to the other nodes.
+  void ReportCrash(std::vector<std::uint64_t> suspects);
   /// Sends evidence to all other nodes that have an endpoint.
   void Broadcast(const wire::crash_evidence_t& evidence);
 
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -196,7 +196,7 @@
             return platform_adapter::IsResponseTo(response, call.request_id);
           },
       .max_idle = call.at_most_once ? kMaxIdleAtMostOnce : kMaxIdleRepeatable};
-  const auto run = crashes_.BeginRun();
+  const auto run = crashes_.BeginRun(call);
   net::http_result result =
       context_.upstream_client.Send(context_.settings.upstream_address, std::move(request),
                                     deadline + kUpstreamAnswerMargin, &cancel, options);
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -119,15 +119,18 @@
     return result;
   }
 
-  bool CanConnect(const support::socket_address& address, std::chrono::milliseconds timeout) {
+  connect_result TryConnect(const support::socket_address& address,
+                            std::chrono::milliseconds timeout) {
     connection_ptr conn = TakeIdle(address, exchange_options{}.max_idle);
     if (conn == nullptr) {
       conn = std::make_shared<connection>(detail::GetCurrentContext());
       conn->stream.expires_after(timeout);
-      if (Connect(*conn, address)) return false;
+      const auto error = Connect(*conn, address);
+      if (error == asio::error::connection_refused) return connect_result::kRefused;
+      if (error) return connect_result::kFailed;
     }
     PutIdle(address, conn);
-    return true;
+    return connect_result::kConnected;
   }
 
   void CloseIdle() { idle_[fiber_runtime::GetCurrentThreadIndex()].clear(); }
@@ -301,9 +304,9 @@
   return impl_->Send(address, std::move(request), deadline, cancel, options);
 }
 
-bool http_client::CanConnect(const support::socket_address& address,
-                             std::chrono::milliseconds timeout) {
-  return impl_->CanConnect(address, timeout);
+connect_result http_client::TryConnect(const support::socket_address& address,
+                                       std::chrono::milliseconds timeout) {
+  return impl_->TryConnect(address, timeout);
 }
 
 void http_client::CloseIdle() { impl_->CloseIdle(); }
--- a/lib/node/quarantine_service.cpp
+++ b/lib/node/quarantine_service.cpp
@@ -7,6 +7,7 @@
 #include "outcome.h"
 #include "serving_service.h"
 #include "siskinrack/quarantine/fingerprint.h"
+#include "siskinrack/quarantine/run_outcome.h"
 
 namespace siskinrack::node {
 namespace {
@@ -42,11 +43,6 @@
   return quarantine::ComputeFingerprint(call.service, call.method, call.target, call.body);
 }
 
-request_outcome ToRequestOutcome(const net::http_result& result, bool cancelled) {
-  if (result.stage == net::exchange_stage::kAnswered) return request_outcome::kAnswered;
-  return result.broken() && !cancelled ? request_outcome::kBroken : request_outcome::kOther;
-}
-
 std::string JoinFingerprints(const std::vector<std::uint64_t>& fingerprints) {
   std::string text;
   for (const std::uint64_t fingerprint : fingerprints) {
@@ -76,23 +72,22 @@
   return MakeNotRunAnswer(kStatusUnavailable, kQuarantinedReason);
 }
 
-quarantine::crash_detector::token quarantine_service::BeginRun() {
+quarantine::crash_detector::token quarantine_service::BeginRun(const wire::call_request_t& call) {
   const std::lock_guard lock(mutex_);
-  return detector_.Begin();
+  return detector_.Begin([&call] { return FingerprintCall(call); });
 }
 
 void quarantine_service::EndRun(quarantine::crash_detector::token run,
                                 const wire::call_request_t& call, const net::http_result& result,
                                 bool cancelled) {
-  const request_outcome outcome = ToRequestOutcome(result, cancelled);
+  const request_outcome outcome = quarantine::ToRequestOutcome(result, cancelled);
   const bool completed = outcome == request_outcome::kAnswered && !ReportsNotRun(result.response);
-  const std::uint64_t fingerprint =
-      completed || outcome == request_outcome::kBroken ? FingerprintCall(call) : 0;
+  const std::uint64_t fingerprint = completed ? FingerprintCall(call) : 0;
   bool check = false;
   quarantine::quarantine_change change;
   {
     const std::lock_guard lock(mutex_);
-    check = detector_.End(run, outcome, fingerprint);
+    check = detector_.End(run, outcome);
     if (completed) change = table_.Complete(fingerprint, steady_clock::now());
   }
   if (!change.cleared.empty()) {
@@ -105,27 +100,39 @@
   if (check) fibers_.Spawn([this] { CheckUpstream(); });
 }
 
-bool quarantine_service::HealthEndpointResponds() {
+quarantine::upstream_health quarantine_service::QueryHealth() {
   const auto result = context_.upstream_client.Send(*context_.settings.upstream_address,
                                                     {"GET", "/healthz", {}, {}},
                                                     steady_clock::now() + kHealthTimeout);
-  return result.stage == net::exchange_stage::kAnswered;
+  if (result.stage == net::exchange_stage::kAnswered) {
+    return quarantine::upstream_health::kReachable;
+  }
+  const bool refused = result.stage == net::exchange_stage::kNotSent && !result.timed_out;
+  return refused ? quarantine::upstream_health::kUnreachable
+                 : quarantine::upstream_health::kUnknown;
 }
 
 void quarantine_service::CheckUpstream() {
-  net::SleepFor(kConnectionLossWindow);
-  const bool responds = HealthEndpointResponds();
-  wire::crash_evidence_t evidence;
-  {
-    const std::lock_guard lock(mutex_);
-    auto suspects = detector_.OnHealthCheck(responds);
-    // During a drain, the upstream may be stopped deliberately and close its connections.
-    if (!suspects || context_.draining) {
-      context_.log.Info("upstream_not_crashed", {{"responds", responds}});
-      return;
+  quarantine::crash_detector::check_result result;
+  do {
+    net::SleepFor(kConnectionLossWindow);
+    {
+      const std::lock_guard lock(mutex_);
+      detector_.BeginCheck();
     }
-    if (suspects->size() > quarantine::kMaxSuspects) suspects->resize(quarantine::kMaxSuspects);
-    evidence.suspects = std::move(*suspects);
+    const quarantine::upstream_health health = QueryHealth();
+    const std::lock_guard lock(mutex_);
+    result = detector_.OnHealthCheck(health);
+  } while (result.repeat && !fibers_.stopping());
+  // During a drain, the upstream may be stopped deliberately and close its connections.
+  if (result.suspects.empty() || context_.draining) {
+    context_.log.Info("upstream_not_crashed", {{"draining", context_.draining.load()}});
+    return;
+  }
+  wire::crash_evidence_t evidence;
+  evidence.suspects = std::move(result.suspects);
+  if (evidence.suspects.size() > quarantine::kMaxSuspects) {
+    evidence.suspects.resize(quarantine::kMaxSuspects);
   }
   context_.log.Warn("upstream_crashed", {{"suspects", JoinFingerprints(evidence.suspects)}});
   evidence.node_id = context_.settings.node_id;
--- a/lib/node/quarantine_service.h
+++ b/lib/node/quarantine_service.h
@@ -31,8 +31,8 @@
   std::optional<wire::call_answer_t> RefuseIfQuarantined(const wire::call_request_t& call);
 
   /// Records that a request is sent to the upstream. The returned token must be passed to EndRun
-  /// once.
-  quarantine::crash_detector::token BeginRun();
+  /// once; `call` must be valid until then.
+  quarantine::crash_detector::token BeginRun(const wire::call_request_t& call);
   /// Records the result of the request; starts a check of the upstream if its connection was lost.
   void EndRun(quarantine::crash_detector::token run, const wire::call_request_t& call,
               const net::http_result& result, bool cancelled);
@@ -48,8 +48,8 @@
  private:
   /// Probes the upstream after a lost connection and distributes evidence if it has crashed.
   void CheckUpstream();
-  /// Returns true if the health endpoint of the upstream responds, with any status.
-  bool HealthEndpointResponds();
+  /// Queries the health endpoint of the upstream; any response shows that it runs.
+  quarantine::upstream_health QueryHealth();
   /// Applies evidence of this node or a peer and forwards it to peers, unless it was seen before.
   /// Evidence with `crash_id` 0 is new evidence of this node and gets an id.
   void AddEvidence(const wire::crash_evidence_t& evidence);
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -154,7 +154,7 @@
                                                     net::cancellation& cancel) {
   const auto remaining =
       std::chrono::ceil<milliseconds>(deadline - std::chrono::steady_clock::now());
-  const auto run = quarantine_.BeginRun();
+  const auto run = quarantine_.BeginRun(call);
   net::http_result result = context_.upstream_client.Send(
       *context_.settings.upstream_address, ToHttpRequest(call, remaining), deadline, &cancel);
   quarantine_.EndRun(run, call, result, cancel.cancelled());
--- a/lib/quarantine/crash_detector.cpp
+++ b/lib/quarantine/crash_detector.cpp
@@ -1,34 +1,68 @@
 #include "siskinrack/quarantine/crash_detector.h"
 
+#include <algorithm>
+#include <set>
+
 namespace siskinrack::quarantine {
 
-crash_detector::token crash_detector::Begin() {
-  in_flight_.insert(next_token_);
-  return next_token_++;
+crash_detector::token crash_detector::Begin(fingerprint_source fingerprint) {
+  in_flight_.emplace(++sequence_, std::move(fingerprint));
+  return sequence_;
 }
 
-bool crash_detector::End(token request, request_outcome outcome, std::uint64_t fingerprint) {
-  in_flight_.erase(request);
-  if (!incident_) {
-    if (outcome != request_outcome::kBroken) return false;
-    incident_ = incident{in_flight_, {fingerprint}, false};
-    return true;
+bool crash_detector::End(token request, request_outcome outcome) {
+  const auto found = in_flight_.find(request);
+  if (found == in_flight_.end()) return false;
+  const fingerprint_source fingerprint = std::move(found->second);
+  in_flight_.erase(found);
+  ++sequence_;
+  if (outcome == request_outcome::kNotSent) return false;
+  if (outcome == request_outcome::kAnswered) {
+    ForgetEndsBefore(request);
+    return false;
   }
-  // A request sent after the first break reached an upstream that had already crashed, so it is no
-  // suspect.
-  if (incident_->remaining.erase(request) == 0) return false;
-  if (outcome == request_outcome::kBroken) incident_->suspects.insert(fingerprint);
-  if (outcome == request_outcome::kAnswered) incident_->upstream_answered = true;
-  return false;
+  // Reported with the crash when it was open.
+  if (request < crash_reported_) return false;
+  const bool broken = outcome == request_outcome::kBroken;
+  unproven_.push_back({fingerprint(), sequence_, broken});
+  if (unproven_.size() > kMaxUnprovenEnds) unproven_.pop_front();
+  if (!broken || check_pending_) return false;
+  check_pending_ = true;
+  return true;
+}
+
+void crash_detector::ForgetEndsBefore(std::uint64_t sequence) {
+  while (!unproven_.empty() && unproven_.front().ended < sequence) unproven_.pop_front();
+}
+
+bool crash_detector::HasBrokenEnd() const {
+  return std::any_of(unproven_.begin(), unproven_.end(),
+                     [](const unproven_end& end) { return end.broken; });
 }
 
-std::optional<std::vector<std::uint64_t>> crash_detector::OnHealthCheck(bool health_check_passed) {
-  if (!incident_) return std::nullopt;
-  const incident finished = std::move(*incident_);
-  incident_.reset();
-  if (health_check_passed || finished.upstream_answered || !finished.remaining.empty())
-    return std::nullopt;
-  return std::vector<std::uint64_t>(finished.suspects.begin(), finished.suspects.end());
+crash_detector::check_result crash_detector::OnHealthCheck(upstream_health health) {
+  if (health == upstream_health::kReachable) ForgetEndsBefore(check_began_);
+  check_pending_ = HasBrokenEnd();
+  if (!check_pending_) return {};
+  if (health == upstream_health::kReachable) return {.suspects = {}, .repeat = true};
+  const bool may_be_answered =
+      !in_flight_.empty() && in_flight_.begin()->first < unproven_.back().ended;
+  if (health == upstream_health::kUnknown && may_be_answered) {
+    return {.suspects = {}, .repeat = true};
+  }
+  return ReportCrash();
+}
+
+crash_detector::check_result crash_detector::ReportCrash() {
+  std::set<std::uint64_t> suspects;
+  for (const unproven_end& end : unproven_) suspects.insert(end.fingerprint);
+  for (const auto& [request, fingerprint] : in_flight_) {
+    if (request < unproven_.back().ended) suspects.insert(fingerprint());
+  }
+  unproven_.clear();
+  check_pending_ = false;
+  crash_reported_ = ++sequence_;
+  return {.suspects = {suspects.begin(), suspects.end()}, .repeat = false};
 }
 
 }  // namespace siskinrack::quarantine
