quarantine: only a success proves that a suspected request is harmless

Cause: any complete response counted as a completed run and cleared the crash evidence: a 503 that states that the request did not run, or a 500 of an instance that fails a part of its requests at once. The log line suspect_cleared shows it (node-2, status=503). lib/node asked whether the response says "not run", lib/mesh didn't, and neither asked about errors.

ProvesCompletion answers the question for both programs: the upstream states that it ran the request, and the response is a success. lib/node's two copies of ReportsNotRun are one function now.

--- a/lib/mesh/crash_guard.cpp
+++ b/lib/mesh/crash_guard.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "call_answers.h"
+#include "request_codec.h"
 #include "siskinrack/quarantine/fingerprint.h"
 #include "siskinrack/quarantine/run_outcome.h"
 
@@ -10,7 +11,6 @@
 namespace {
 
 using quarantine::FormatFingerprint;
-using quarantine::request_outcome;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -24,6 +24,12 @@
   return quarantine::ComputeFingerprint(call.service, call.method, call.target, call.body);
 }
 
+/// Returns true if the upstream states that it ran the request.
+bool StatesRun(const net::http_response& response) {
+  const auto read = platform_adapter::ReadUpstreamAnswer(response);
+  return read.stamped && !read.not_run;
+}
+
 quarantine::upstream_health ToHealth(net::connect_result result) {
   switch (result) {
     case net::connect_result::kConnected:
@@ -53,10 +59,9 @@
 
 void crash_guard::EndRun(quarantine::crash_detector::token run, const wire::call_request_t& call,
                          const net::http_result& result, bool cancelled) {
-  const request_outcome outcome = quarantine::ToRequestOutcome(result, cancelled);
   // Completed runs are recorded only while there is crash evidence, so that the fingerprint is not
   // computed for every request.
-  if (outcome == request_outcome::kAnswered && !table_.empty()) {
+  if (!table_.empty() && quarantine::ProvesCompletion(result, StatesRun(result.response))) {
     const std::uint64_t fingerprint = ComputeFingerprint(call);
     if (!table_.Complete(fingerprint, steady_clock::now()).cleared.empty()) {
       context_.log.Info("suspect_cleared", {{"fingerprint", FormatFingerprint(fingerprint)},
@@ -64,7 +69,8 @@
                                             {"status", result.response.status}});
     }
   }
-  if (detector_.End(run, outcome)) net::Spawn([this] { CheckUpstream(); });
+  if (detector_.End(run, quarantine::ToRequestOutcome(result, cancelled)))
+    net::Spawn([this] { CheckUpstream(); });
 }
 
 void crash_guard::CheckUpstream() {
--- a/lib/node/quarantine_service.cpp
+++ b/lib/node/quarantine_service.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "outcome.h"
+#include "request_headers.h"
 #include "serving_service.h"
 #include "siskinrack/quarantine/fingerprint.h"
 #include "siskinrack/quarantine/run_outcome.h"
@@ -14,7 +15,6 @@
 
 namespace json = boost::json;
 using quarantine::FormatFingerprint;
-using quarantine::request_outcome;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -52,12 +52,6 @@
   return text;
 }
 
-/// Returns true if the upstream reports that it did not run the request, and so did not complete
-/// it.
-bool ReportsNotRun(const net::http_response& response) {
-  return net::FindField(response.fields, kOutcomeField) == kNotRunOutcome;
-}
-
 }  // namespace
 
 std::optional<wire::call_answer_t> quarantine_service::RefuseIfQuarantined(
@@ -80,14 +74,13 @@
 void quarantine_service::EndRun(quarantine::crash_detector::token run,
                                 const wire::call_request_t& call, const net::http_result& result,
                                 bool cancelled) {
-  const request_outcome outcome = quarantine::ToRequestOutcome(result, cancelled);
-  const bool completed = outcome == request_outcome::kAnswered && !ReportsNotRun(result.response);
+  const bool completed = quarantine::ProvesCompletion(result, !ReportsNotRun(result.response));
   const std::uint64_t fingerprint = completed ? FingerprintCall(call) : 0;
   bool check = false;
   quarantine::quarantine_change change;
   {
     const std::lock_guard lock(mutex_);
-    check = detector_.End(run, outcome);
+    check = detector_.End(run, quarantine::ToRequestOutcome(result, cancelled));
     if (completed) change = table_.Complete(fingerprint, steady_clock::now());
   }
   if (!change.cleared.empty()) {
--- a/lib/node/request_headers.cpp
+++ b/lib/node/request_headers.cpp
@@ -89,6 +89,11 @@
   return headers;
 }
 
+bool ReportsNotRun(const net::http_response& response) {
+  return response.status >= kStatusBadRequest &&
+         net::FindField(response.fields, kOutcomeField) == kNotRunOutcome;
+}
+
 std::uint32_t ParseRetryAfterMs(const net::http_response& response,
                                 std::chrono::system_clock::time_point now) {
   constexpr std::uint64_t kMaxMs = std::numeric_limits<std::uint32_t>::max();
--- a/lib/node/request_headers.h
+++ b/lib/node/request_headers.h
@@ -34,6 +34,10 @@
 /// that names the first one; the result must not be used then.
 request_headers ParseRequestHeaders(const net::http_request& request, std::string& problem);
 
+/// Returns true if the upstream refused the request and reports in the outcome field that it did
+/// not run it.
+bool ReportsNotRun(const net::http_response& response);
+
 /// Returns the delay in milliseconds that the Retry-After header of a response specifies, in
 /// seconds or as a date. Returns zero if the header is missing or malformed, or if the date is
 /// past.
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -25,13 +25,6 @@
   return request;
 }
 
-/// Returns true if the upstream refused the request and reports in the outcome field that it did
-/// not run it.
-bool ReportsNotRun(const net::http_response& response) {
-  return response.status >= kStatusBadRequest &&
-         net::FindField(response.fields, kOutcomeField) == kNotRunOutcome;
-}
-
 wire::call_answer_t MakeRefusal(const admission::decision& decision) {
   const bool deadline_missed = decision.reason == admission::refusal::kDeadline;
   auto answer = MakeNotRunAnswer(deadline_missed ? kStatusGatewayTimeout : kStatusUnavailable,
--- a/lib/quarantine/run_outcome.cpp
+++ b/lib/quarantine/run_outcome.cpp
@@ -8,4 +8,8 @@
   return result.broken() && !cancelled ? request_outcome::kBroken : request_outcome::kAbandoned;
 }
 
+bool ProvesCompletion(const net::http_result& result, bool ran) {
+  return ran && result.stage == net::exchange_stage::kAnswered && result.response.status / 100 == 2;
+}
+
 }  // namespace siskinrack::quarantine
--- a/unittests/node/quarantine_service_test.cpp
+++ b/unittests/node/quarantine_service_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+
 #include "request_path_fixture.h"
 #include "siskinrack/quarantine/fingerprint.h"
 
@@ -36,8 +38,9 @@
   /// Sends the test request and returns its outcome.
   std::string Send() { return GetOutcome(subject_.Send({"GET", "/tray/bad", {}, {}})); }
 
-  test_node subject_{"a", [](const net::http_request&, net::cancellation&) {
-                       return net::http_response{200, {}, "done"};
+  std::atomic<unsigned> status_ = 200;
+  test_node subject_{"a", [this](const net::http_request&, net::cancellation&) {
+                       return net::http_response{status_, {}, "done"};
                      }};
   std::uint64_t fingerprint_ = quarantine::ComputeFingerprint("counter", "GET", "/tray/bad", {});
 };
@@ -68,5 +71,14 @@
   EXPECT_EQ(SendAdminRequest("GET", "/quarantine"), "[]\n");
 }
 
+// Guards against a failure of the upstream that counts as proof that a suspect is harmless.
+TEST_F(quarantine_service_test, FailedRunDoesNotClearEvidence) {
+  ReceiveCrashEvidence("x");
+  status_ = 500;
+  EXPECT_EQ(Send(), "answered");
+  ReceiveCrashEvidence("y");
+  EXPECT_EQ(Send(), "not-run");
+}
+
 }  // namespace
 }  // namespace siskinrack::node
