quarantine: the service is not part of a request's fingerprint

Callers saw a quarantined request run again after a change of the configuration: its route led to another service, under which it had another fingerprint (mesh_test.QuarantineFollowsTheRouteToAnotherService: 502 and a third run before). With a route that is split between services, each part needed its own evidence.

The fingerprint on both programs is made of host, method, target and body, which is what comes again. The fixture of quarantine_service_test computes it the same way. Claims keep the service: there it guards one key against two uses.

--- a/include/siskinrack/quarantine/fingerprint.h
+++ b/include/siskinrack/quarantine/fingerprint.h
@@ -9,9 +9,9 @@
 
 namespace siskinrack::quarantine {
 
-/// Returns the first 64 bits of the SHA-256 digest of service, method and target, each preceded by
-/// its length, and the body.
-std::uint64_t ComputeFingerprint(std::string_view service, std::string_view method,
+/// Returns the first 64 bits of the SHA-256 digest of scope, method and target, each preceded by
+/// its length, and the body. The scope is the host or the service within which targets are unique.
+std::uint64_t ComputeFingerprint(std::string_view scope, std::string_view method,
                                  std::string_view target, std::span<const std::uint8_t> body);
 
 /// Formats a fingerprint as 16 hexadecimal digits.
--- a/lib/mesh/crash_guard.cpp
+++ b/lib/mesh/crash_guard.cpp
@@ -20,8 +20,9 @@
 /// Short, because the upstream is on the same VM.
 constexpr milliseconds kConnectTimeout{300};
 
+/// The service is not part of the fingerprint: the route of a request may move or be split.
 std::uint64_t ComputeFingerprint(const wire::call_request_t& call) {
-  return quarantine::ComputeFingerprint(call.service, call.method, call.target, call.body);
+  return quarantine::ComputeFingerprint(call.host, call.method, call.target, call.body);
 }
 
 /// Returns true if the upstream states that it ran the request.
--- a/lib/node/quarantine_service.cpp
+++ b/lib/node/quarantine_service.cpp
@@ -39,8 +39,9 @@
   return random;
 }
 
+/// The service is not part of the fingerprint: the route of a request may move or be split.
 std::uint64_t FingerprintCall(const wire::call_request_t& call) {
-  return quarantine::ComputeFingerprint(call.service, call.method, call.target, call.body);
+  return quarantine::ComputeFingerprint(call.host, call.method, call.target, call.body);
 }
 
 std::string JoinFingerprints(const std::vector<std::uint64_t>& fingerprints) {
--- a/lib/quarantine/fingerprint.cpp
+++ b/lib/quarantine/fingerprint.cpp
@@ -20,11 +20,11 @@
 
 }  // namespace
 
-std::uint64_t ComputeFingerprint(std::string_view service, std::string_view method,
+std::uint64_t ComputeFingerprint(std::string_view scope, std::string_view method,
                                  std::string_view target, std::span<const std::uint8_t> body) {
   const std::unique_ptr<EVP_MD_CTX, context_deleter> context(EVP_MD_CTX_new());
   int ok = EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
-  for (const std::string_view part : {service, method, target}) {
+  for (const std::string_view part : {scope, method, target}) {
     // The length prefix makes the boundaries between the parts unambiguous.
     const std::uint64_t size = part.size();
     ok &= EVP_DigestUpdate(context.get(), &size, sizeof(size));
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -379,6 +379,21 @@
   }
 }
 
+// Guards against a quarantine that ends when the route of the request moves to another service.
+TEST_F(mesh_test, QuarantineFollowsTheRouteToAnotherService) {
+  fleet_.Configure(2, "dock");
+  ASSERT_TRUE(Eventually(milliseconds(2'000),
+                         [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
+  EXPECT_EQ(fleet_.Send(0, "/extra/crash").response.status, 502U);
+  std::this_thread::sleep_for(milliseconds(1'500));
+  fleet_.Configure(3, "shop");
+  ASSERT_TRUE(Eventually(milliseconds(2'000),
+                         [&] { return fleet_.Send(0, "/extra/2").response.body == "by i-0"; }));
+  const std::size_t crashes = CountRuns("/extra/crash");
+  EXPECT_EQ(fleet_.Send(0, "/extra/crash").response.status, 503U);
+  EXPECT_EQ(CountRuns("/extra/crash"), crashes);
+}
+
 // Guards against a node that lets a crashing request through because it started after the crashes.
 TEST_F(mesh_test, NodesThatStartAfterTheCrashesRefuseTheRequest) {
   EXPECT_EQ(fleet_.Send(0, "/dock/crash").response.status, 502U);
--- a/unittests/node/quarantine_service_test.cpp
+++ b/unittests/node/quarantine_service_test.cpp
@@ -42,7 +42,7 @@
   test_node subject_{"a", [this](const net::http_request&, net::cancellation&) {
                        return net::http_response{status_, {}, "done"};
                      }};
-  std::uint64_t fingerprint_ = quarantine::ComputeFingerprint("counter", "GET", "/tray/bad", {});
+  std::uint64_t fingerprint_ = quarantine::ComputeFingerprint({}, "GET", "/tray/bad", {});
 };
 
 // Guards against a quarantined request that reaches the upstream, and against one that stays in
