mesh: crash evidence reaches nodes that start later or could not be reached

Callers saw a quarantined request run again after a rolling restart: two more runs in the reproduction (mesh_test.NodesThatStartAfterTheCrashesRefuseTheRequest).

Cause: evidence was sent once to the nodes that had an endpoint at that moment, without confirmation, and kept in memory only. A node that started later had none; a node that was cut off, or whose upstream was down and had no record, never got it.

evidence_sender sends a report until each node that had an endpoint within the evidence window has confirmed it. A node that starts asks three nodes, two of its own failure domain and one of another, for what they have. Evidence that is repeated keeps its age. No message is sent while there was no crash, apart from the three at the start.

--- a/include/siskinrack/quarantine/quarantine_table.h
+++ b/include/siskinrack/quarantine/quarantine_table.h
@@ -75,6 +75,8 @@
 
   [[nodiscard]] bool IsQuarantined(std::uint64_t fingerprint, steady_time now) const;
   [[nodiscard]] std::vector<quarantined_fingerprint> QuarantinedFingerprints(steady_time now) const;
+  /// Returns the crashes with the suspects that have not been cleared.
+  [[nodiscard]] std::vector<crash> Crashes() const;
   /// Returns true if there is no evidence, so that the hot path can skip further checks.
   [[nodiscard]] bool empty() const { return suspects_.empty(); }
   /// Discards evidence and releases older than the window.
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -108,6 +108,14 @@
 struct crash_evidenceBuilder;
 struct crash_evidence_t;
 
+struct crash_history_request;
+struct crash_history_requestBuilder;
+struct crash_history_request_t;
+
+struct crash_history;
+struct crash_historyBuilder;
+struct crash_history_t;
+
 struct quarantine_release;
 struct quarantine_releaseBuilder;
 struct quarantine_release_t;
@@ -343,11 +351,13 @@
   quarantine_release = 19,
   link_ping = 20,
   link_pong = 21,
+  crash_history_request = 22,
+  crash_history = 23,
   MIN = NONE,
-  MAX = link_pong
+  MAX = crash_history
 };
 
-inline const message (&EnumValuesmessage())[22] {
+inline const message (&EnumValuesmessage())[24] {
   static const message values[] = {
     message::NONE,
     message::call_request,
@@ -370,13 +380,15 @@
     message::crash_evidence,
     message::quarantine_release,
     message::link_ping,
-    message::link_pong
+    message::link_pong,
+    message::crash_history_request,
+    message::crash_history
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[23] = {
+  static const char * const names[25] = {
     "NONE",
     "call_request",
     "call_answer",
@@ -399,13 +411,15 @@
     "quarantine_release",
     "link_ping",
     "link_pong",
+    "crash_history_request",
+    "crash_history",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::link_pong)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::crash_history)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -498,6 +512,14 @@
   static const message enum_value = message::link_pong;
 };
 
+template<> struct messageTraits<siskinrack::wire::crash_history_request> {
+  static const message enum_value = message::crash_history_request;
+};
+
+template<> struct messageTraits<siskinrack::wire::crash_history> {
+  static const message enum_value = message::crash_history;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -586,6 +608,14 @@
   static const message enum_value = message::link_pong;
 };
 
+template<> struct messageUnionTraits<siskinrack::wire::crash_history_request_t> {
+  static const message enum_value = message::crash_history_request;
+};
+
+template<> struct messageUnionTraits<siskinrack::wire::crash_history_t> {
+  static const message enum_value = message::crash_history;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -784,6 +814,22 @@
     return type == message::link_pong ?
       reinterpret_cast<const siskinrack::wire::link_pong_t *>(value) : nullptr;
   }
+  siskinrack::wire::crash_history_request_t *Ascrash_history_request() {
+    return type == message::crash_history_request ?
+      reinterpret_cast<siskinrack::wire::crash_history_request_t *>(value) : nullptr;
+  }
+  const siskinrack::wire::crash_history_request_t *Ascrash_history_request() const {
+    return type == message::crash_history_request ?
+      reinterpret_cast<const siskinrack::wire::crash_history_request_t *>(value) : nullptr;
+  }
+  siskinrack::wire::crash_history_t *Ascrash_history() {
+    return type == message::crash_history ?
+      reinterpret_cast<siskinrack::wire::crash_history_t *>(value) : nullptr;
+  }
+  const siskinrack::wire::crash_history_t *Ascrash_history() const {
+    return type == message::crash_history ?
+      reinterpret_cast<const siskinrack::wire::crash_history_t *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -3439,6 +3485,112 @@
 
 flatbuffers::Offset<crash_evidence> Createcrash_evidence(flatbuffers::FlatBufferBuilder &_fbb, const crash_evidence_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct crash_history_request_t : public flatbuffers::NativeTable {
+  typedef crash_history_request TableType;
+};
+
+struct crash_history_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef crash_history_request_t NativeTableType;
+  typedef crash_history_requestBuilder Builder;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  crash_history_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(crash_history_request_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<crash_history_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const crash_history_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct crash_history_requestBuilder {
+  typedef crash_history_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit crash_history_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<crash_history_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<crash_history_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<crash_history_request> Createcrash_history_request(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  crash_history_requestBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<crash_history_request> Createcrash_history_request(flatbuffers::FlatBufferBuilder &_fbb, const crash_history_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct crash_history_t : public flatbuffers::NativeTable {
+  typedef crash_history TableType;
+  std::vector<std::unique_ptr<siskinrack::wire::crash_evidence_t>> crashes{};
+  crash_history_t() = default;
+  crash_history_t(const crash_history_t &o);
+  crash_history_t(crash_history_t&&) FLATBUFFERS_NOEXCEPT = default;
+  crash_history_t &operator=(crash_history_t o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct crash_history FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef crash_history_t NativeTableType;
+  typedef crash_historyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CRASHES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::crash_evidence>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::crash_evidence>> *>(VT_CRASHES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           verifier.EndTable();
+  }
+  crash_history_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(crash_history_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<crash_history> Pack(flatbuffers::FlatBufferBuilder &_fbb, const crash_history_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct crash_historyBuilder {
+  typedef crash_history Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::crash_evidence>>> crashes) {
+    fbb_.AddOffset(crash_history::VT_CRASHES, crashes);
+  }
+  explicit crash_historyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<crash_history> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<crash_history>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<crash_history> Createcrash_history(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::crash_evidence>>> crashes = 0) {
+  crash_historyBuilder builder_(_fbb);
+  builder_.add_crashes(crashes);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<crash_history> Createcrash_historyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<siskinrack::wire::crash_evidence>> *crashes = nullptr) {
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::crash_evidence>>(*crashes) : 0;
+  return siskinrack::wire::Createcrash_history(
+      _fbb,
+      crashes__);
+}
+
+flatbuffers::Offset<crash_history> Createcrash_history(flatbuffers::FlatBufferBuilder &_fbb, const crash_history_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct quarantine_release_t : public flatbuffers::NativeTable {
   typedef quarantine_release TableType;
   uint64_t fingerprint = 0;
@@ -3598,6 +3750,12 @@
   const siskinrack::wire::link_pong *message_as_link_pong() const {
     return message_type() == siskinrack::wire::message::link_pong ? static_cast<const siskinrack::wire::link_pong *>(message()) : nullptr;
   }
+  const siskinrack::wire::crash_history_request *message_as_crash_history_request() const {
+    return message_type() == siskinrack::wire::message::crash_history_request ? static_cast<const siskinrack::wire::crash_history_request *>(message()) : nullptr;
+  }
+  const siskinrack::wire::crash_history *message_as_crash_history() const {
+    return message_type() == siskinrack::wire::message::crash_history ? static_cast<const siskinrack::wire::crash_history *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -3700,6 +3858,14 @@
   return message_as_link_pong();
 }
 
+template<> inline const siskinrack::wire::crash_history_request *envelope::message_as<siskinrack::wire::crash_history_request>() const {
+  return message_as_crash_history_request();
+}
+
+template<> inline const siskinrack::wire::crash_history *envelope::message_as<siskinrack::wire::crash_history>() const {
+  return message_as_crash_history();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4780,6 +4946,65 @@
       _age_ms);
 }
 
+inline crash_history_request_t *crash_history_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<crash_history_request_t>(new crash_history_request_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void crash_history_request::UnPackTo(crash_history_request_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<crash_history_request> crash_history_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const crash_history_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcrash_history_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<crash_history_request> Createcrash_history_request(flatbuffers::FlatBufferBuilder &_fbb, const crash_history_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const crash_history_request_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return siskinrack::wire::Createcrash_history_request(
+      _fbb);
+}
+
+inline crash_history_t::crash_history_t(const crash_history_t &o) {
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new siskinrack::wire::crash_evidence_t(*crashes_) : nullptr); }
+}
+
+inline crash_history_t &crash_history_t::operator=(crash_history_t o) FLATBUFFERS_NOEXCEPT {
+  std::swap(crashes, o.crashes);
+  return *this;
+}
+
+inline crash_history_t *crash_history::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<crash_history_t>(new crash_history_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void crash_history::UnPackTo(crash_history_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<siskinrack::wire::crash_evidence_t>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<crash_history> crash_history::Pack(flatbuffers::FlatBufferBuilder &_fbb, const crash_history_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcrash_history(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<crash_history> Createcrash_history(flatbuffers::FlatBufferBuilder &_fbb, const crash_history_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const crash_history_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::crash_evidence>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return Createcrash_evidence(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return siskinrack::wire::Createcrash_history(
+      _fbb,
+      _crashes);
+}
+
 inline quarantine_release_t *quarantine_release::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<quarantine_release_t>(new quarantine_release_t());
   UnPackTo(_o.get(), _resolver);
@@ -4939,6 +5164,14 @@
       auto ptr = reinterpret_cast<const siskinrack::wire::link_pong *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::crash_history_request: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::crash_history_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::crash_history: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::crash_history *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5042,6 +5275,14 @@
       auto ptr = reinterpret_cast<const siskinrack::wire::link_pong *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::crash_history_request: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::crash_history_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::crash_history: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::crash_history *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5133,6 +5374,14 @@
       auto ptr = reinterpret_cast<const siskinrack::wire::link_pong_t *>(value);
       return Createlink_pong(_fbb, ptr, _rehasher).Union();
     }
+    case message::crash_history_request: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::crash_history_request_t *>(value);
+      return Createcrash_history_request(_fbb, ptr, _rehasher).Union();
+    }
+    case message::crash_history: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::crash_history_t *>(value);
+      return Createcrash_history(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5223,6 +5472,14 @@
       value = new siskinrack::wire::link_pong_t(*reinterpret_cast<siskinrack::wire::link_pong_t *>(u.value));
       break;
     }
+    case message::crash_history_request: {
+      value = new siskinrack::wire::crash_history_request_t(*reinterpret_cast<siskinrack::wire::crash_history_request_t *>(u.value));
+      break;
+    }
+    case message::crash_history: {
+      value = new siskinrack::wire::crash_history_t(*reinterpret_cast<siskinrack::wire::crash_history_t *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5335,6 +5592,16 @@
       delete ptr;
       break;
     }
+    case message::crash_history_request: {
+      auto ptr = reinterpret_cast<siskinrack::wire::crash_history_request_t *>(value);
+      delete ptr;
+      break;
+    }
+    case message::crash_history: {
+      auto ptr = reinterpret_cast<siskinrack::wire::crash_history_t *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/lib/mesh/crash_guard.cpp
+++ b/lib/mesh/crash_guard.cpp
@@ -102,33 +102,51 @@
   evidence.suspects = std::move(suspects);
   context_.log.Warn("upstream_crashed",
                     {{"crash", evidence.crash_id}, {"suspects", evidence.suspects.size()}});
-  OnEvidence(evidence);
-  Broadcast(evidence);
+  AddEvidence(evidence);
+  sender_.Send(std::move(evidence));
 }
 
-void crash_guard::OnEvidence(const wire::crash_evidence_t& evidence) {
+std::vector<std::uint64_t> crash_guard::AddEvidence(const wire::crash_evidence_t& evidence) {
   const auto now = steady_clock::now();
   for (const std::uint64_t fingerprint : evidence.cleared) table_.Complete(fingerprint, now);
-  if (evidence.suspects.empty()) return;
-  const auto result =
-      table_.AddCrash({evidence.node_id, evidence.crash_id, evidence.suspects, now}, now);
+  if (evidence.suspects.empty()) return {};
+  const auto at = now - milliseconds(evidence.age_ms);
+  auto result = table_.AddCrash({evidence.node_id, evidence.crash_id, evidence.suspects, at}, now);
   for (const std::uint64_t fingerprint : result.quarantined) {
     context_.log.Warn("request_quarantined", {{"fingerprint", FormatFingerprint(fingerprint)},
                                               {"node", evidence.node_id},
                                               {"crash", evidence.crash_id}});
   }
-  if (result.cleared.empty()) return;
+  return std::move(result.cleared);
+}
+
+wire::crash_evidence_t crash_guard::MakeClearance(std::vector<std::uint64_t> cleared) const {
   wire::crash_evidence_t clearance;
   clearance.node_id = context_.settings.node_id;
-  clearance.cleared = result.cleared;
-  Broadcast(clearance);
+  clearance.cleared = std::move(cleared);
+  return clearance;
 }
 
-void crash_guard::Broadcast(const wire::crash_evidence_t& evidence) {
-  for (const support::socket_address& node : context_.endpoints.Nodes()) {
-    if (node == context_.settings.peer_address) continue;
-    context_.peers.Send(node, wire::MakeEnvelope(wire::crash_evidence_t(evidence)));
+wire::crash_evidence_t crash_guard::OnEvidence(const wire::crash_evidence_t& evidence,
+                                               bool confirmation_requested) {
+  wire::crash_evidence_t clearance = MakeClearance(AddEvidence(evidence));
+  if (!confirmation_requested && !clearance.cleared.empty()) sender_.SendOnce(clearance);
+  return clearance;
+}
+
+wire::crash_history_t crash_guard::MakeHistory() const {
+  const auto now = steady_clock::now();
+  wire::crash_history_t history;
+  for (quarantine::crash& crash : table_.Crashes()) {
+    auto evidence = std::make_unique<wire::crash_evidence_t>();
+    evidence->node_id = std::move(crash.node_id);
+    evidence->crash_id = crash.crash_id;
+    evidence->suspects = std::move(crash.suspects);
+    const auto age = std::chrono::duration_cast<milliseconds>(now - crash.at);
+    evidence->age_ms = static_cast<std::uint32_t>(age.count());
+    history.crashes.push_back(std::move(evidence));
   }
+  return history;
 }
 
 }  // namespace siskinrack::mesh
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -112,6 +112,7 @@
     context_.runtime.Post(0, [this] { registration_.Run(); });
     context_.runtime.Post(0, [this] { monitor_.Run(); });
     context_.runtime.Post(0, [this] { reaper_.Run(); });
+    context_.runtime.Post(0, [this] { crashes_.Run(); });
   }
 
   void Reload() {
@@ -224,8 +225,10 @@
       return wire::MakeEnvelope(std::move(reply));
     }
     if (const auto* evidence = message.message.Ascrash_evidence()) {
-      crashes_.OnEvidence(*evidence);
-      return std::nullopt;
+      return wire::MakeEnvelope(crashes_.OnEvidence(*evidence, message.correlation_id != 0));
+    }
+    if (message.message.Ascrash_history_request() != nullptr) {
+      return wire::MakeEnvelope(crashes_.MakeHistory());
     }
     const auto* call = message.message.Ascall_request();
     if (call == nullptr) return std::nullopt;
--- a/lib/quarantine/quarantine_table.cpp
+++ b/lib/quarantine/quarantine_table.cpp
@@ -125,6 +125,22 @@
   return list;
 }
 
+std::vector<crash> quarantine_table::Crashes() const {
+  std::map<std::pair<std::string, std::uint64_t>, crash> crashes;
+  for (const auto& [fingerprint, entry] : suspects_) {
+    for (const crash_reference& reference : entry.crashes) {
+      crash& found = crashes[{reference.node_id, reference.crash_id}];
+      found.node_id = reference.node_id;
+      found.crash_id = reference.crash_id;
+      found.at = reference.at;
+      found.suspects.push_back(fingerprint);
+    }
+  }
+  std::vector<crash> list;
+  for (auto& [id, found] : crashes) list.push_back(std::move(found));
+  return list;
+}
+
 void quarantine_table::Expire(steady_time now) {
   for (auto entry = suspects_.begin(); entry != suspects_.end();) {
     auto& crashes = entry->second.crashes;
--- a/unittests/quarantine/quarantine_table_test.cpp
+++ b/unittests/quarantine/quarantine_table_test.cpp
@@ -105,6 +105,19 @@
   EXPECT_FALSE(table_.IsQuarantined(kBad, now_));
 }
 
+// Guards against a node that starts after the crashes and gets other evidence than the others have.
+TEST_F(quarantine_table_test, CrashesRestoreTheEvidence) {
+  Crash("a", 1, {kBad, 7});
+  Crash("b", 1, {kBad, 8});
+  table_.Complete(7, now_);
+  quarantine_table started;
+  for (const crash& evidence : table_.Crashes()) started.AddCrash(evidence, now_);
+  EXPECT_TRUE(started.IsQuarantined(kBad, now_));
+  ASSERT_EQ(started.Crashes().size(), 2U);
+  EXPECT_EQ(started.Crashes()[0].suspects, (std::vector<std::uint64_t>{kBad}));
+  EXPECT_EQ(started.Crashes()[1].suspects, (std::vector<std::uint64_t>{8, kBad}));
+}
+
 // Guards against evidence that is never removed from memory.
 TEST_F(quarantine_table_test, MemoryIsBounded) {
   for (std::uint64_t i = 0; i < 20'000; ++i) {
