--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -79,6 +79,16 @@
 
 net::http_response instance_stand_in::Handle(const net::http_request& request,
                                              net::cancellation& cancel) {
+  net::http_response response = Answer(request, cancel);
+  if (const double limit = named_limit_; limit > 0) {
+    response.fields.push_back({"Server-Limit", std::to_string(limit)});
+  }
+  if (leaving_) response.fields.push_back({"Server-Leaving", "1"});
+  return response;
+}
+
+net::http_response instance_stand_in::Answer(const net::http_request& request,
+                                             net::cancellation& cancel) {
   const std::string request_id(net::FindField(request.fields, "Request-Id"));
   if (net::FindField(request.fields, "Expect-Instance") != id_) {
     return {421, {{"Request-Id", request_id}, {"Instance-Id", id_}}, {}};
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -50,10 +50,16 @@
   void SetRefusing(bool refusing) { refusing_ = refusing; }
   /// Answers every request with a server error while `failing` is true, without running it.
   void SetFailing(bool failing) { failing_ = failing; }
+  /// Names a limit of requests per second in every answer; 0 names none.
+  void SetNamedLimit(double per_second) { named_limit_ = per_second; }
+  /// Announces in every answer that the upstream is leaving.
+  void SetLeaving() { leaving_ = true; }
   [[nodiscard]] const std::string& id() const { return id_; }
 
  private:
   net::http_response Handle(const net::http_request& request, net::cancellation& cancel);
+  /// Answers a request without the fields that every answer has.
+  net::http_response Answer(const net::http_request& request, net::cancellation& cancel);
   void StartServer();
   /// Closes all connections and starts the server again after a delay.
   void Crash();
@@ -63,6 +69,8 @@
   std::string id_;
   std::atomic<bool> refusing_ = false;
   std::atomic<bool> failing_ = false;
+  std::atomic<double> named_limit_ = 0;
+  std::atomic<bool> leaving_ = false;
   mutable std::mutex mutex_;
   std::vector<observed_run> runs_;
   std::vector<std::thread> crash_threads_;
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <functional>
@@ -411,6 +412,63 @@
   EXPECT_EQ(CountRuns("/dock/crash"), crashes);
 }
 
+// Guards against an upstream that gets more requests than the limit that it names, also from a node
+// that has forgotten the limit in a restart.
+TEST_F(mesh_test, UpstreamGetsNoMoreThanItsNamedLimit) {
+  constexpr double kLimit = 10;
+  constexpr double kWindowS = 4;
+  for (std::size_t i = 1; i < 3; ++i) fleet_.instance(i).SetNamedLimit(kLimit);
+  std::atomic<bool> stopped = false;
+  std::vector<std::thread> callers;
+  for (std::size_t i = 0; i < 9; ++i) {
+    callers.emplace_back([&, i] {
+      while (!stopped) {
+        fleet_.Send(i % 2, "/dock/limited");
+        std::this_thread::sleep_for(milliseconds(5));
+      }
+    });
+  }
+  // The time that the platform allows until the limit holds.
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  const auto begin = steady_clock::now();
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  fleet_.StartNode(2);
+  std::this_thread::sleep_for(std::chrono::seconds(5));
+  stopped = true;
+  for (std::thread& caller : callers) caller.join();
+  for (std::size_t i = 1; i < 3; ++i) {
+    std::size_t most = 0;
+    const std::vector<observed_run> runs = fleet_.instance(i).runs();
+    for (const observed_run& first : runs) {
+      if (first.at < begin) continue;
+      const auto end = first.at + std::chrono::duration<double>(kWindowS);
+      most = std::max<std::size_t>(
+          most, std::count_if(runs.begin(), runs.end(),
+                              [&](const auto& run) { return run.at >= first.at && run.at < end; }));
+    }
+    EXPECT_LE(most, 1.5 * kLimit * kWindowS + 5) << "instance " << i;
+    EXPECT_GE(most, kLimit * kWindowS / 2) << "instance " << i;
+  }
+}
+
+// Guards against requests to an upstream that has announced its departure in an answer, also while
+// the store is unavailable, no heartbeat says so and its node has forgotten it in a restart.
+TEST_F(mesh_test, DepartureAnnouncedInAnAnswerEndsNewWork) {
+  fleet_.store().SetDown(true);
+  fleet_.instance(1).SetLeaving();
+  ASSERT_TRUE(Eventually(milliseconds(2'000), [&] {
+    return fleet_.Send(0, "/dock/announce").response.body == "by i-1";
+  }));
+  std::this_thread::sleep_for(milliseconds(1'000));
+  const std::size_t before = fleet_.instance(1).runs().size();
+  for (int i = 0; i < 40; ++i) {
+    if (i == 20) fleet_.StartNode(1);
+    EXPECT_EQ(fleet_.Send(0, "/dock/later").response.body, "by i-2");
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  EXPECT_EQ(fleet_.instance(1).runs().size(), before);
+}
+
 // Guards against a node that doesn't rejoin the mesh after it was killed.
 TEST_F(mesh_test, KilledNodeServesAgain) {
   fleet_.node(1).Signal(SIGKILL);
