mesh, admission: an upstream gets no more calls than the limit that it names

Cause: nothing read the field. No other process reaches an upstream than the node beside it, so one rate limiter there holds for the whole mesh. deadline_controller starts calls within it in the order of their urgency, counts it in every predicted wait, and so refuses or redirects at once what can't be answered in time at that rate. The reported slots are those that calls at the limited rate keep busy, by which the other nodes predict the wait.

The limit holds while answers name it: an answer without it or a new lifetime of the upstream ends it. A node that restarts forgets it; the entry nodes, which passed it on, tell it the limit with their calls until the upstream has answered it.

--- a/include/siskinrack/admission/deadline_controller.h
+++ b/include/siskinrack/admission/deadline_controller.h
@@ -3,10 +3,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
 #include "siskinrack/admission/controller.h"
+#include "siskinrack/admission/rate_limiter.h"
 
 namespace siskinrack::admission {
 
@@ -27,21 +29,26 @@
   bool redirectable = false;
 };
 
-/// Predicts when the slots of an upstream become free if calls start in a given order, each on the
-/// first free slot.
+/// Predicts when calls can start on an upstream if they start in a given order, each on the first
+/// free slot and within the rate limit.
 class slot_timeline {
  public:
   /// Constructs a timeline on which all slots are free at `now`. 0 slots count as 1.
-  slot_timeline(std::uint32_t slots, time_point now);
+  slot_timeline(std::uint32_t slots, const rate_limiter& limiter, time_point now);
 
-  /// Occupies the first free slot for `time`.
-  void Occupy(nanoseconds time);
+  /// Occupies the first free slot for the remaining time of a call that runs already.
+  void OccupyRunning(nanoseconds remaining);
+  /// Starts a call that takes `time` at the next possible time.
+  void Start(nanoseconds time);
   /// Returns when the next call can start.
-  [[nodiscard]] time_point first_free() const { return free_at_.front(); }
+  [[nodiscard]] time_point next_start() const { return limiter_.NextStart(free_at_.front()); }
 
  private:
+  void ReplaceFirst(time_point end);
+
   /// Min-heap.
   std::vector<time_point> free_at_;
+  rate_limiter limiter_;
 };
 
 /// Controls the admission of calls to one upstream by the remaining worth of their answers. Calls
@@ -57,6 +64,8 @@
 /// - A burst of urgent calls overtakes calls that were accepted before: after each change of the
 ///   queue, calls that can't meet their deadlines behind those before them are refused at once
 ///   instead of shortly before their deadlines.
+/// - An upstream in trouble names a limit of calls per second: calls start within it in the same
+///   order, and those that can't be answered in time at that rate are refused at once.
 ///
 /// Deterministic: the time is an argument. Not thread-safe; slot_gate locks it and
 /// suspends the queued calls.
@@ -67,6 +76,11 @@
   /// Sets the number of slots. Running calls beyond it continue; additional slots are used from the
   /// next Offer, Finish or Advance.
   void SetSlots(std::uint32_t slots) { slots_ = slots; }
+  /// Sets the limit of calls per second that the upstream names, or removes it. Waiting calls that
+  /// may start because of it are admitted by the next Offer, Finish or Advance.
+  void SetRate(std::optional<double> per_second, time_point now) {
+    limiter_.SetRate(per_second, now);
+  }
 
   /// Admits, queues or refuses a new call.
   decisions Offer(const timed_arrival& call, time_point now);
@@ -79,8 +93,15 @@
   /// `now`.
   decisions Advance(time_point now);
 
-  /// Returns the current load of the upstream.
-  [[nodiscard]] upstream_load Load() const { return {running_.size(), waiting_.size(), slots_}; }
+  /// Returns when Advance has to be called to admit a waiting call, or std::nullopt if no call
+  /// waits for the rate limit only.
+  [[nodiscard]] std::optional<time_point> NextStart(time_point now) const;
+
+  /// Returns the current load of the upstream. Its limit is the number of slots that calls at the
+  /// limited rate keep busy.
+  [[nodiscard]] upstream_load Load() const {
+    return {running_.size(), waiting_.size(), CountUsableSlots()};
+  }
 
  private:
   struct running_call {
@@ -113,6 +134,11 @@
   /// Like ComputeUrgency, but counts a deferrable call as in time: it is reclassified before its
   /// slack is used up.
   [[nodiscard]] urgency ComputeLaterUrgency(const timed_arrival& call, time_point now) const;
+  [[nodiscard]] std::uint32_t CountUsableSlots() const;
+  /// Returns true if a call can start now.
+  [[nodiscard]] bool CanStart(time_point now) const {
+    return running_.size() < slots_ && limiter_.NextStart(now) <= now;
+  }
   /// Returns when the slots are expected to become free of the running calls.
   [[nodiscard]] slot_timeline EstimateSlotTimes(time_point now) const;
   [[nodiscard]] nanoseconds EstimateWait(const timed_arrival& call, time_point now) const;
@@ -126,6 +152,9 @@
   void Run(const timed_arrival& call, time_point now, decisions& out);
 
   std::uint32_t slots_;
+  rate_limiter limiter_;
+  /// Smoothed service time of all calls; zero before the first one.
+  nanoseconds mean_service_time_{0};
   std::vector<timed_arrival> waiting_;
   std::unordered_map<std::uint64_t, running_call> running_;
   std::unordered_map<std::uint64_t, service_estimate> service_times_;
--- a/include/siskinrack/admission/slot_gate.h
+++ b/include/siskinrack/admission/slot_gate.h
@@ -51,6 +51,7 @@
     });
     // The offer may also have decided calls that were waiting.
     if (decided.size() > 1 || own == decided.end()) Deliver(decided);
+    ScheduleStart();
     if (own != decided.end()) return *own;
     const auto pending = std::make_shared<promise>();
     waiting_.emplace(call.ticket, pending);
@@ -64,6 +65,7 @@
     {
       const std::lock_guard lock(mutex_);
       Deliver(controller_.Finish(ticket, result, std::chrono::steady_clock::now(), retry_after));
+      ScheduleStart();
     }
     if (retry_after.count() > 0) AdvanceAfter(retry_after);
   }
@@ -94,14 +96,28 @@
     Deliver({{.ticket = ticket, .admitted = false, .reason = refusal::kDeadline}});
   }
 
-  void AdvanceAfter(std::chrono::milliseconds pause) {
+  void AdvanceAfter(nanoseconds pause) {
     net::Spawn([self = this->shared_from_this(), pause] {
       net::SleepFor(pause);
       const std::lock_guard lock(self->mutex_);
+      self->start_scheduled_ = false;
       self->Deliver(self->controller_.Advance(std::chrono::steady_clock::now()));
+      self->ScheduleStart();
     });
   }
 
+  /// Schedules an Advance if a call waits for a time that the controller tells, and none is
+  /// scheduled. Requires the lock.
+  void ScheduleStart() {
+    if constexpr (requires(time_point now) { controller_.NextStart(now); }) {
+      const auto now = std::chrono::steady_clock::now();
+      const auto next = controller_.NextStart(now);
+      if (!next || start_scheduled_) return;
+      start_scheduled_ = true;
+      AdvanceAfter(*next - now);
+    }
+  }
+
   /// Resumes the waiting calls that have a decision. Requires the lock.
   void Deliver(const decisions& list) {
     for (const decision& outcome : list) {
@@ -116,6 +132,8 @@
   std::mutex mutex_;
   Controller controller_;
   std::uint64_t last_ticket_ = 0;
+  /// True while a fiber waits for the next start.
+  bool start_scheduled_ = false;
   std::unordered_map<std::uint64_t, std::shared_ptr<promise>> waiting_;
 };
 
--- a/include/siskinrack/routing/instance.h
+++ b/include/siskinrack/routing/instance.h
@@ -16,7 +16,7 @@
   /// Start time of the process by its own clock, in Unix milliseconds.
   std::int64_t born_ms = 0;
 
-  bool operator==(const lifetime&) const = default;
+  auto operator<=>(const lifetime&) const = default;
 };
 
 /// State that an upstream reports about itself. A draining upstream receives no new calls.
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -1027,6 +1027,7 @@
   uint64_t work_class = 0;
   uint32_t in_time_ms = 0;
   bool redirectable = false;
+  float known_limit = 0.0f;
   call_request_t() = default;
   call_request_t(const call_request_t &o);
   call_request_t(call_request_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1055,7 +1056,8 @@
     VT_PRIORITY = 34,
     VT_WORK_CLASS = 36,
     VT_IN_TIME_MS = 38,
-    VT_REDIRECTABLE = 40
+    VT_REDIRECTABLE = 40,
+    VT_KNOWN_LIMIT = 42
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1114,6 +1116,9 @@
   bool redirectable() const {
     return GetField<uint8_t>(VT_REDIRECTABLE, 0) != 0;
   }
+  float known_limit() const {
+    return GetField<float>(VT_KNOWN_LIMIT, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -1146,6 +1151,7 @@
            VerifyField<uint64_t>(verifier, VT_WORK_CLASS, 8) &&
            VerifyField<uint32_t>(verifier, VT_IN_TIME_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_REDIRECTABLE, 1) &&
+           VerifyField<float>(verifier, VT_KNOWN_LIMIT, 4) &&
            verifier.EndTable();
   }
   call_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1214,6 +1220,9 @@
   void add_redirectable(bool redirectable) {
     fbb_.AddElement<uint8_t>(call_request::VT_REDIRECTABLE, static_cast<uint8_t>(redirectable), 0);
   }
+  void add_known_limit(float known_limit) {
+    fbb_.AddElement<float>(call_request::VT_KNOWN_LIMIT, known_limit, 0.0f);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1245,11 +1254,13 @@
     uint32_t priority = 0,
     uint64_t work_class = 0,
     uint32_t in_time_ms = 0,
-    bool redirectable = false) {
+    bool redirectable = false,
+    float known_limit = 0.0f) {
   call_requestBuilder builder_(_fbb);
   builder_.add_work_class(work_class);
   builder_.add_config_version(config_version);
   builder_.add_claim_epoch(claim_epoch);
+  builder_.add_known_limit(known_limit);
   builder_.add_in_time_ms(in_time_ms);
   builder_.add_priority(priority);
   builder_.add_host(host);
@@ -1289,7 +1300,8 @@
     uint32_t priority = 0,
     uint64_t work_class = 0,
     uint32_t in_time_ms = 0,
-    bool redirectable = false) {
+    bool redirectable = false,
+    float known_limit = 0.0f) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto rank__ = rank ? _fbb.CreateString(rank) : 0;
   auto caller__ = caller ? _fbb.CreateString(caller) : 0;
@@ -1320,7 +1332,8 @@
       priority,
       work_class,
       in_time_ms,
-      redirectable);
+      redirectable,
+      known_limit);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1340,6 +1353,7 @@
   siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none;
   uint64_t config_version = 0;
   uint16_t service_ms = 0;
+  float named_limit = 0.0f;
   call_answer_t() = default;
   call_answer_t(const call_answer_t &o);
   call_answer_t(call_answer_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1362,7 +1376,8 @@
     VT_NODE_ID = 22,
     VT_CAUSE = 24,
     VT_CONFIG_VERSION = 26,
-    VT_SERVICE_MS = 28
+    VT_SERVICE_MS = 28,
+    VT_NAMED_LIMIT = 30
   };
   siskinrack::wire::outcome_kind outcome() const {
     return static_cast<siskinrack::wire::outcome_kind>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -1403,6 +1418,9 @@
   uint16_t service_ms() const {
     return GetField<uint16_t>(VT_SERVICE_MS, 0);
   }
+  float named_limit() const {
+    return GetField<float>(VT_NAMED_LIMIT, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -1423,6 +1441,7 @@
            VerifyField<uint8_t>(verifier, VT_CAUSE, 1) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyField<uint16_t>(verifier, VT_SERVICE_MS, 2) &&
+           VerifyField<float>(verifier, VT_NAMED_LIMIT, 4) &&
            verifier.EndTable();
   }
   call_answer_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1473,6 +1492,9 @@
   void add_service_ms(uint16_t service_ms) {
     fbb_.AddElement<uint16_t>(call_answer::VT_SERVICE_MS, service_ms, 0);
   }
+  void add_named_limit(float named_limit) {
+    fbb_.AddElement<float>(call_answer::VT_NAMED_LIMIT, named_limit, 0.0f);
+  }
   explicit call_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1498,9 +1520,11 @@
     flatbuffers::Offset<flatbuffers::String> node_id = 0,
     siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none,
     uint64_t config_version = 0,
-    uint16_t service_ms = 0) {
+    uint16_t service_ms = 0,
+    float named_limit = 0.0f) {
   call_answerBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
+  builder_.add_named_limit(named_limit);
   builder_.add_node_id(node_id);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_body(body);
@@ -1530,7 +1554,8 @@
     const char *node_id = nullptr,
     siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none,
     uint64_t config_version = 0,
-    uint16_t service_ms = 0) {
+    uint16_t service_ms = 0,
+    float named_limit = 0.0f) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::header_field>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -1549,7 +1574,8 @@
       node_id__,
       cause,
       config_version,
-      service_ms);
+      service_ms,
+      named_limit);
 }
 
 flatbuffers::Offset<call_answer> Createcall_answer(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3992,7 +4018,8 @@
         priority(o.priority),
         work_class(o.work_class),
         in_time_ms(o.in_time_ms),
-        redirectable(o.redirectable) {
+        redirectable(o.redirectable),
+        known_limit(o.known_limit) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -4017,6 +4044,7 @@
   std::swap(work_class, o.work_class);
   std::swap(in_time_ms, o.in_time_ms);
   std::swap(redirectable, o.redirectable);
+  std::swap(known_limit, o.known_limit);
   return *this;
 }
 
@@ -4048,6 +4076,7 @@
   { auto _e = work_class(); _o->work_class = _e; }
   { auto _e = in_time_ms(); _o->in_time_ms = _e; }
   { auto _e = redirectable(); _o->redirectable = _e; }
+  { auto _e = known_limit(); _o->known_limit = _e; }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4077,6 +4106,7 @@
   auto _work_class = _o->work_class;
   auto _in_time_ms = _o->in_time_ms;
   auto _redirectable = _o->redirectable;
+  auto _known_limit = _o->known_limit;
   return siskinrack::wire::Createcall_request(
       _fbb,
       _service,
@@ -4097,7 +4127,8 @@
       _priority,
       _work_class,
       _in_time_ms,
-      _redirectable);
+      _redirectable,
+      _known_limit);
 }
 
 inline call_answer_t::call_answer_t(const call_answer_t &o)
@@ -4112,7 +4143,8 @@
         node_id(o.node_id),
         cause(o.cause),
         config_version(o.config_version),
-        service_ms(o.service_ms) {
+        service_ms(o.service_ms),
+        named_limit(o.named_limit) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -4131,6 +4163,7 @@
   std::swap(cause, o.cause);
   std::swap(config_version, o.config_version);
   std::swap(service_ms, o.service_ms);
+  std::swap(named_limit, o.named_limit);
   return *this;
 }
 
@@ -4156,6 +4189,7 @@
   { auto _e = cause(); _o->cause = _e; }
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = service_ms(); _o->service_ms = _e; }
+  { auto _e = named_limit(); _o->named_limit = _e; }
 }
 
 inline flatbuffers::Offset<call_answer> call_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4179,6 +4213,7 @@
   auto _cause = _o->cause;
   auto _config_version = _o->config_version;
   auto _service_ms = _o->service_ms;
+  auto _named_limit = _o->named_limit;
   return siskinrack::wire::Createcall_answer(
       _fbb,
       _outcome,
@@ -4193,7 +4228,8 @@
       _node_id,
       _cause,
       _config_version,
-      _service_ms);
+      _service_ms,
+      _named_limit);
 }
 
 inline call_cancel_t *call_cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/lib/admission/deadline_controller.cpp
+++ b/lib/admission/deadline_controller.cpp
@@ -38,12 +38,22 @@
 
 }  // namespace
 
-slot_timeline::slot_timeline(std::uint32_t slots, time_point now)
-    : free_at_(std::max<std::uint32_t>(1, slots), now) {}
+slot_timeline::slot_timeline(std::uint32_t slots, const rate_limiter& limiter, time_point now)
+    : free_at_(std::max<std::uint32_t>(1, slots), now), limiter_(limiter) {}
 
-void slot_timeline::Occupy(nanoseconds time) {
+void slot_timeline::OccupyRunning(nanoseconds remaining) {
+  ReplaceFirst(free_at_.front() + remaining);
+}
+
+void slot_timeline::Start(nanoseconds time) {
+  const time_point start = next_start();
+  limiter_.Start(start);
+  ReplaceFirst(start + time);
+}
+
+void slot_timeline::ReplaceFirst(time_point end) {
   std::pop_heap(free_at_.begin(), free_at_.end(), std::greater<>{});
-  free_at_.back() += time;
+  free_at_.back() = end;
   std::push_heap(free_at_.begin(), free_at_.end(), std::greater<>{});
 }
 
@@ -76,13 +86,13 @@
 }
 
 slot_timeline deadline_controller::EstimateSlotTimes(time_point now) const {
-  slot_timeline slots(slots_, now);
+  slot_timeline slots(slots_, limiter_, now);
   for (const auto& [ticket, call] : running_) {
     // A call that has exceeded its estimated service time is expected to need another half of the
     // time that it has run.
     const nanoseconds age = now - call.started;
     const nanoseconds service = EstimateServiceTime(call.work_class, now);
-    slots.Occupy(age < service ? service - age : age / 2);
+    slots.OccupyRunning(age < service ? service - age : age / 2);
   }
   return slots;
 }
@@ -92,15 +102,15 @@
 }
 
 nanoseconds deadline_controller::EstimateWait(const timed_arrival& call, time_point now) const {
-  if (running_.size() < slots_ && waiting_.empty()) return nanoseconds(0);
+  if (CanStart(now) && waiting_.empty()) return nanoseconds(0);
   const urgency own = ComputeLaterUrgency(call, now);
   slot_timeline slots = EstimateSlotTimes(now);
   for (const timed_arrival& other : waiting_) {
     if (ComputeUrgency(other, now) < own) {
-      slots.Occupy(EstimateServiceTime(other.work_class, now));
+      slots.Start(EstimateServiceTime(other.work_class, now));
     }
   }
-  return ScaleWait(slots.first_free() - now, own);
+  return ScaleWait(slots.next_start() - now, own);
 }
 
 bool deadline_controller::CanMeetDeadline(const timed_arrival& call, nanoseconds wait,
@@ -111,8 +121,7 @@
 
 decisions deadline_controller::Offer(const timed_arrival& call, time_point now) {
   decisions out;
-  const bool slot_free = running_.size() < slots_ && waiting_.empty();
-  if (slot_free) {
+  if (CanStart(now) && waiting_.empty()) {
     Run(call, now, out);
     return out;
   }
@@ -134,7 +143,13 @@
   if (found == running_.end()) return out;
   const running_call call = found->second;
   running_.erase(found);
-  UpdateServiceTime(call.work_class, result, now - call.started, now);
+  const nanoseconds took = now - call.started;
+  if (result == call_result::kAnswered) {
+    mean_service_time_ += mean_service_time_.count() > 0
+                              ? Scale(took - mean_service_time_, kServiceTimeWeight)
+                              : took;
+  }
+  UpdateServiceTime(call.work_class, result, took, now);
   Dispatch(now, out);
   return out;
 }
@@ -170,9 +185,22 @@
   return out;
 }
 
+std::optional<time_point> deadline_controller::NextStart(time_point now) const {
+  if (waiting_.empty() || running_.size() >= slots_) return std::nullopt;
+  return limiter_.NextStart(now);
+}
+
+std::uint32_t deadline_controller::CountUsableSlots() const {
+  if (!limiter_.rate() || mean_service_time_.count() == 0) return slots_;
+  const double busy = *limiter_.rate() * std::chrono::duration<double>(mean_service_time_).count();
+  // Bounded before the conversion, because an upstream may name any number.
+  const double slots = std::max<std::uint32_t>(1, slots_);
+  return static_cast<std::uint32_t>(std::clamp(std::ceil(busy), 1.0, slots));
+}
+
 void deadline_controller::Dispatch(time_point now, decisions& out) {
   RefuseUnmeetable(now, out);
-  while (running_.size() < slots_ && !waiting_.empty()) {
+  while (CanStart(now) && !waiting_.empty()) {
     const auto next = std::min_element(waiting_.begin(), waiting_.end(),
                                        [&](const timed_arrival& a, const timed_arrival& b) {
                                          return ComputeUrgency(a, now) < ComputeUrgency(b, now);
@@ -194,17 +222,18 @@
   waiting_.clear();
   slot_timeline slots = EstimateSlotTimes(now);
   for (const auto& [own, call] : order) {
-    const nanoseconds wait = ScaleWait(slots.first_free() - now, own);
+    const nanoseconds wait = ScaleWait(slots.next_start() - now, own);
     if (!CanMeetDeadline(call, wait, now)) {
       out.push_back({call.ticket, false, refusal::kDeadline, wait});
       continue;
     }
-    slots.Occupy(EstimateServiceTime(call.work_class, now));
+    slots.Start(EstimateServiceTime(call.work_class, now));
     waiting_.push_back(call);
   }
 }
 
 void deadline_controller::Run(const timed_arrival& call, time_point now, decisions& out) {
+  limiter_.Start(now);
   running_.emplace(call.ticket, running_call{call.work_class, now});
   out.push_back({.ticket = call.ticket, .admitted = true});
 }
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -36,6 +36,9 @@
 /// set none.
 constexpr milliseconds kDefaultTimeout{30'000};
 constexpr unsigned kFirstServerError = 500;
+/// Maximum number of upstreams whose named limit is stored; when it is reached, all are discarded.
+/// Bounds memory, because upstreams are replaced.
+constexpr std::size_t kMaxNamedLimits = 1'024;
 /// One in this many answered requests is logged; every failure is.
 constexpr std::uint64_t kAnsweredLogInterval = 100;
 /// Fraction of the remaining time within which an answer must be predicted to count as in time,
@@ -199,6 +202,12 @@
   if (answer.cause == answer_cause::departed) {
     departed_[target.life.instance_id] = target.life.born_ms;
   }
+  if (answer.named_limit > 0) {
+    if (named_limits_.size() >= kMaxNamedLimits) named_limits_.clear();
+    named_limits_[target.life] = answer.named_limit;
+  } else if (answer.outcome == outcome_kind::answered) {
+    named_limits_.erase(target.life);
+  }
   if (target.node_address == context_.settings.peer_address) return;
   if (answer.cause == answer_cause::unreachable && answer.node_id.empty()) {
     reaper_.OnUnreachable(target);
@@ -271,6 +280,8 @@
   const auto in_time = std::chrono::floor<milliseconds>(state.in_time_by - steady_clock::now());
   state.call.in_time_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, in_time.count()));
   state.call.config_version = state.routes->config().version;
+  const auto limit = named_limits_.find(target.life);
+  state.call.known_limit = limit == named_limits_.end() ? 0 : limit->second;
   if (target.node_address == context_.settings.peer_address) {
     net::cancellation withdrawn;
     const net::scoped_callback on_cancel(&cancel, [&withdrawn] { withdrawn.Cancel(); });
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -67,7 +67,8 @@
 
   const std::string& ChooseService(const routing::route& route);
   service_view& GetServiceView(const std::string& service);
-  /// Records a departure that an answer reports, and whether the node of `target` was reached.
+  /// Records a departure and a limit that an answer reports, and whether the node of `target` was
+  /// reached.
   void OnAnswer(const routing::endpoint& target, const wire::call_answer_t& answer);
   /// Sends the request to endpoints until it is answered or must not be sent again.
   wire::call_answer_t SendWithRetries(request_state& state, net::cancellation& cancel);
@@ -96,6 +97,9 @@
   /// Start times of the departed lifetimes by instance id. Their records may stay in the store
   /// while it is unavailable.
   std::map<std::string, std::int64_t> departed_;
+  /// Limits in calls per second that upstreams named in their last answers, by lifetime. A serving
+  /// node forgets the limit when it restarts.
+  std::map<routing::lifetime, float> named_limits_;
   std::map<const routing::route*, routing::weighted_split> splits_;
   std::map<const routing::route*, routing::caller_wait> caller_waits_;
   /// Profiles by work class. They outlive a change of the configuration that keeps the route.
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -97,6 +97,37 @@
       [slots](admission::deadline_controller& controller) { controller.SetSlots(slots); });
 }
 
+void serving_service::UpdateLimit(const routing::lifetime& life, const net::http_result& result) {
+  if (result.stage != net::exchange_stage::kAnswered) return;
+  const auto read = platform_adapter::ReadUpstreamAnswer(result.response);
+  // Another instance, or something that is no upstream, says nothing about the limit.
+  if (read.wrong_instance || !(read.stamped || read.not_run)) return;
+  if (!(life == limited_life_)) return;
+  limit_stated_ = true;
+  SetLimit(read.requests_per_second);
+}
+
+void serving_service::AdoptLimit(const wire::call_request_t& call) {
+  const routing::lifetime& life = registration_.instance().current()->life;
+  if (!(limited_life_ == life)) {
+    limited_life_ = life;
+    limit_stated_ = false;
+    SetLimit(std::nullopt);
+  }
+  if (!limit_stated_ && !limit_ && call.known_limit > 0) SetLimit(call.known_limit);
+}
+
+void serving_service::SetLimit(std::optional<double> per_second) {
+  if (per_second == limit_) return;
+  limit_ = per_second;
+  context_.log.Info("upstream_limit", {{"named", per_second.has_value()},
+                                       {"per_second", per_second.value_or(0)},
+                                       {"slots", slots_}});
+  gate_->WithController([per_second](admission::deadline_controller& controller) {
+    controller.SetRate(per_second, steady_clock::now());
+  });
+}
+
 std::optional<wire::call_answer_t> serving_service::FindRefusal(const wire::call_request_t& call) {
   if (stopped_) {
     const auto until_exit =
@@ -134,6 +165,7 @@
   answer.slots = static_cast<std::uint16_t>(load.limit);
   answer.node_id = context_.settings.node_id;
   answer.config_version = context_.version();
+  answer.named_limit = static_cast<float>(limit_.value_or(0));
   if (answer.outcome != wire::outcome_kind::answered) {
     context_.log.Info("call_failed", {{"request", call.request_id},
                                       {"caller", call.caller},
@@ -152,6 +184,7 @@
                                                   net::steady_time deadline,
                                                   net::cancellation& cancel) {
   UpdateSlots();
+  AdoptLimit(call);
   const admission::decision decision =
       gate_->Acquire(admission::timed_arrival{0, call.priority, call.work_class,
                                               steady_clock::now() + milliseconds(call.in_time_ms),
@@ -196,11 +229,13 @@
             return platform_adapter::IsResponseTo(response, call.request_id);
           },
       .max_idle = call.at_most_once ? kMaxIdleAtMostOnce : kMaxIdleRepeatable};
+  const routing::lifetime life = registration_.instance().current()->life;
   const auto run = crashes_.BeginRun(call);
   net::http_result result =
       context_.upstream_client.Send(context_.settings.upstream_address, std::move(request),
                                     deadline + kUpstreamAnswerMargin, &cancel, options);
   crashes_.EndRun(run, call, result, cancel.cancelled());
+  UpdateLimit(life, result);
   return InterpretResult(std::move(result), cancel.cancelled());
 }
 
--- a/lib/mesh/serving_service.h
+++ b/lib/mesh/serving_service.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 
 #include "crash_guard.h"
 #include "mesh_context.h"
@@ -40,12 +41,23 @@
                                      net::cancellation& cancel);
   /// Applies the number of slots that the upstream last reported.
   void UpdateSlots();
+  /// Applies the limit that the upstream names in a response, or its end.
+  void UpdateLimit(const routing::lifetime& life, const net::http_result& result);
+  /// Applies the limit that the sender of a call knows, unless the current lifetime of the upstream
+  /// has answered this process: an earlier process of this node may have passed the limit on.
+  void AdoptLimit(const wire::call_request_t& call);
+  void SetLimit(std::optional<double> per_second);
 
   mesh_context& context_;
   const registration& registration_;
   crash_guard& crashes_;
   using gate = admission::slot_gate<admission::deadline_controller>;
   std::uint32_t slots_ = 1;
+  std::optional<double> limit_;
+  /// Lifetime of the upstream that `limit_` belongs to.
+  routing::lifetime limited_life_;
+  /// True if an answer of that lifetime has stated whether there is a limit.
+  bool limit_stated_ = false;
   std::shared_ptr<gate> gate_;
   std::atomic<std::size_t> in_flight_ = 0;
   std::atomic<net::steady_time> last_call_{};
--- a/unittests/admission/deadline_controller_test.cpp
+++ b/unittests/admission/deadline_controller_test.cpp
@@ -182,6 +182,30 @@
 }
 
 // Guards against refusing the first waiting call because the running calls need long on average: it
+// Guards against more calls than a named limit allows, against calls that wait for it although they
+// can't be answered in time, and against a limit that changes their order.
+TEST(deadline_controller_rate_test, CallsStartWithinTheNamedLimit) {
+  deadline_controller controller(6);
+  const auto offer = [&](std::uint64_t ticket, std::uint32_t priority, std::int64_t deadline_ms) {
+    return controller.Offer({ticket, priority, 0, At(deadline_ms), At(deadline_ms)}, At(0));
+  };
+  controller.SetRate(2, At(0));
+  EXPECT_TRUE(offer(1, 2, 3'000).empty());
+  EXPECT_TRUE(offer(2, 1, 3'000).empty());
+  const decisions refused = offer(3, 2, 900);
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_FALSE(refused[0].admitted);
+  EXPECT_GE(refused[0].retry_after, milliseconds(900));
+  ASSERT_EQ(controller.NextStart(At(0)), At(500));
+  EXPECT_TRUE(controller.Advance(At(499)).empty());
+  const decisions first = controller.Advance(At(500));
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_EQ(first[0].ticket, 2U);
+  controller.SetRate(std::nullopt, At(510));
+  EXPECT_EQ(controller.Advance(At(510)).size(), 1U);
+  EXPECT_EQ(controller.NextStart(At(510)), std::nullopt);
+}
+
 // starts as soon as one of them ends. Replays a call of a new route that had been deferred.
 TEST(deadline_controller_slots_test, FirstWaitingCallWaitsForTheFirstFreeSlotOnly) {
   deadline_controller controller(4);
