mesh: a departure that an upstream announces in an answer begins its drain period

Upstreams got new work after they had announced their departure in an answer (mesh_test.DepartureAnnouncedInAnAnswerEndsNewWork before the fix: every second request, 1 s after the announcement, at a drain period of 1 s and with the store down).

Cause: nothing read the field; only heartbeats and departures ended new work.

The node beside the upstream starts the drain period with the answer, whatever heartbeats say, and publishes the state when the store answers. Its answers tell the entry nodes, which stop choosing that lifetime at once: the serving node forgets the departure in a restart, but they are bound by the answer that they passed on.

--- a/include/siskinrack/routing/instance.h
+++ b/include/siskinrack/routing/instance.h
@@ -74,6 +74,10 @@
   bool OnDeparture(const std::string& instance_id, std::optional<std::int64_t> born_ms,
                    time_point now, std::int64_t wall_ms);
 
+  /// Records that an answer of the lifetime `life` announced its departure. Returns false if it is
+  /// not the current one or has announced it before.
+  bool OnAnnouncedDeparture(const lifetime& life, time_point now);
+
   /// Returns the latest heartbeat of the current lifetime, also after its departure; empty before
   /// the first heartbeat.
   [[nodiscard]] const std::optional<instance_report>& current() const { return current_; }
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -1353,6 +1353,7 @@
   siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none;
   uint64_t config_version = 0;
   uint16_t service_ms = 0;
+  bool leaving = false;
   float named_limit = 0.0f;
   call_answer_t() = default;
   call_answer_t(const call_answer_t &o);
@@ -1377,7 +1378,8 @@
     VT_CAUSE = 24,
     VT_CONFIG_VERSION = 26,
     VT_SERVICE_MS = 28,
-    VT_NAMED_LIMIT = 30
+    VT_LEAVING = 30,
+    VT_NAMED_LIMIT = 32
   };
   siskinrack::wire::outcome_kind outcome() const {
     return static_cast<siskinrack::wire::outcome_kind>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -1418,6 +1420,9 @@
   uint16_t service_ms() const {
     return GetField<uint16_t>(VT_SERVICE_MS, 0);
   }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   float named_limit() const {
     return GetField<float>(VT_NAMED_LIMIT, 0.0f);
   }
@@ -1441,6 +1446,7 @@
            VerifyField<uint8_t>(verifier, VT_CAUSE, 1) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyField<uint16_t>(verifier, VT_SERVICE_MS, 2) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<float>(verifier, VT_NAMED_LIMIT, 4) &&
            verifier.EndTable();
   }
@@ -1492,6 +1498,9 @@
   void add_service_ms(uint16_t service_ms) {
     fbb_.AddElement<uint16_t>(call_answer::VT_SERVICE_MS, service_ms, 0);
   }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(call_answer::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   void add_named_limit(float named_limit) {
     fbb_.AddElement<float>(call_answer::VT_NAMED_LIMIT, named_limit, 0.0f);
   }
@@ -1521,6 +1530,7 @@
     siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none,
     uint64_t config_version = 0,
     uint16_t service_ms = 0,
+    bool leaving = false,
     float named_limit = 0.0f) {
   call_answerBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
@@ -1535,6 +1545,7 @@
   builder_.add_queued(queued);
   builder_.add_in_flight(in_flight);
   builder_.add_status(status);
+  builder_.add_leaving(leaving);
   builder_.add_cause(cause);
   builder_.add_outcome(outcome);
   return builder_.Finish();
@@ -1555,6 +1566,7 @@
     siskinrack::wire::answer_cause cause = siskinrack::wire::answer_cause::none,
     uint64_t config_version = 0,
     uint16_t service_ms = 0,
+    bool leaving = false,
     float named_limit = 0.0f) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::header_field>>(*headers) : 0;
@@ -1575,6 +1587,7 @@
       cause,
       config_version,
       service_ms,
+      leaving,
       named_limit);
 }
 
@@ -4144,6 +4157,7 @@
         cause(o.cause),
         config_version(o.config_version),
         service_ms(o.service_ms),
+        leaving(o.leaving),
         named_limit(o.named_limit) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
@@ -4163,6 +4177,7 @@
   std::swap(cause, o.cause);
   std::swap(config_version, o.config_version);
   std::swap(service_ms, o.service_ms);
+  std::swap(leaving, o.leaving);
   std::swap(named_limit, o.named_limit);
   return *this;
 }
@@ -4189,6 +4204,7 @@
   { auto _e = cause(); _o->cause = _e; }
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = service_ms(); _o->service_ms = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = named_limit(); _o->named_limit = _e; }
 }
 
@@ -4213,6 +4229,7 @@
   auto _cause = _o->cause;
   auto _config_version = _o->config_version;
   auto _service_ms = _o->service_ms;
+  auto _leaving = _o->leaving;
   auto _named_limit = _o->named_limit;
   return siskinrack::wire::Createcall_answer(
       _fbb,
@@ -4229,6 +4246,7 @@
       _cause,
       _config_version,
       _service_ms,
+      _leaving,
       _named_limit);
 }
 
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -199,7 +199,7 @@
 }
 
 void entry_service::OnAnswer(const routing::endpoint& target, const wire::call_answer_t& answer) {
-  if (answer.cause == answer_cause::departed) {
+  if (answer.leaving || answer.cause == answer_cause::departed) {
     departed_[target.life.instance_id] = target.life.born_ms;
   }
   if (answer.named_limit > 0) {
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -94,8 +94,8 @@
   endpoint_reaper& reaper_;
   crash_guard& crashes_;
   std::map<std::string, service_view> views_;
-  /// Start times of the departed lifetimes by instance id. Their records may stay in the store
-  /// while it is unavailable.
+  /// Start times of the departing and departed lifetimes by instance id. Their records may stay in
+  /// the store while it is unavailable, and their nodes may forget the departure in a restart.
   std::map<std::string, std::int64_t> departed_;
   /// Limits in calls per second that upstreams named in their last answers, by lifetime. A serving
   /// node forgets the limit when it restarts.
--- a/lib/mesh/registration.cpp
+++ b/lib/mesh/registration.cpp
@@ -67,6 +67,13 @@
   return {kStatusNotFound, {}, "no such resource\n"};
 }
 
+void registration::OnAnnouncedDeparture(const routing::lifetime& life) {
+  if (!instance_.OnAnnouncedDeparture(life, steady_clock::now())) return;
+  context_.log.Info("instance_leaving",
+                    {{"instance", life.instance_id}, {"born_ms", life.born_ms}});
+  NotifyChanged();
+}
+
 bool registration::IsAlive() const {
   if (!instance_.current() || instance_.has_departed()) return false;
   return steady_clock::now() - instance_.last_report() <
--- a/lib/mesh/registration.h
+++ b/lib/mesh/registration.h
@@ -23,6 +23,10 @@
   /// either by itself.
   net::http_response Handle(const net::http_request& request);
 
+  /// Records that an answer of the upstream announced its departure. The drain period begins now,
+  /// also if no heartbeat says so or the store does not answer.
+  void OnAnnouncedDeparture(const routing::lifetime& life);
+
   /// Reconciles the records in the store with the state of the upstream until the process ends, in
   /// a fiber of its own.
   void Run();
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -82,7 +82,7 @@
 
 }  // namespace
 
-serving_service::serving_service(mesh_context& context, const registration& instance,
+serving_service::serving_service(mesh_context& context, registration& instance,
                                  crash_guard& crashes)
     : context_(context),
       registration_(instance),
@@ -97,11 +97,13 @@
       [slots](admission::deadline_controller& controller) { controller.SetSlots(slots); });
 }
 
-void serving_service::UpdateLimit(const routing::lifetime& life, const net::http_result& result) {
+void serving_service::ApplyStatements(const routing::lifetime& life,
+                                      const net::http_result& result) {
   if (result.stage != net::exchange_stage::kAnswered) return;
   const auto read = platform_adapter::ReadUpstreamAnswer(result.response);
-  // Another instance, or something that is no upstream, says nothing about the limit.
+  // Another instance, or something that is no upstream, says nothing about this one.
   if (read.wrong_instance || !(read.stamped || read.not_run)) return;
+  if (read.leaving) registration_.OnAnnouncedDeparture(life);
   if (!(life == limited_life_)) return;
   limit_stated_ = true;
   SetLimit(read.requests_per_second);
@@ -165,6 +167,7 @@
   answer.slots = static_cast<std::uint16_t>(load.limit);
   answer.node_id = context_.settings.node_id;
   answer.config_version = context_.version();
+  answer.leaving = registration_.instance().leaving_since().has_value();
   answer.named_limit = static_cast<float>(limit_.value_or(0));
   if (answer.outcome != wire::outcome_kind::answered) {
     context_.log.Info("call_failed", {{"request", call.request_id},
@@ -235,7 +238,7 @@
       context_.upstream_client.Send(context_.settings.upstream_address, std::move(request),
                                     deadline + kUpstreamAnswerMargin, &cancel, options);
   crashes_.EndRun(run, call, result, cancel.cancelled());
-  UpdateLimit(life, result);
+  ApplyStatements(life, result);
   return InterpretResult(std::move(result), cancel.cancelled());
 }
 
--- a/lib/mesh/serving_service.h
+++ b/lib/mesh/serving_service.h
@@ -17,7 +17,7 @@
 /// made here about departure, capacity and lifetimes hold for the whole mesh.
 class serving_service {
  public:
-  serving_service(mesh_context& context, const registration& instance, crash_guard& crashes);
+  serving_service(mesh_context& context, registration& instance, crash_guard& crashes);
 
   /// Serves one call and returns its answer with the load of the upstream. The outcome of the
   /// answer shows whether the call ran. May suspend the calling fiber.
@@ -41,15 +41,16 @@
                                      net::cancellation& cancel);
   /// Applies the number of slots that the upstream last reported.
   void UpdateSlots();
-  /// Applies the limit that the upstream names in a response, or its end.
-  void UpdateLimit(const routing::lifetime& life, const net::http_result& result);
+  /// Applies what the upstream states about itself in a response: its departure, and the limit that
+  /// it names or no longer names.
+  void ApplyStatements(const routing::lifetime& life, const net::http_result& result);
   /// Applies the limit that the sender of a call knows, unless the current lifetime of the upstream
   /// has answered this process: an earlier process of this node may have passed the limit on.
   void AdoptLimit(const wire::call_request_t& call);
   void SetLimit(std::optional<double> per_second);
 
   mesh_context& context_;
-  const registration& registration_;
+  registration& registration_;
   crash_guard& crashes_;
   using gate = admission::slot_gate<admission::deadline_controller>;
   std::uint32_t slots_ = 1;
--- a/lib/routing/instance.cpp
+++ b/lib/routing/instance.cpp
@@ -49,4 +49,10 @@
   return true;
 }
 
+bool local_instance::OnAnnouncedDeparture(const lifetime& life, time_point now) {
+  if (!current_ || !(current_->life == life) || leaving_since_) return false;
+  leaving_since_ = now;
+  return true;
+}
+
 }  // namespace siskinrack::routing
--- a/unittests/platform/platform_codec_test.cpp
+++ b/unittests/platform/platform_codec_test.cpp
@@ -169,6 +169,18 @@
   EXPECT_TRUE(ReadUpstreamAnswer({200, {{"Server-Stamp", "s"}}, {}}).stamped);
 }
 
+// Guards against a limit or a departure that is overlooked, and against a limit that is no number.
+TEST(UpstreamAnswers, NameALimitAndADeparture) {
+  EXPECT_EQ(ReadUpstreamAnswer({200, {{"server-limit", "18.4"}}, {}}).requests_per_second, 18.4);
+  EXPECT_EQ(ReadUpstreamAnswer({503, {{"Server-Limit", "0"}}, {}}).requests_per_second, 0.0);
+  for (const char* text : {"", "-1", "nan", "inf", "18.4/s"}) {
+    EXPECT_FALSE(ReadUpstreamAnswer({200, {{"Server-Limit", text}}, {}}).requests_per_second)
+        << text;
+  }
+  EXPECT_TRUE(ReadUpstreamAnswer({200, {{"Server-Leaving", "1"}}, {}}).leaving);
+  EXPECT_FALSE(ReadUpstreamAnswer({200, {}, {}}).leaving);
+}
+
 // Guards against the use of an answer to an earlier request on the same connection.
 TEST(UpstreamAnswers, BelongToTheRequestWithTheirId) {
   EXPECT_TRUE(IsResponseTo({200, {{"request-id", "a"}}, {}}, "a"));
--- a/unittests/routing/routing_test.cpp
+++ b/unittests/routing/routing_test.cpp
@@ -113,6 +113,21 @@
   EXPECT_LT(*local.leaving_since() + std::chrono::hours(1), At(0));
 }
 
+// Guards against a departure announced in an answer that a later heartbeat reverts, that prolongs
+// an earlier drain period or that is taken for one of the next lifetime.
+TEST(LocalInstance, DepartureAnnouncedInAnAnswerHoldsForItsLifetime) {
+  local_instance local;
+  EXPECT_FALSE(local.OnAnnouncedDeparture({"a", 100}, At(0)));
+  local.OnReport(Report("a", 100, 1), At(0));
+  EXPECT_FALSE(local.OnAnnouncedDeparture({"a", 99}, At(1)));
+  EXPECT_TRUE(local.OnAnnouncedDeparture({"a", 100}, At(2)));
+  EXPECT_FALSE(local.OnAnnouncedDeparture({"a", 100}, At(3)));
+  local.OnReport(Report("a", 100, 2), At(4));
+  EXPECT_EQ(local.leaving_since(), At(2));
+  local.OnReport(Report("a", 200, 1), At(5));
+  EXPECT_FALSE(local.leaving_since());
+}
+
 // Guards against a late heartbeat that registers an upstream again after its departure, if the
 // departure was the first message that a restarted node received from it.
 TEST(LocalInstance, DepartureOfAnUnknownLifetimeIsKept) {
