net: a request that is sent again uses another connection to the upstream

Report of another operator: an instance wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran. Here responses are matched by request id alone. A caller may send a refused request again with the same id; on the same connection, a second copy of the refusal then passed as the response to the repetition, which ran.

A connection remembers the ids that it carried (hashes, at most 256; it isn't reused beyond that), and a request with one of these ids takes another connection. Copies of responses to other requests were discarded before, by their id.

Measured: http_client_test.RequestIsNotSentTwiceOnOneConnection fails before (one connection for both) and passes after.

--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -7,6 +7,7 @@
 #include <limits>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "siskinrack/net/cancellation.h"
 #include "siskinrack/net/fiber_runtime.h"
@@ -55,6 +56,10 @@
   /// Returns true if a response belongs to the request. Other responses are discarded, and the
   /// connection is then closed after the exchange. If empty, the first response is accepted.
   std::function<bool(const http_response&)> is_matching_response;
+  /// Id by which the server identifies the request in its response; empty if it does not. A request
+  /// that is sent again uses another connection, because a second copy of its first response could
+  /// not be told from the response to the repetition.
+  std::string_view request_id;
   /// Connections that were idle for longer are not reused, because the server may be closing them.
   std::chrono::milliseconds max_idle{60'000};
   /// Time limit for connecting. The kernel retransmits a lost SYN only after 1 s, so a new attempt
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -231,6 +231,7 @@
           [&call](const net::http_response& response) {
             return platform_adapter::IsResponseTo(response, call.request_id);
           },
+      .request_id = call.request_id,
       .max_idle = call.at_most_once ? kMaxIdleAtMostOnce : kMaxIdleRepeatable};
   const routing::lifetime life = registration_.instance().current()->life;
   const auto run = crashes_.BeginRun(call);
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -34,6 +35,10 @@
 /// Limit of the interim responses and the responses to other requests that precede a response.
 constexpr int kMaxSkippedResponses = 16;
 
+/// Maximum number of identified requests that are sent on one connection. Bounds the memory for
+/// their ids.
+constexpr std::size_t kMaxIdentifiedRequests = 256;
+
 /// Counts the bytes of one response body in the total of its client.
 class body_share {
  public:
@@ -64,6 +69,15 @@
   /// Time after which the connection isn't reused because the server is about to close it,
   /// according to its Keep-Alive field.
   steady_time closes_at = steady_time::max();
+  /// Hashes of the ids of the requests that were sent on the connection.
+  std::vector<std::size_t> request_ids;
+
+  [[nodiscard]] bool AcceptsRequest(std::string_view id) const {
+    if (id.empty()) return true;
+    return request_ids.size() < kMaxIdentifiedRequests &&
+           std::find(request_ids.begin(), request_ids.end(), std::hash<std::string_view>{}(id)) ==
+               request_ids.end();
+  }
 };
 using connection_ptr = std::shared_ptr<connection>;
 
@@ -102,9 +116,12 @@
   http_result Send(const support::socket_address& address, http_request request,
                    steady_time deadline, cancellation* cancel, const exchange_options& options) {
     if (cancel != nullptr && cancel->cancelled()) return {{}, {}, "cancelled", false};
-    connection_ptr conn = TakeIdle(address, options.max_idle);
+    connection_ptr conn = TakeIdle(address, options.max_idle, options.request_id);
     const bool reused = conn != nullptr;
     if (!reused) conn = std::make_shared<connection>(detail::GetCurrentContext());
+    if (!options.request_id.empty()) {
+      conn->request_ids.push_back(std::hash<std::string_view>{}(options.request_id));
+    }
     bool keep_alive = false;
     http_result result =
         SendOn(conn, reused, address, std::move(request), deadline, cancel, options, keep_alive);
@@ -121,7 +138,7 @@
 
   connect_result TryConnect(const support::socket_address& address,
                             std::chrono::milliseconds timeout) {
-    connection_ptr conn = TakeIdle(address, exchange_options{}.max_idle);
+    connection_ptr conn = TakeIdle(address, exchange_options{}.max_idle, {});
     if (conn == nullptr) {
       conn = std::make_shared<connection>(detail::GetCurrentContext());
       conn->stream.expires_after(timeout);
@@ -259,16 +276,17 @@
         std::chrono::steady_clock::now() + std::chrono::seconds(seconds) - kCloseMargin;
   }
 
-  /// Takes a reusable connection out of the pool of the calling thread. Returns null if there is
-  /// none.
+  /// Takes a reusable connection for a request out of the pool of the calling thread. Returns null
+  /// if there is none.
   connection_ptr TakeIdle(const support::socket_address& address,
-                          std::chrono::milliseconds max_idle) {
+                          std::chrono::milliseconds max_idle, std::string_view request_id) {
     auto& connections = idle_[fiber_runtime::GetCurrentThreadIndex()][address];
     const auto now = std::chrono::steady_clock::now();
     while (!connections.empty()) {
       connection_ptr conn = std::move(connections.back());
       connections.pop_back();
-      if (now - conn->idle_since <= max_idle && now < conn->closes_at && IsReusable(*conn)) {
+      if (now - conn->idle_since <= max_idle && now < conn->closes_at &&
+          conn->AcceptsRequest(request_id) && IsReusable(*conn)) {
         return conn;
       }
     }
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -50,12 +50,15 @@
   raw_server& operator=(const raw_server&) = delete;
 
   [[nodiscard]] support::socket_address address() const { return {"127.0.0.1", port_}; }
+  /// Returns the number of connections that were accepted.
+  [[nodiscard]] int accepted() const { return accepted_; }
   /// Returns the number of bytes that were passed to the sockets.
   [[nodiscard]] std::size_t sent() const { return sent_; }
 
  private:
   void Accept() {
     for (int fd = 0; (fd = accept(listener_, nullptr, nullptr)) >= 0;) {
+      ++accepted_;
       connections_.emplace_back([this, fd] { Serve(fd); });
     }
   }
@@ -82,6 +85,7 @@
   std::uint16_t port_ = 0;
   std::atomic<std::size_t> sent_ = 0;
   std::atomic<bool> stopped_ = false;
+  std::atomic<int> accepted_ = 0;
   std::vector<std::thread> connections_;
   std::thread acceptor_;
 };
@@ -288,5 +292,33 @@
   }
 }
 
+// Guards against a header section that breaks off, at any byte, and counts as a complete response
+// with an empty or short body.
+TEST_F(http_client_test, BrokenHeaderSectionIsNoAnswer) {
+  const std::string fields = "Request-Id: r\r\nServer-Stamp: s\r\n";
+  for (const std::string& interim : {std::string(), std::string("HTTP/1.1 100 Continue\r\n\r\n")}) {
+    for (const std::string& length : {std::string(), std::string("Content-Length: 4\r\n")}) {
+      const std::string header = kOk + fields + length + "\r\n";
+      for (std::size_t size = 0; size < header.size(); ++size) {
+        raw_server server(interim + header.substr(0, size), "", /*endless=*/false);
+        EXPECT_EQ(Send(server).stage, exchange_stage::kSent) << interim + header.substr(0, size);
+      }
+    }
+  }
+}
+
+// Guards against a second copy of a refusal that is taken for the response to the same request when
+// it is sent again on the same connection and runs.
+TEST_F(http_client_test, RequestIsNotSentTwiceOnOneConnection) {
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nRequest-Id: same\r\n\r\n";
+  const std::string response = kOk + "Content-Length: 1\r\nRequest-Id: same\r\n\r\nx";
+  // The copy of the refusal arrives after the second request was sent.
+  raw_server server(refusal, refusal + response, /*endless=*/false, milliseconds(200));
+  const exchange_options options{.request_id = "same"};
+  EXPECT_EQ(Send(server, milliseconds(5'000), options).response.status, 503U);
+  Send(server, milliseconds(5'000), options);
+  EXPECT_EQ(server.accepted(), 2);
+}
+
 }  // namespace
 }  // namespace siskinrack::net
