mesh: a request of which an attempt may have run is not reported as not run

Callers of a repeatable request got 503 with a delay, which promises that it has not run, when the first attempt broke and the second one was refused. Seen in the reproduction of the crashing request: it had ended an upstream.

The outcome of the last attempt stood for all of them. Now an earlier attempt whose outcome is unknown makes a final refusal unknown (502). At-most-once requests were not affected: they aren't sent again after an unknown outcome.

--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -138,7 +138,12 @@
   state.call = MakeCall(std::move(request), caller.id, *state.route, state.service,
                         context_.settings.service);
   if (auto refusal = crashes_.FindRefusal(state.call)) return ToHttp(state, std::move(*refusal));
-  return ToHttp(state, SendWithRetries(state, cancel));
+  wire::call_answer_t answer = SendWithRetries(state, cancel);
+  // The last attempt did not run, but an earlier one may have.
+  if (answer.outcome == outcome_kind::not_run && state.runs > 0) {
+    answer = MakeUnknownAnswer(answer.cause, answer.reason + " after an attempt that may have run");
+  }
+  return ToHttp(state, std::move(answer));
 }
 
 void entry_service::OnConfiguration() {
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -408,6 +408,17 @@
   EXPECT_LE(CountRunsOfRepeatedCrasher(), kMaxCrasherRuns);
 }
 
+// Guards against a request that is reported as not run because its last attempt was refused,
+// although an earlier attempt has run.
+TEST_F(mesh_test, RefusalAfterARunIsNotReportedAsNotRun) {
+  fleet_.instance(2).SetRefusing(true);
+  // The first attempt may reach the instance that refuses, and the second one the other.
+  for (int i = 0; i < 4 && CountRuns("/dock/crash") == 0; ++i) {
+    EXPECT_EQ(fleet_.Send(0, "/dock/crash").response.status, 502U);
+  }
+  EXPECT_EQ(CountRuns("/dock/crash"), 1U);
+}
+
 // Guards against a crash that is lost because another connection broke harmlessly just before it.
 TEST_F(mesh_test, HarmlessBreaksDoNotHideCrashes) {
   EXPECT_LE(CountRunsOfRepeatedCrasher([&](std::size_t i) {
