mesh: a server error is no sample of the service time

ToCallResult counts a server error as a failure, which is a sample only if it took longer than expected, and its duration isn't reported to entry nodes.

--- a/lib/mesh/call_answers.cpp
+++ b/lib/mesh/call_answers.cpp
@@ -23,4 +23,19 @@
   return answer;
 }
 
+admission::call_result ToCallResult(const wire::call_answer_t& answer) {
+  switch (answer.cause) {
+    case wire::answer_cause::none:
+      return answer.status >= kFirstServerError ? admission::call_result::kFailed
+                                                : admission::call_result::kAnswered;
+    case wire::answer_cause::refused_by_upstream:
+      return admission::call_result::kRefusedByUpstream;
+    case wire::answer_cause::broken:
+    case wire::answer_cause::timed_out:
+      return admission::call_result::kFailed;
+    default:
+      return admission::call_result::kAbandoned;
+  }
+}
+
 }  // namespace siskinrack::mesh
--- a/lib/mesh/call_answers.h
+++ b/lib/mesh/call_answers.h
@@ -4,11 +4,13 @@
 #include <chrono>
 #include <string_view>
 
+#include "siskinrack/admission/controller.h"
 #include "siskinrack/wire/siskinrack_generated.h"
 
 namespace siskinrack::mesh {
 
 inline constexpr unsigned kStatusNotFound = 404;
+inline constexpr unsigned kFirstServerError = 500;
 inline constexpr unsigned kStatusBadGateway = 502;
 inline constexpr unsigned kStatusUnavailable = 503;
 inline constexpr unsigned kStatusGatewayTimeout = 504;
@@ -22,6 +24,10 @@
 /// other cause.
 wire::call_answer_t MakeUnknownAnswer(wire::answer_cause cause, std::string_view reason);
 
+/// Returns the result of a call for the admission control at its serving node. An upstream that
+/// answers with a server error has failed: its response time is no sample of the service time.
+admission::call_result ToCallResult(const wire::call_answer_t& answer);
+
 }  // namespace siskinrack::mesh
 
 #endif  // SISKINRACK_LIB_MESH_CALL_ANSWERS_H_
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -35,7 +35,6 @@
 /// Timeout of routes that set none. The timeout of the route is also the deadline of callers that
 /// set none.
 constexpr milliseconds kDefaultTimeout{30'000};
-constexpr unsigned kFirstServerError = 500;
 /// Maximum number of upstreams whose named limit is stored; when it is reached, all are discarded.
 /// Bounds memory, because upstreams are replaced.
 constexpr std::size_t kMaxNamedLimits = 1'024;
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -31,20 +31,6 @@
 /// Largest service time that is reported; the wire field has 16 bits.
 constexpr std::int64_t kMaxServiceMs = 60'000;
 
-admission::call_result ToCallResult(const wire::call_answer_t& answer) {
-  switch (answer.cause) {
-    case answer_cause::none:
-      return admission::call_result::kAnswered;
-    case answer_cause::refused_by_upstream:
-      return admission::call_result::kRefusedByUpstream;
-    case answer_cause::broken:
-    case answer_cause::timed_out:
-      return admission::call_result::kFailed;
-    default:
-      return admission::call_result::kAbandoned;
-  }
-}
-
 wire::call_answer_t ToAnswer(net::http_response response) {
   wire::call_answer_t answer;
   answer.outcome = wire::outcome_kind::answered;
@@ -202,12 +188,13 @@
   const auto sent_at = steady_clock::now();
   wire::call_answer_t answer =
       refusal ? std::move(*refusal) : SendToUpstream(call, deadline, cancel);
-  if (answer.outcome == wire::outcome_kind::answered) {
+  const admission::call_result result = ToCallResult(answer);
+  if (result == admission::call_result::kAnswered) {
     const auto took = std::chrono::ceil<milliseconds>(steady_clock::now() - sent_at);
     answer.service_ms =
         static_cast<std::uint16_t>(std::min<std::int64_t>(took.count(), kMaxServiceMs));
   }
-  gate_->Release(decision.ticket, ToCallResult(answer), milliseconds(0));
+  gate_->Release(decision.ticket, result, milliseconds(0));
   return answer;
 }
 
