quarantine: a crash after which connections are silent is checked for

A crash was looked for only when a connection broke. If the connections of an ended upstream go silent, its requests time out and no crash was ever reported, so a request that ends its upstreams this way was sent on.

A request that can't be sent while the upstream is not known to have survived earlier ones starts the check, too. It costs no connection in an overload, in which connections still succeed.

Measured: crash_detector_test.TimeoutsAndAFailedConnectionAreChecked fails before and passes after; scenario.crash_other_reasons still finds no quarantined request.

--- a/include/siskinrack/quarantine/crash_detector.h
+++ b/include/siskinrack/quarantine/crash_detector.h
@@ -16,7 +16,7 @@
   kBroken,
   /// The request was sent, but its caller left or its deadline passed before a response.
   kAbandoned,
-  /// Not sent; not evidence.
+  /// Not sent, because no connection could be made or the caller left.
   kNotSent,
 };
 
@@ -71,10 +71,12 @@
     std::uint64_t fingerprint = 0;
     /// Sequence number of the end.
     std::uint64_t ended = 0;
-    /// False for an abandoned request, which is no reason for a check.
+    /// False for an abandoned request, which is no reason for a check by itself.
     bool broken = false;
   };
 
+  /// Returns true unless a check is pending already.
+  bool StartCheck();
   /// Discards the ends before `sequence`, which the upstream has survived.
   void ForgetEndsBefore(std::uint64_t sequence);
   [[nodiscard]] bool HasBrokenEnd() const;
--- a/lib/quarantine/crash_detector.cpp
+++ b/lib/quarantine/crash_detector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace siskinrack::quarantine {
 
@@ -16,21 +17,21 @@
   const fingerprint_source fingerprint = std::move(found->second);
   in_flight_.erase(found);
   ++sequence_;
-  if (outcome == request_outcome::kNotSent) return false;
   if (outcome == request_outcome::kAnswered) {
     ForgetEndsBefore(request);
     return false;
   }
+  if (outcome == request_outcome::kNotSent) return !unproven_.empty() && StartCheck();
   // Reported with the crash when it was open.
   if (request < crash_reported_) return false;
   const bool broken = outcome == request_outcome::kBroken;
   unproven_.push_back({fingerprint(), sequence_, broken});
   if (unproven_.size() > kMaxUnprovenEnds) unproven_.pop_front();
-  if (!broken || check_pending_) return false;
-  check_pending_ = true;
-  return true;
+  return broken && StartCheck();
 }
 
+bool crash_detector::StartCheck() { return !std::exchange(check_pending_, true); }
+
 void crash_detector::ForgetEndsBefore(std::uint64_t sequence) {
   while (!unproven_.empty() && unproven_.front().ended < sequence) unproven_.pop_front();
 }
@@ -41,10 +42,15 @@
 }
 
 crash_detector::check_result crash_detector::OnHealthCheck(upstream_health health) {
-  if (health == upstream_health::kReachable) ForgetEndsBefore(check_began_);
-  check_pending_ = HasBrokenEnd();
-  if (!check_pending_) return {};
-  if (health == upstream_health::kReachable) return {.suspects = {}, .repeat = true};
+  if (health == upstream_health::kReachable) {
+    ForgetEndsBefore(check_began_);
+    check_pending_ = HasBrokenEnd();
+    return {.suspects = {}, .repeat = check_pending_};
+  }
+  if (unproven_.empty()) {
+    check_pending_ = false;
+    return {};
+  }
   const bool may_be_answered =
       !in_flight_.empty() && in_flight_.begin()->first < unproven_.back().ended;
   if (health == upstream_health::kUnknown && may_be_answered) {
--- a/unittests/quarantine/crash_detector_test.cpp
+++ b/unittests/quarantine/crash_detector_test.cpp
@@ -116,6 +116,18 @@
   EXPECT_EQ(Check(upstream_health::kUnreachable), (suspects{1, 2}));
 }
 
+// Guards against a crash that is overlooked because the upstream's connections went silent instead
+// of breaking: its requests time out, and new connections fail.
+TEST_F(crash_detector_test, TimeoutsAndAFailedConnectionAreChecked) {
+  EXPECT_FALSE(RunOne(1, request_outcome::kAbandoned));
+  EXPECT_TRUE(RunOne(2, request_outcome::kNotSent));
+  EXPECT_EQ(Check(upstream_health::kUnknown), (suspects{1}));
+  EXPECT_FALSE(RunOne(3, request_outcome::kAbandoned));
+  EXPECT_TRUE(RunOne(4, request_outcome::kNotSent));
+  EXPECT_TRUE(Check(upstream_health::kReachable).empty());
+  EXPECT_FALSE(RunOne(5, request_outcome::kNotSent));
+}
+
 // Guards against memory that grows while an upstream answers nothing.
 TEST_F(crash_detector_test, NumberOfSuspectsIsBounded) {
   for (std::uint64_t i = 0; i < 1'000; ++i) RunOne(i, request_outcome::kAbandoned);
