--- a/lib/quarantine/quarantine_table.cpp
+++ b/lib/quarantine/quarantine_table.cpp
@@ -137,6 +137,7 @@
     }
   }
   std::vector<crash> list;
+  list.reserve(crashes.size());
   for (auto& [id, found] : crashes) list.push_back(std::move(found));
   return list;
 }
