mesh: log each request that becomes quarantined, and the suspects of a crash

A suspect that became the only candidate when another one was cleared was quarantined without a line, and upstream_crashed named only the number of suspects. FormatFingerprints serves both programs.

--- a/include/siskinrack/quarantine/fingerprint.h
+++ b/include/siskinrack/quarantine/fingerprint.h
@@ -16,6 +16,8 @@
 
 /// Formats a fingerprint as 16 hexadecimal digits.
 std::string FormatFingerprint(std::uint64_t fingerprint);
+/// Formats fingerprints, separated by commas.
+std::string FormatFingerprints(std::span<const std::uint64_t> fingerprints);
 /// Parses 16 hexadecimal digits; returns std::nullopt for other text.
 std::optional<std::uint64_t> ParseFingerprint(std::string_view text);
 
--- a/lib/mesh/crash_guard.cpp
+++ b/lib/mesh/crash_guard.cpp
@@ -64,7 +64,9 @@
   // computed for every request.
   if (!table_.empty() && quarantine::ProvesCompletion(result, StatesRun(result.response))) {
     const std::uint64_t fingerprint = ComputeFingerprint(call);
-    if (!table_.Complete(fingerprint, steady_clock::now()).cleared.empty()) {
+    const auto change = table_.Complete(fingerprint, steady_clock::now());
+    LogQuarantined(change.quarantined);
+    if (!change.cleared.empty()) {
       context_.log.Info("suspect_cleared", {{"fingerprint", FormatFingerprint(fingerprint)},
                                             {"request", call.request_id},
                                             {"status", result.response.status}});
@@ -101,25 +103,30 @@
   evidence.crash_id = last_crash_id_;
   evidence.suspects = std::move(suspects);
   context_.log.Warn("upstream_crashed",
-                    {{"crash", evidence.crash_id}, {"suspects", evidence.suspects.size()}});
+                    {{"crash", evidence.crash_id},
+                     {"suspects", quarantine::FormatFingerprints(evidence.suspects)}});
   AddEvidence(evidence);
   sender_.Send(std::move(evidence));
 }
 
 std::vector<std::uint64_t> crash_guard::AddEvidence(const wire::crash_evidence_t& evidence) {
   const auto now = steady_clock::now();
-  for (const std::uint64_t fingerprint : evidence.cleared) table_.Complete(fingerprint, now);
+  for (const std::uint64_t fingerprint : evidence.cleared) {
+    LogQuarantined(table_.Complete(fingerprint, now).quarantined);
+  }
   if (evidence.suspects.empty()) return {};
   const auto at = now - milliseconds(evidence.age_ms);
   auto result = table_.AddCrash({evidence.node_id, evidence.crash_id, evidence.suspects, at}, now);
-  for (const std::uint64_t fingerprint : result.quarantined) {
-    context_.log.Warn("request_quarantined", {{"fingerprint", FormatFingerprint(fingerprint)},
-                                              {"node", evidence.node_id},
-                                              {"crash", evidence.crash_id}});
-  }
+  LogQuarantined(result.quarantined);
   return std::move(result.cleared);
 }
 
+void crash_guard::LogQuarantined(const std::vector<std::uint64_t>& fingerprints) {
+  for (const std::uint64_t fingerprint : fingerprints) {
+    context_.log.Warn("request_quarantined", {{"fingerprint", FormatFingerprint(fingerprint)}});
+  }
+}
+
 wire::crash_evidence_t crash_guard::MakeClearance(std::vector<std::uint64_t> cleared) const {
   wire::crash_evidence_t clearance;
   clearance.node_id = context_.settings.node_id;
--- a/lib/mesh/crash_guard.h
+++ b/lib/mesh/crash_guard.h
@@ -46,6 +46,7 @@
   void ReportCrash(std::vector<std::uint64_t> suspects);
   /// Applies evidence and returns the suspects that have completed on this node.
   std::vector<std::uint64_t> AddEvidence(const wire::crash_evidence_t& evidence);
+  void LogQuarantined(const std::vector<std::uint64_t>& fingerprints);
   /// Returns a message that reports suspects as completed.
   [[nodiscard]] wire::crash_evidence_t MakeClearance(std::vector<std::uint64_t> cleared) const;
 
--- a/lib/node/quarantine_service.cpp
+++ b/lib/node/quarantine_service.cpp
@@ -44,15 +44,6 @@
   return quarantine::ComputeFingerprint(call.host, call.method, call.target, call.body);
 }
 
-std::string JoinFingerprints(const std::vector<std::uint64_t>& fingerprints) {
-  std::string text;
-  for (const std::uint64_t fingerprint : fingerprints) {
-    if (!text.empty()) text += ',';
-    text += FormatFingerprint(fingerprint);
-  }
-  return text;
-}
-
 }  // namespace
 
 std::optional<wire::call_answer_t> quarantine_service::RefuseIfQuarantined(
@@ -128,7 +119,8 @@
   if (evidence.suspects.size() > quarantine::kMaxSuspects) {
     evidence.suspects.resize(quarantine::kMaxSuspects);
   }
-  context_.log.Warn("upstream_crashed", {{"suspects", JoinFingerprints(evidence.suspects)}});
+  context_.log.Warn("upstream_crashed",
+                    {{"suspects", quarantine::FormatFingerprints(evidence.suspects)}});
   evidence.node_id = context_.settings.node_id;
   AddEvidence(evidence);
 }
--- a/lib/quarantine/fingerprint.cpp
+++ b/lib/quarantine/fingerprint.cpp
@@ -48,6 +48,15 @@
   return std::string(kDigits - text.size(), '0') + text;
 }
 
+std::string FormatFingerprints(std::span<const std::uint64_t> fingerprints) {
+  std::string text;
+  for (const std::uint64_t fingerprint : fingerprints) {
+    if (!text.empty()) text += ',';
+    text += FormatFingerprint(fingerprint);
+  }
+  return text;
+}
+
 std::optional<std::uint64_t> ParseFingerprint(std::string_view text) {
   std::uint64_t value = 0;
   const char* end = text.data() + text.size();
