quarantine: a request that stays open over two crashes is a suspect of the first one only

A request whose connection is silent was reported with each crash while it was open, so a harmless one could be quarantined after two. It delayed the verdict of an unknown check, too. Found by reading the change.

Measured: crash_detector_test.SecondCrashIsReportedSeparately, extended by a second crash before its end, fails before ({2, 4} instead of {4}) and passes after.

--- a/include/siskinrack/quarantine/crash_detector.h
+++ b/include/siskinrack/quarantine/crash_detector.h
@@ -88,7 +88,8 @@
   std::deque<unproven_end> unproven_;
   bool check_pending_ = false;
   std::uint64_t check_began_ = 0;
-  /// Sequence number of the last reported crash. Requests that began before it belong to it.
+  /// Sequence number of the last reported crash. Requests that began before it belong to it and
+  /// were reported with it.
   std::uint64_t crash_reported_ = 0;
 };
 
--- a/lib/quarantine/crash_detector.cpp
+++ b/lib/quarantine/crash_detector.cpp
@@ -51,8 +51,8 @@
     check_pending_ = false;
     return {};
   }
-  const bool may_be_answered =
-      !in_flight_.empty() && in_flight_.begin()->first < unproven_.back().ended;
+  const auto open = in_flight_.lower_bound(crash_reported_);
+  const bool may_be_answered = open != in_flight_.end() && open->first < unproven_.back().ended;
   if (health == upstream_health::kUnknown && may_be_answered) {
     return {.suspects = {}, .repeat = true};
   }
@@ -62,8 +62,9 @@
 crash_detector::check_result crash_detector::ReportCrash() {
   std::set<std::uint64_t> suspects;
   for (const unproven_end& end : unproven_) suspects.insert(end.fingerprint);
-  for (const auto& [request, fingerprint] : in_flight_) {
-    if (request < unproven_.back().ended) suspects.insert(fingerprint());
+  const auto end = in_flight_.lower_bound(unproven_.back().ended);
+  for (auto open = in_flight_.lower_bound(crash_reported_); open != end; ++open) {
+    suspects.insert(open->second());
   }
   unproven_.clear();
   check_pending_ = false;
--- a/unittests/quarantine/crash_detector_test.cpp
+++ b/unittests/quarantine/crash_detector_test.cpp
@@ -70,6 +70,8 @@
   const auto late = Begin(2);
   EXPECT_TRUE(RunOne(1, request_outcome::kBroken));
   EXPECT_EQ(Check(upstream_health::kUnreachable), (suspects{1, 2}));
+  EXPECT_TRUE(RunOne(4, request_outcome::kBroken));
+  EXPECT_EQ(Check(upstream_health::kUnreachable), (suspects{4}));
   EXPECT_FALSE(detector_.End(late, request_outcome::kBroken));
   EXPECT_TRUE(RunOne(5, request_outcome::kBroken));
   EXPECT_EQ(Check(upstream_health::kUnreachable), (suspects{5}));
