mesh: a node that starts asks for crash evidence at once

Cause, from the log: evidence_sender asked for the history one second after the start, and the test waited for half a second only. The platform counts a node as in touch 3 s after its start, so the run was within the bound, but the second was of no use: the node asks as soon as it knows other nodes.

--- a/lib/mesh/evidence_sender.cpp
+++ b/lib/mesh/evidence_sender.cpp
@@ -13,6 +13,9 @@
 /// A node that was cut off has to know the evidence when it counts as in touch again, seconds after
 /// the end of the cut.
 constexpr milliseconds kRepeatInterval{1'000};
+/// Interval at which a node that has started looks for other nodes to ask. It runs requests of
+/// callers meanwhile, without the evidence.
+constexpr milliseconds kStartInterval{50};
 /// Several round trips between failure domains.
 constexpr milliseconds kReplyTimeout{300};
 constexpr std::size_t kOwnDomainSources = 2;
@@ -32,9 +35,7 @@
 }
 
 void evidence_sender::Run() {
-  do {
-    net::SleepFor(kRepeatInterval);
-  } while (!FetchHistory());
+  while (!FetchHistory()) net::SleepFor(kStartInterval);
   while (true) {
     net::SleepFor(kRepeatInterval);
     RepeatUnconfirmed();
