--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -22,12 +22,16 @@
 constexpr char kHost[] = "shop.example";
 constexpr char kProgram[] = "target/bin/siskinrack-node";
 
-/// Returns a port of `ip` that no socket uses.
-int PickPort(const std::string& ip) {
-  const int socket = Listen(ip, 0);
-  const int port = LocalPort(socket);
-  close(socket);
-  return port;
+/// Returns different ports of `ip` that no socket uses.
+std::vector<int> PickPorts(const std::string& ip, std::size_t count) {
+  std::vector<int> sockets;
+  std::vector<int> ports;
+  for (std::size_t i = 0; i < count; ++i) {
+    sockets.push_back(Listen(ip, 0));
+    ports.push_back(LocalPort(sockets.back()));
+  }
+  for (const int socket : sockets) close(socket);
+  return ports;
 }
 
 std::string Quote(const std::string& text) { return '"' + text + '"'; }
@@ -94,7 +98,7 @@
 machine::machine(std::string name, std::string ip, std::string directory, std::string zone,
                  std::string service, std::string app_address, std::string store_address)
     : name_(std::move(name)), ip_(std::move(ip)), directory_(std::move(directory)) {
-  for (int i = 0; i < 5; ++i) ports_.push_back(PickPort(ip_));
+  ports_ = PickPorts(ip_, 5);
   const auto at = [this](int index) { return Quote(ip_ + ':' + std::to_string(ports_.at(index))); };
   settings_path_ = directory_ + '/' + name_ + ".json";
   std::ofstream(settings_path_)
