--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
@@ -128,8 +129,19 @@
 void machine::Start() {
   const std::string log = directory_ + '/' + name_ + ".log";
   const std::string setting = "SISKINRACK_SETTINGS=" + settings_path_;
-  pid_ = fork();
-  if (pid_ != 0) return;
+  // Closed by the exec, so that the process is the node's when this function returns.
+  int started[2];
+  if (pipe2(started, O_CLOEXEC) != 0) return;
+  const pid_t pid = fork();
+  if (pid != 0) {
+    close(started[1]);
+    char byte = 0;
+    while (read(started[0], &byte, 1) < 0 && errno == EINTR) {
+    }
+    close(started[0]);
+    pid_ = pid;
+    return;
+  }
   const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(out, STDOUT_FILENO);
   dup2(out, STDERR_FILENO);
