--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -120,6 +120,42 @@
 struct quarantine_releaseBuilder;
 struct quarantine_release_t;
 
+struct token_request;
+struct token_requestBuilder;
+struct token_request_t;
+
+struct token_demand;
+struct token_demandBuilder;
+struct token_demand_t;
+
+struct token_reply;
+struct token_replyBuilder;
+struct token_reply_t;
+
+struct token_grant;
+struct token_grantBuilder;
+struct token_grant_t;
+
+struct freshness_request;
+struct freshness_requestBuilder;
+struct freshness_request_t;
+
+struct freshness_reply;
+struct freshness_replyBuilder;
+struct freshness_reply_t;
+
+struct rollout_report;
+struct rollout_reportBuilder;
+struct rollout_report_t;
+
+struct rollout_count;
+struct rollout_countBuilder;
+struct rollout_count_t;
+
+struct rollout_verdict;
+struct rollout_verdictBuilder;
+struct rollout_verdict_t;
+
 struct envelope;
 struct envelopeBuilder;
 struct envelope_t;
@@ -353,11 +389,17 @@
   link_pong = 21,
   crash_history_request = 22,
   crash_history = 23,
+  token_request = 24,
+  token_reply = 25,
+  freshness_request = 26,
+  freshness_reply = 27,
+  rollout_report = 28,
+  rollout_verdict = 29,
   MIN = NONE,
-  MAX = crash_history
+  MAX = rollout_verdict
 };
 
-inline const message (&EnumValuesmessage())[24] {
+inline const message (&EnumValuesmessage())[30] {
   static const message values[] = {
     message::NONE,
     message::call_request,
@@ -382,13 +424,19 @@
     message::link_ping,
     message::link_pong,
     message::crash_history_request,
-    message::crash_history
+    message::crash_history,
+    message::token_request,
+    message::token_reply,
+    message::freshness_request,
+    message::freshness_reply,
+    message::rollout_report,
+    message::rollout_verdict
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[25] = {
+  static const char * const names[31] = {
     "NONE",
     "call_request",
     "call_answer",
@@ -413,13 +461,19 @@
     "link_pong",
     "crash_history_request",
     "crash_history",
+    "token_request",
+    "token_reply",
+    "freshness_request",
+    "freshness_reply",
+    "rollout_report",
+    "rollout_verdict",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::crash_history)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::rollout_verdict)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -520,6 +574,30 @@
   static const message enum_value = message::crash_history;
 };
 
+template<> struct messageTraits<siskinrack::wire::token_request> {
+  static const message enum_value = message::token_request;
+};
+
+template<> struct messageTraits<siskinrack::wire::token_reply> {
+  static const message enum_value = message::token_reply;
+};
+
+template<> struct messageTraits<siskinrack::wire::freshness_request> {
+  static const message enum_value = message::freshness_request;
+};
+
+template<> struct messageTraits<siskinrack::wire::freshness_reply> {
+  static const message enum_value = message::freshness_reply;
+};
+
+template<> struct messageTraits<siskinrack::wire::rollout_report> {
+  static const message enum_value = message::rollout_report;
+};
+
+template<> struct messageTraits<siskinrack::wire::rollout_verdict> {
+  static const message enum_value = message::rollout_verdict;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -616,6 +694,30 @@
   static const message enum_value = message::crash_history;
 };
 
+template<> struct messageUnionTraits<siskinrack::wire::token_request_t> {
+  static const message enum_value = message::token_request;
+};
+
+template<> struct messageUnionTraits<siskinrack::wire::token_reply_t> {
+  static const message enum_value = message::token_reply;
+};
+
+template<> struct messageUnionTraits<siskinrack::wire::freshness_request_t> {
+  static const message enum_value = message::freshness_request;
+};
+
+template<> struct messageUnionTraits<siskinrack::wire::freshness_reply_t> {
+  static const message enum_value = message::freshness_reply;
+};
+
+template<> struct messageUnionTraits<siskinrack::wire::rollout_report_t> {
+  static const message enum_value = message::rollout_report;
+};
+
+template<> struct messageUnionTraits<siskinrack::wire::rollout_verdict_t> {
+  static const message enum_value = message::rollout_verdict;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -830,6 +932,54 @@
     return type == message::crash_history ?
       reinterpret_cast<const siskinrack::wire::crash_history_t *>(value) : nullptr;
   }
+  siskinrack::wire::token_request_t *Astoken_request() {
+    return type == message::token_request ?
+      reinterpret_cast<siskinrack::wire::token_request_t *>(value) : nullptr;
+  }
+  const siskinrack::wire::token_request_t *Astoken_request() const {
+    return type == message::token_request ?
+      reinterpret_cast<const siskinrack::wire::token_request_t *>(value) : nullptr;
+  }
+  siskinrack::wire::token_reply_t *Astoken_reply() {
+    return type == message::token_reply ?
+      reinterpret_cast<siskinrack::wire::token_reply_t *>(value) : nullptr;
+  }
+  const siskinrack::wire::token_reply_t *Astoken_reply() const {
+    return type == message::token_reply ?
+      reinterpret_cast<const siskinrack::wire::token_reply_t *>(value) : nullptr;
+  }
+  siskinrack::wire::freshness_request_t *Asfreshness_request() {
+    return type == message::freshness_request ?
+      reinterpret_cast<siskinrack::wire::freshness_request_t *>(value) : nullptr;
+  }
+  const siskinrack::wire::freshness_request_t *Asfreshness_request() const {
+    return type == message::freshness_request ?
+      reinterpret_cast<const siskinrack::wire::freshness_request_t *>(value) : nullptr;
+  }
+  siskinrack::wire::freshness_reply_t *Asfreshness_reply() {
+    return type == message::freshness_reply ?
+      reinterpret_cast<siskinrack::wire::freshness_reply_t *>(value) : nullptr;
+  }
+  const siskinrack::wire::freshness_reply_t *Asfreshness_reply() const {
+    return type == message::freshness_reply ?
+      reinterpret_cast<const siskinrack::wire::freshness_reply_t *>(value) : nullptr;
+  }
+  siskinrack::wire::rollout_report_t *Asrollout_report() {
+    return type == message::rollout_report ?
+      reinterpret_cast<siskinrack::wire::rollout_report_t *>(value) : nullptr;
+  }
+  const siskinrack::wire::rollout_report_t *Asrollout_report() const {
+    return type == message::rollout_report ?
+      reinterpret_cast<const siskinrack::wire::rollout_report_t *>(value) : nullptr;
+  }
+  siskinrack::wire::rollout_verdict_t *Asrollout_verdict() {
+    return type == message::rollout_verdict ?
+      reinterpret_cast<siskinrack::wire::rollout_verdict_t *>(value) : nullptr;
+  }
+  const siskinrack::wire::rollout_verdict_t *Asrollout_verdict() const {
+    return type == message::rollout_verdict ?
+      reinterpret_cast<const siskinrack::wire::rollout_verdict_t *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -1028,6 +1178,8 @@
   uint32_t in_time_ms = 0;
   bool redirectable = false;
   float known_limit = 0.0f;
+  std::string tenant{};
+  uint32_t expected_ms = 0;
   call_request_t() = default;
   call_request_t(const call_request_t &o);
   call_request_t(call_request_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1057,7 +1209,9 @@
     VT_WORK_CLASS = 36,
     VT_IN_TIME_MS = 38,
     VT_REDIRECTABLE = 40,
-    VT_KNOWN_LIMIT = 42
+    VT_KNOWN_LIMIT = 42,
+    VT_TENANT = 44,
+    VT_EXPECTED_MS = 46
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1119,6 +1273,12 @@
   float known_limit() const {
     return GetField<float>(VT_KNOWN_LIMIT, 0.0f);
   }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint32_t expected_ms() const {
+    return GetField<uint32_t>(VT_EXPECTED_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -1152,6 +1312,9 @@
            VerifyField<uint32_t>(verifier, VT_IN_TIME_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_REDIRECTABLE, 1) &&
            VerifyField<float>(verifier, VT_KNOWN_LIMIT, 4) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint32_t>(verifier, VT_EXPECTED_MS, 4) &&
            verifier.EndTable();
   }
   call_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1223,6 +1386,12 @@
   void add_known_limit(float known_limit) {
     fbb_.AddElement<float>(call_request::VT_KNOWN_LIMIT, known_limit, 0.0f);
   }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(call_request::VT_TENANT, tenant);
+  }
+  void add_expected_ms(uint32_t expected_ms) {
+    fbb_.AddElement<uint32_t>(call_request::VT_EXPECTED_MS, expected_ms, 0);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1255,11 +1424,15 @@
     uint64_t work_class = 0,
     uint32_t in_time_ms = 0,
     bool redirectable = false,
-    float known_limit = 0.0f) {
+    float known_limit = 0.0f,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint32_t expected_ms = 0) {
   call_requestBuilder builder_(_fbb);
   builder_.add_work_class(work_class);
   builder_.add_config_version(config_version);
   builder_.add_claim_epoch(claim_epoch);
+  builder_.add_expected_ms(expected_ms);
+  builder_.add_tenant(tenant);
   builder_.add_known_limit(known_limit);
   builder_.add_in_time_ms(in_time_ms);
   builder_.add_priority(priority);
@@ -1301,7 +1474,9 @@
     uint64_t work_class = 0,
     uint32_t in_time_ms = 0,
     bool redirectable = false,
-    float known_limit = 0.0f) {
+    float known_limit = 0.0f,
+    const char *tenant = nullptr,
+    uint32_t expected_ms = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto rank__ = rank ? _fbb.CreateString(rank) : 0;
   auto caller__ = caller ? _fbb.CreateString(caller) : 0;
@@ -1312,6 +1487,7 @@
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto idempotency_key__ = idempotency_key ? _fbb.CreateString(idempotency_key) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   return siskinrack::wire::Createcall_request(
       _fbb,
       service__,
@@ -1333,7 +1509,9 @@
       work_class,
       in_time_ms,
       redirectable,
-      known_limit);
+      known_limit,
+      tenant__,
+      expected_ms);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1355,6 +1533,8 @@
   uint16_t service_ms = 0;
   bool leaving = false;
   float named_limit = 0.0f;
+  uint32_t work_left_ms = 0;
+  float slowness = 0.0f;
   call_answer_t() = default;
   call_answer_t(const call_answer_t &o);
   call_answer_t(call_answer_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1379,7 +1559,9 @@
     VT_CONFIG_VERSION = 26,
     VT_SERVICE_MS = 28,
     VT_LEAVING = 30,
-    VT_NAMED_LIMIT = 32
+    VT_NAMED_LIMIT = 32,
+    VT_WORK_LEFT_MS = 34,
+    VT_SLOWNESS = 36
   };
   siskinrack::wire::outcome_kind outcome() const {
     return static_cast<siskinrack::wire::outcome_kind>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -1426,6 +1608,12 @@
   float named_limit() const {
     return GetField<float>(VT_NAMED_LIMIT, 0.0f);
   }
+  uint32_t work_left_ms() const {
+    return GetField<uint32_t>(VT_WORK_LEFT_MS, 0);
+  }
+  float slowness() const {
+    return GetField<float>(VT_SLOWNESS, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -1448,6 +1636,8 @@
            VerifyField<uint16_t>(verifier, VT_SERVICE_MS, 2) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<float>(verifier, VT_NAMED_LIMIT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WORK_LEFT_MS, 4) &&
+           VerifyField<float>(verifier, VT_SLOWNESS, 4) &&
            verifier.EndTable();
   }
   call_answer_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1504,6 +1694,12 @@
   void add_named_limit(float named_limit) {
     fbb_.AddElement<float>(call_answer::VT_NAMED_LIMIT, named_limit, 0.0f);
   }
+  void add_work_left_ms(uint32_t work_left_ms) {
+    fbb_.AddElement<uint32_t>(call_answer::VT_WORK_LEFT_MS, work_left_ms, 0);
+  }
+  void add_slowness(float slowness) {
+    fbb_.AddElement<float>(call_answer::VT_SLOWNESS, slowness, 0.0f);
+  }
   explicit call_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1531,9 +1727,13 @@
     uint64_t config_version = 0,
     uint16_t service_ms = 0,
     bool leaving = false,
-    float named_limit = 0.0f) {
+    float named_limit = 0.0f,
+    uint32_t work_left_ms = 0,
+    float slowness = 0.0f) {
   call_answerBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
+  builder_.add_slowness(slowness);
+  builder_.add_work_left_ms(work_left_ms);
   builder_.add_named_limit(named_limit);
   builder_.add_node_id(node_id);
   builder_.add_retry_after_ms(retry_after_ms);
@@ -1567,7 +1767,9 @@
     uint64_t config_version = 0,
     uint16_t service_ms = 0,
     bool leaving = false,
-    float named_limit = 0.0f) {
+    float named_limit = 0.0f,
+    uint32_t work_left_ms = 0,
+    float slowness = 0.0f) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::header_field>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -1588,7 +1790,9 @@
       config_version,
       service_ms,
       leaving,
-      named_limit);
+      named_limit,
+      work_left_ms,
+      slowness);
 }
 
 flatbuffers::Offset<call_answer> Createcall_answer(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3682,140 +3886,922 @@
 
 flatbuffers::Offset<quarantine_release> Createquarantine_release(flatbuffers::FlatBufferBuilder &_fbb, const quarantine_release_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct envelope_t : public flatbuffers::NativeTable {
-  typedef envelope TableType;
-  std::string sender{};
-  int64_t hlc_wall_us = 0;
-  uint32_t hlc_logical = 0;
-  uint64_t correlation_id = 0;
-  bool is_reply = false;
-  siskinrack::wire::messageUnion message{};
+struct token_request_t : public flatbuffers::NativeTable {
+  typedef token_request TableType;
+  uint64_t config_version = 0;
+  std::vector<std::unique_ptr<siskinrack::wire::token_demand_t>> demands{};
+  token_request_t() = default;
+  token_request_t(const token_request_t &o);
+  token_request_t(token_request_t&&) FLATBUFFERS_NOEXCEPT = default;
+  token_request_t &operator=(token_request_t o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef envelope_t NativeTableType;
-  typedef envelopeBuilder Builder;
+struct token_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef token_request_t NativeTableType;
+  typedef token_requestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SENDER = 4,
-    VT_HLC_WALL_US = 6,
-    VT_HLC_LOGICAL = 8,
-    VT_CORRELATION_ID = 10,
-    VT_IS_REPLY = 12,
-    VT_MESSAGE_TYPE = 14,
-    VT_MESSAGE = 16
+    VT_CONFIG_VERSION = 4,
+    VT_DEMANDS = 6
   };
-  const flatbuffers::String *sender() const {
-    return GetPointer<const flatbuffers::String *>(VT_SENDER);
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
   }
-  int64_t hlc_wall_us() const {
-    return GetField<int64_t>(VT_HLC_WALL_US, 0);
+  const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_demand>> *demands() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_demand>> *>(VT_DEMANDS);
   }
-  uint32_t hlc_logical() const {
-    return GetField<uint32_t>(VT_HLC_LOGICAL, 0);
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
+           verifier.VerifyVectorOfTables(demands()) &&
+           verifier.EndTable();
   }
-  uint64_t correlation_id() const {
-    return GetField<uint64_t>(VT_CORRELATION_ID, 0);
+  token_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(token_request_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<token_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct token_requestBuilder {
+  typedef token_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(token_request::VT_CONFIG_VERSION, config_version, 0);
   }
-  bool is_reply() const {
-    return GetField<uint8_t>(VT_IS_REPLY, 0) != 0;
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_demand>>> demands) {
+    fbb_.AddOffset(token_request::VT_DEMANDS, demands);
   }
-  siskinrack::wire::message message_type() const {
-    return static_cast<siskinrack::wire::message>(GetField<uint8_t>(VT_MESSAGE_TYPE, 0));
+  explicit token_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const void *message() const {
-    return GetPointer<const void *>(VT_MESSAGE);
+  flatbuffers::Offset<token_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<token_request>(end);
+    return o;
   }
-  template<typename T> const T *message_as() const;
-  const siskinrack::wire::call_request *message_as_call_request() const {
-    return message_type() == siskinrack::wire::message::call_request ? static_cast<const siskinrack::wire::call_request *>(message()) : nullptr;
+};
+
+inline flatbuffers::Offset<token_request> Createtoken_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t config_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_demand>>> demands = 0) {
+  token_requestBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
+  builder_.add_demands(demands);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<token_request> Createtoken_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t config_version = 0,
+    const std::vector<flatbuffers::Offset<siskinrack::wire::token_demand>> *demands = nullptr) {
+  auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::token_demand>>(*demands) : 0;
+  return siskinrack::wire::Createtoken_request(
+      _fbb,
+      config_version,
+      demands__);
+}
+
+flatbuffers::Offset<token_request> Createtoken_request(flatbuffers::FlatBufferBuilder &_fbb, const token_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct token_demand_t : public flatbuffers::NativeTable {
+  typedef token_demand TableType;
+  std::string tenant{};
+  uint32_t wanted = 0;
+};
+
+struct token_demand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef token_demand_t NativeTableType;
+  typedef token_demandBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TENANT = 4,
+    VT_WANTED = 6
+  };
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
   }
-  const siskinrack::wire::call_answer *message_as_call_answer() const {
-    return message_type() == siskinrack::wire::message::call_answer ? static_cast<const siskinrack::wire::call_answer *>(message()) : nullptr;
+  uint32_t wanted() const {
+    return GetField<uint32_t>(VT_WANTED, 0);
   }
-  const siskinrack::wire::call_cancel *message_as_call_cancel() const {
-    return message_type() == siskinrack::wire::message::call_cancel ? static_cast<const siskinrack::wire::call_cancel *>(message()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint32_t>(verifier, VT_WANTED, 4) &&
+           verifier.EndTable();
   }
-  const siskinrack::wire::exchange *message_as_exchange() const {
-    return message_type() == siskinrack::wire::message::exchange ? static_cast<const siskinrack::wire::exchange *>(message()) : nullptr;
+  token_demand_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(token_demand_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<token_demand> Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_demand_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct token_demandBuilder {
+  typedef token_demand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(token_demand::VT_TENANT, tenant);
   }
-  const siskinrack::wire::exchange_reply *message_as_exchange_reply() const {
-    return message_type() == siskinrack::wire::message::exchange_reply ? static_cast<const siskinrack::wire::exchange_reply *>(message()) : nullptr;
+  void add_wanted(uint32_t wanted) {
+    fbb_.AddElement<uint32_t>(token_demand::VT_WANTED, wanted, 0);
   }
-  const siskinrack::wire::probe_request *message_as_probe_request() const {
-    return message_type() == siskinrack::wire::message::probe_request ? static_cast<const siskinrack::wire::probe_request *>(message()) : nullptr;
+  explicit token_demandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const siskinrack::wire::probe_reply *message_as_probe_reply() const {
-    return message_type() == siskinrack::wire::message::probe_reply ? static_cast<const siskinrack::wire::probe_reply *>(message()) : nullptr;
+  flatbuffers::Offset<token_demand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<token_demand>(end);
+    return o;
   }
-  const siskinrack::wire::version_notice *message_as_version_notice() const {
-    return message_type() == siskinrack::wire::message::version_notice ? static_cast<const siskinrack::wire::version_notice *>(message()) : nullptr;
+};
+
+inline flatbuffers::Offset<token_demand> Createtoken_demand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint32_t wanted = 0) {
+  token_demandBuilder builder_(_fbb);
+  builder_.add_wanted(wanted);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<token_demand> Createtoken_demandDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *tenant = nullptr,
+    uint32_t wanted = 0) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return siskinrack::wire::Createtoken_demand(
+      _fbb,
+      tenant__,
+      wanted);
+}
+
+flatbuffers::Offset<token_demand> Createtoken_demand(flatbuffers::FlatBufferBuilder &_fbb, const token_demand_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct token_reply_t : public flatbuffers::NativeTable {
+  typedef token_reply TableType;
+  std::vector<std::unique_ptr<siskinrack::wire::token_grant_t>> grants{};
+  token_reply_t() = default;
+  token_reply_t(const token_reply_t &o);
+  token_reply_t(token_reply_t&&) FLATBUFFERS_NOEXCEPT = default;
+  token_reply_t &operator=(token_reply_t o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct token_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef token_reply_t NativeTableType;
+  typedef token_replyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GRANTS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_grant>> *grants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_grant>> *>(VT_GRANTS);
   }
-  const siskinrack::wire::config_request *message_as_config_request() const {
-    return message_type() == siskinrack::wire::message::config_request ? static_cast<const siskinrack::wire::config_request *>(message()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_GRANTS) &&
+           verifier.VerifyVector(grants()) &&
+           verifier.VerifyVectorOfTables(grants()) &&
+           verifier.EndTable();
   }
-  const siskinrack::wire::config_update *message_as_config_update() const {
-    return message_type() == siskinrack::wire::message::config_update ? static_cast<const siskinrack::wire::config_update *>(message()) : nullptr;
+  token_reply_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(token_reply_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<token_reply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_reply_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct token_replyBuilder {
+  typedef token_reply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_grants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_grant>>> grants) {
+    fbb_.AddOffset(token_reply::VT_GRANTS, grants);
   }
-  const siskinrack::wire::witness_request *message_as_witness_request() const {
-    return message_type() == siskinrack::wire::message::witness_request ? static_cast<const siskinrack::wire::witness_request *>(message()) : nullptr;
+  explicit token_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const siskinrack::wire::witness_reply *message_as_witness_reply() const {
-    return message_type() == siskinrack::wire::message::witness_reply ? static_cast<const siskinrack::wire::witness_reply *>(message()) : nullptr;
+  flatbuffers::Offset<token_reply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<token_reply>(end);
+    return o;
   }
-  const siskinrack::wire::floor_request *message_as_floor_request() const {
-    return message_type() == siskinrack::wire::message::floor_request ? static_cast<const siskinrack::wire::floor_request *>(message()) : nullptr;
+};
+
+inline flatbuffers::Offset<token_reply> Createtoken_reply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_grant>>> grants = 0) {
+  token_replyBuilder builder_(_fbb);
+  builder_.add_grants(grants);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<token_reply> Createtoken_replyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<siskinrack::wire::token_grant>> *grants = nullptr) {
+  auto grants__ = grants ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::token_grant>>(*grants) : 0;
+  return siskinrack::wire::Createtoken_reply(
+      _fbb,
+      grants__);
+}
+
+flatbuffers::Offset<token_reply> Createtoken_reply(flatbuffers::FlatBufferBuilder &_fbb, const token_reply_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct token_grant_t : public flatbuffers::NativeTable {
+  typedef token_grant TableType;
+  uint32_t granted = 0;
+  uint32_t valid_ms = 0;
+  uint32_t refill_ms = 0;
+  bool owned = false;
+};
+
+struct token_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef token_grant_t NativeTableType;
+  typedef token_grantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GRANTED = 4,
+    VT_VALID_MS = 6,
+    VT_REFILL_MS = 8,
+    VT_OWNED = 10
+  };
+  uint32_t granted() const {
+    return GetField<uint32_t>(VT_GRANTED, 0);
   }
-  const siskinrack::wire::floor_reply *message_as_floor_reply() const {
-    return message_type() == siskinrack::wire::message::floor_reply ? static_cast<const siskinrack::wire::floor_reply *>(message()) : nullptr;
+  uint32_t valid_ms() const {
+    return GetField<uint32_t>(VT_VALID_MS, 0);
   }
-  const siskinrack::wire::claim_request *message_as_claim_request() const {
-    return message_type() == siskinrack::wire::message::claim_request ? static_cast<const siskinrack::wire::claim_request *>(message()) : nullptr;
+  uint32_t refill_ms() const {
+    return GetField<uint32_t>(VT_REFILL_MS, 0);
   }
-  const siskinrack::wire::claim_reply *message_as_claim_reply() const {
-    return message_type() == siskinrack::wire::message::claim_reply ? static_cast<const siskinrack::wire::claim_reply *>(message()) : nullptr;
+  bool owned() const {
+    return GetField<uint8_t>(VT_OWNED, 0) != 0;
   }
-  const siskinrack::wire::claim_result *message_as_claim_result() const {
-    return message_type() == siskinrack::wire::message::claim_result ? static_cast<const siskinrack::wire::claim_result *>(message()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_GRANTED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_VALID_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_REFILL_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_OWNED, 1) &&
+           verifier.EndTable();
   }
-  const siskinrack::wire::crash_evidence *message_as_crash_evidence() const {
-    return message_type() == siskinrack::wire::message::crash_evidence ? static_cast<const siskinrack::wire::crash_evidence *>(message()) : nullptr;
+  token_grant_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(token_grant_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<token_grant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct token_grantBuilder {
+  typedef token_grant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_granted(uint32_t granted) {
+    fbb_.AddElement<uint32_t>(token_grant::VT_GRANTED, granted, 0);
   }
-  const siskinrack::wire::quarantine_release *message_as_quarantine_release() const {
-    return message_type() == siskinrack::wire::message::quarantine_release ? static_cast<const siskinrack::wire::quarantine_release *>(message()) : nullptr;
+  void add_valid_ms(uint32_t valid_ms) {
+    fbb_.AddElement<uint32_t>(token_grant::VT_VALID_MS, valid_ms, 0);
   }
-  const siskinrack::wire::link_ping *message_as_link_ping() const {
-    return message_type() == siskinrack::wire::message::link_ping ? static_cast<const siskinrack::wire::link_ping *>(message()) : nullptr;
+  void add_refill_ms(uint32_t refill_ms) {
+    fbb_.AddElement<uint32_t>(token_grant::VT_REFILL_MS, refill_ms, 0);
   }
-  const siskinrack::wire::link_pong *message_as_link_pong() const {
-    return message_type() == siskinrack::wire::message::link_pong ? static_cast<const siskinrack::wire::link_pong *>(message()) : nullptr;
+  void add_owned(bool owned) {
+    fbb_.AddElement<uint8_t>(token_grant::VT_OWNED, static_cast<uint8_t>(owned), 0);
   }
-  const siskinrack::wire::crash_history_request *message_as_crash_history_request() const {
-    return message_type() == siskinrack::wire::message::crash_history_request ? static_cast<const siskinrack::wire::crash_history_request *>(message()) : nullptr;
+  explicit token_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const siskinrack::wire::crash_history *message_as_crash_history() const {
-    return message_type() == siskinrack::wire::message::crash_history ? static_cast<const siskinrack::wire::crash_history *>(message()) : nullptr;
+  flatbuffers::Offset<token_grant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<token_grant>(end);
+    return o;
   }
+};
+
+inline flatbuffers::Offset<token_grant> Createtoken_grant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t granted = 0,
+    uint32_t valid_ms = 0,
+    uint32_t refill_ms = 0,
+    bool owned = false) {
+  token_grantBuilder builder_(_fbb);
+  builder_.add_refill_ms(refill_ms);
+  builder_.add_valid_ms(valid_ms);
+  builder_.add_granted(granted);
+  builder_.add_owned(owned);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<token_grant> Createtoken_grant(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct freshness_request_t : public flatbuffers::NativeTable {
+  typedef freshness_request TableType;
+};
+
+struct freshness_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef freshness_request_t NativeTableType;
+  typedef freshness_requestBuilder Builder;
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_SENDER) &&
-           verifier.VerifyString(sender()) &&
-           VerifyField<int64_t>(verifier, VT_HLC_WALL_US, 8) &&
-           VerifyField<uint32_t>(verifier, VT_HLC_LOGICAL, 4) &&
-           VerifyField<uint64_t>(verifier, VT_CORRELATION_ID, 8) &&
-           VerifyField<uint8_t>(verifier, VT_IS_REPLY, 1) &&
-           VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
-           VerifyOffset(verifier, VT_MESSAGE) &&
-           Verifymessage(verifier, message(), message_type()) &&
            verifier.EndTable();
   }
-  envelope_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(envelope_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const envelope_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  freshness_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(freshness_request_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<freshness_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const freshness_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-template<> inline const siskinrack::wire::call_request *envelope::message_as<siskinrack::wire::call_request>() const {
-  return message_as_call_request();
-}
+struct freshness_requestBuilder {
+  typedef freshness_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit freshness_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<freshness_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<freshness_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<freshness_request> Createfreshness_request(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  freshness_requestBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<freshness_request> Createfreshness_request(flatbuffers::FlatBufferBuilder &_fbb, const freshness_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct freshness_reply_t : public flatbuffers::NativeTable {
+  typedef freshness_reply TableType;
+  bool proved = false;
+  uint64_t config_version = 0;
+  uint32_t age_ms = 0;
+};
+
+struct freshness_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef freshness_reply_t NativeTableType;
+  typedef freshness_replyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROVED = 4,
+    VT_CONFIG_VERSION = 6,
+    VT_AGE_MS = 8
+  };
+  bool proved() const {
+    return GetField<uint8_t>(VT_PROVED, 0) != 0;
+  }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_PROVED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  freshness_reply_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(freshness_reply_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<freshness_reply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const freshness_reply_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct freshness_replyBuilder {
+  typedef freshness_reply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_proved(bool proved) {
+    fbb_.AddElement<uint8_t>(freshness_reply::VT_PROVED, static_cast<uint8_t>(proved), 0);
+  }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(freshness_reply::VT_CONFIG_VERSION, config_version, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(freshness_reply::VT_AGE_MS, age_ms, 0);
+  }
+  explicit freshness_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<freshness_reply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<freshness_reply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<freshness_reply> Createfreshness_reply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool proved = false,
+    uint64_t config_version = 0,
+    uint32_t age_ms = 0) {
+  freshness_replyBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
+  builder_.add_age_ms(age_ms);
+  builder_.add_proved(proved);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<freshness_reply> Createfreshness_reply(flatbuffers::FlatBufferBuilder &_fbb, const freshness_reply_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct rollout_report_t : public flatbuffers::NativeTable {
+  typedef rollout_report TableType;
+  std::string service{};
+  uint64_t order_revision = 0;
+  std::string node_id{};
+  std::string software_version{};
+  std::vector<std::unique_ptr<siskinrack::wire::rollout_count_t>> routes{};
+  rollout_report_t() = default;
+  rollout_report_t(const rollout_report_t &o);
+  rollout_report_t(rollout_report_t&&) FLATBUFFERS_NOEXCEPT = default;
+  rollout_report_t &operator=(rollout_report_t o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct rollout_report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rollout_report_t NativeTableType;
+  typedef rollout_reportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ORDER_REVISION = 6,
+    VT_NODE_ID = 8,
+    VT_SOFTWARE_VERSION = 10,
+    VT_ROUTES = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint64_t order_revision() const {
+    return GetField<uint64_t>(VT_ORDER_REVISION, 0);
+  }
+  const flatbuffers::String *node_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE_ID);
+  }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::rollout_count>> *routes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::rollout_count>> *>(VT_ROUTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_REVISION, 8) &&
+           VerifyOffset(verifier, VT_NODE_ID) &&
+           verifier.VerifyString(node_id()) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
+           VerifyOffset(verifier, VT_ROUTES) &&
+           verifier.VerifyVector(routes()) &&
+           verifier.VerifyVectorOfTables(routes()) &&
+           verifier.EndTable();
+  }
+  rollout_report_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(rollout_report_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<rollout_report> Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_report_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct rollout_reportBuilder {
+  typedef rollout_report Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(rollout_report::VT_SERVICE, service);
+  }
+  void add_order_revision(uint64_t order_revision) {
+    fbb_.AddElement<uint64_t>(rollout_report::VT_ORDER_REVISION, order_revision, 0);
+  }
+  void add_node_id(flatbuffers::Offset<flatbuffers::String> node_id) {
+    fbb_.AddOffset(rollout_report::VT_NODE_ID, node_id);
+  }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(rollout_report::VT_SOFTWARE_VERSION, software_version);
+  }
+  void add_routes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::rollout_count>>> routes) {
+    fbb_.AddOffset(rollout_report::VT_ROUTES, routes);
+  }
+  explicit rollout_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rollout_report> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout_report>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rollout_report> Createrollout_report(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t order_revision = 0,
+    flatbuffers::Offset<flatbuffers::String> node_id = 0,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::rollout_count>>> routes = 0) {
+  rollout_reportBuilder builder_(_fbb);
+  builder_.add_order_revision(order_revision);
+  builder_.add_routes(routes);
+  builder_.add_software_version(software_version);
+  builder_.add_node_id(node_id);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<rollout_report> Createrollout_reportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint64_t order_revision = 0,
+    const char *node_id = nullptr,
+    const char *software_version = nullptr,
+    const std::vector<flatbuffers::Offset<siskinrack::wire::rollout_count>> *routes = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto node_id__ = node_id ? _fbb.CreateString(node_id) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
+  auto routes__ = routes ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::rollout_count>>(*routes) : 0;
+  return siskinrack::wire::Createrollout_report(
+      _fbb,
+      service__,
+      order_revision,
+      node_id__,
+      software_version__,
+      routes__);
+}
+
+flatbuffers::Offset<rollout_report> Createrollout_report(flatbuffers::FlatBufferBuilder &_fbb, const rollout_report_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct rollout_count_t : public flatbuffers::NativeTable {
+  typedef rollout_count TableType;
+  uint64_t work_class = 0;
+  uint32_t answered = 0;
+  uint32_t failed = 0;
+  std::vector<uint32_t> service_ms{};
+};
+
+struct rollout_count FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rollout_count_t NativeTableType;
+  typedef rollout_countBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORK_CLASS = 4,
+    VT_ANSWERED = 6,
+    VT_FAILED = 8,
+    VT_SERVICE_MS = 10
+  };
+  uint64_t work_class() const {
+    return GetField<uint64_t>(VT_WORK_CLASS, 0);
+  }
+  uint32_t answered() const {
+    return GetField<uint32_t>(VT_ANSWERED, 0);
+  }
+  uint32_t failed() const {
+    return GetField<uint32_t>(VT_FAILED, 0);
+  }
+  const flatbuffers::Vector<uint32_t> *service_ms() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_SERVICE_MS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_WORK_CLASS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWERED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILED, 4) &&
+           VerifyOffset(verifier, VT_SERVICE_MS) &&
+           verifier.VerifyVector(service_ms()) &&
+           verifier.EndTable();
+  }
+  rollout_count_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(rollout_count_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<rollout_count> Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_count_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct rollout_countBuilder {
+  typedef rollout_count Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_work_class(uint64_t work_class) {
+    fbb_.AddElement<uint64_t>(rollout_count::VT_WORK_CLASS, work_class, 0);
+  }
+  void add_answered(uint32_t answered) {
+    fbb_.AddElement<uint32_t>(rollout_count::VT_ANSWERED, answered, 0);
+  }
+  void add_failed(uint32_t failed) {
+    fbb_.AddElement<uint32_t>(rollout_count::VT_FAILED, failed, 0);
+  }
+  void add_service_ms(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> service_ms) {
+    fbb_.AddOffset(rollout_count::VT_SERVICE_MS, service_ms);
+  }
+  explicit rollout_countBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rollout_count> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout_count>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rollout_count> Createrollout_count(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t work_class = 0,
+    uint32_t answered = 0,
+    uint32_t failed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> service_ms = 0) {
+  rollout_countBuilder builder_(_fbb);
+  builder_.add_work_class(work_class);
+  builder_.add_service_ms(service_ms);
+  builder_.add_failed(failed);
+  builder_.add_answered(answered);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<rollout_count> Createrollout_countDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t work_class = 0,
+    uint32_t answered = 0,
+    uint32_t failed = 0,
+    const std::vector<uint32_t> *service_ms = nullptr) {
+  auto service_ms__ = service_ms ? _fbb.CreateVector<uint32_t>(*service_ms) : 0;
+  return siskinrack::wire::Createrollout_count(
+      _fbb,
+      work_class,
+      answered,
+      failed,
+      service_ms__);
+}
+
+flatbuffers::Offset<rollout_count> Createrollout_count(flatbuffers::FlatBufferBuilder &_fbb, const rollout_count_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct rollout_verdict_t : public flatbuffers::NativeTable {
+  typedef rollout_verdict TableType;
+  std::string service{};
+  uint64_t order_revision = 0;
+  std::string software_version{};
+  bool rolled_back = false;
+  std::string reason{};
+};
+
+struct rollout_verdict FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rollout_verdict_t NativeTableType;
+  typedef rollout_verdictBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ORDER_REVISION = 6,
+    VT_SOFTWARE_VERSION = 8,
+    VT_ROLLED_BACK = 10,
+    VT_REASON = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint64_t order_revision() const {
+    return GetField<uint64_t>(VT_ORDER_REVISION, 0);
+  }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
+  bool rolled_back() const {
+    return GetField<uint8_t>(VT_ROLLED_BACK, 0) != 0;
+  }
+  const flatbuffers::String *reason() const {
+    return GetPointer<const flatbuffers::String *>(VT_REASON);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_REVISION, 8) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
+           VerifyField<uint8_t>(verifier, VT_ROLLED_BACK, 1) &&
+           VerifyOffset(verifier, VT_REASON) &&
+           verifier.VerifyString(reason()) &&
+           verifier.EndTable();
+  }
+  rollout_verdict_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(rollout_verdict_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<rollout_verdict> Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_verdict_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct rollout_verdictBuilder {
+  typedef rollout_verdict Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(rollout_verdict::VT_SERVICE, service);
+  }
+  void add_order_revision(uint64_t order_revision) {
+    fbb_.AddElement<uint64_t>(rollout_verdict::VT_ORDER_REVISION, order_revision, 0);
+  }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(rollout_verdict::VT_SOFTWARE_VERSION, software_version);
+  }
+  void add_rolled_back(bool rolled_back) {
+    fbb_.AddElement<uint8_t>(rollout_verdict::VT_ROLLED_BACK, static_cast<uint8_t>(rolled_back), 0);
+  }
+  void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
+    fbb_.AddOffset(rollout_verdict::VT_REASON, reason);
+  }
+  explicit rollout_verdictBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rollout_verdict> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout_verdict>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rollout_verdict> Createrollout_verdict(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t order_revision = 0,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0,
+    bool rolled_back = false,
+    flatbuffers::Offset<flatbuffers::String> reason = 0) {
+  rollout_verdictBuilder builder_(_fbb);
+  builder_.add_order_revision(order_revision);
+  builder_.add_reason(reason);
+  builder_.add_software_version(software_version);
+  builder_.add_service(service);
+  builder_.add_rolled_back(rolled_back);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<rollout_verdict> Createrollout_verdictDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint64_t order_revision = 0,
+    const char *software_version = nullptr,
+    bool rolled_back = false,
+    const char *reason = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
+  auto reason__ = reason ? _fbb.CreateString(reason) : 0;
+  return siskinrack::wire::Createrollout_verdict(
+      _fbb,
+      service__,
+      order_revision,
+      software_version__,
+      rolled_back,
+      reason__);
+}
+
+flatbuffers::Offset<rollout_verdict> Createrollout_verdict(flatbuffers::FlatBufferBuilder &_fbb, const rollout_verdict_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct envelope_t : public flatbuffers::NativeTable {
+  typedef envelope TableType;
+  std::string sender{};
+  int64_t hlc_wall_us = 0;
+  uint32_t hlc_logical = 0;
+  uint64_t correlation_id = 0;
+  bool is_reply = false;
+  siskinrack::wire::messageUnion message{};
+};
+
+struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef envelope_t NativeTableType;
+  typedef envelopeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_HLC_WALL_US = 6,
+    VT_HLC_LOGICAL = 8,
+    VT_CORRELATION_ID = 10,
+    VT_IS_REPLY = 12,
+    VT_MESSAGE_TYPE = 14,
+    VT_MESSAGE = 16
+  };
+  const flatbuffers::String *sender() const {
+    return GetPointer<const flatbuffers::String *>(VT_SENDER);
+  }
+  int64_t hlc_wall_us() const {
+    return GetField<int64_t>(VT_HLC_WALL_US, 0);
+  }
+  uint32_t hlc_logical() const {
+    return GetField<uint32_t>(VT_HLC_LOGICAL, 0);
+  }
+  uint64_t correlation_id() const {
+    return GetField<uint64_t>(VT_CORRELATION_ID, 0);
+  }
+  bool is_reply() const {
+    return GetField<uint8_t>(VT_IS_REPLY, 0) != 0;
+  }
+  siskinrack::wire::message message_type() const {
+    return static_cast<siskinrack::wire::message>(GetField<uint8_t>(VT_MESSAGE_TYPE, 0));
+  }
+  const void *message() const {
+    return GetPointer<const void *>(VT_MESSAGE);
+  }
+  template<typename T> const T *message_as() const;
+  const siskinrack::wire::call_request *message_as_call_request() const {
+    return message_type() == siskinrack::wire::message::call_request ? static_cast<const siskinrack::wire::call_request *>(message()) : nullptr;
+  }
+  const siskinrack::wire::call_answer *message_as_call_answer() const {
+    return message_type() == siskinrack::wire::message::call_answer ? static_cast<const siskinrack::wire::call_answer *>(message()) : nullptr;
+  }
+  const siskinrack::wire::call_cancel *message_as_call_cancel() const {
+    return message_type() == siskinrack::wire::message::call_cancel ? static_cast<const siskinrack::wire::call_cancel *>(message()) : nullptr;
+  }
+  const siskinrack::wire::exchange *message_as_exchange() const {
+    return message_type() == siskinrack::wire::message::exchange ? static_cast<const siskinrack::wire::exchange *>(message()) : nullptr;
+  }
+  const siskinrack::wire::exchange_reply *message_as_exchange_reply() const {
+    return message_type() == siskinrack::wire::message::exchange_reply ? static_cast<const siskinrack::wire::exchange_reply *>(message()) : nullptr;
+  }
+  const siskinrack::wire::probe_request *message_as_probe_request() const {
+    return message_type() == siskinrack::wire::message::probe_request ? static_cast<const siskinrack::wire::probe_request *>(message()) : nullptr;
+  }
+  const siskinrack::wire::probe_reply *message_as_probe_reply() const {
+    return message_type() == siskinrack::wire::message::probe_reply ? static_cast<const siskinrack::wire::probe_reply *>(message()) : nullptr;
+  }
+  const siskinrack::wire::version_notice *message_as_version_notice() const {
+    return message_type() == siskinrack::wire::message::version_notice ? static_cast<const siskinrack::wire::version_notice *>(message()) : nullptr;
+  }
+  const siskinrack::wire::config_request *message_as_config_request() const {
+    return message_type() == siskinrack::wire::message::config_request ? static_cast<const siskinrack::wire::config_request *>(message()) : nullptr;
+  }
+  const siskinrack::wire::config_update *message_as_config_update() const {
+    return message_type() == siskinrack::wire::message::config_update ? static_cast<const siskinrack::wire::config_update *>(message()) : nullptr;
+  }
+  const siskinrack::wire::witness_request *message_as_witness_request() const {
+    return message_type() == siskinrack::wire::message::witness_request ? static_cast<const siskinrack::wire::witness_request *>(message()) : nullptr;
+  }
+  const siskinrack::wire::witness_reply *message_as_witness_reply() const {
+    return message_type() == siskinrack::wire::message::witness_reply ? static_cast<const siskinrack::wire::witness_reply *>(message()) : nullptr;
+  }
+  const siskinrack::wire::floor_request *message_as_floor_request() const {
+    return message_type() == siskinrack::wire::message::floor_request ? static_cast<const siskinrack::wire::floor_request *>(message()) : nullptr;
+  }
+  const siskinrack::wire::floor_reply *message_as_floor_reply() const {
+    return message_type() == siskinrack::wire::message::floor_reply ? static_cast<const siskinrack::wire::floor_reply *>(message()) : nullptr;
+  }
+  const siskinrack::wire::claim_request *message_as_claim_request() const {
+    return message_type() == siskinrack::wire::message::claim_request ? static_cast<const siskinrack::wire::claim_request *>(message()) : nullptr;
+  }
+  const siskinrack::wire::claim_reply *message_as_claim_reply() const {
+    return message_type() == siskinrack::wire::message::claim_reply ? static_cast<const siskinrack::wire::claim_reply *>(message()) : nullptr;
+  }
+  const siskinrack::wire::claim_result *message_as_claim_result() const {
+    return message_type() == siskinrack::wire::message::claim_result ? static_cast<const siskinrack::wire::claim_result *>(message()) : nullptr;
+  }
+  const siskinrack::wire::crash_evidence *message_as_crash_evidence() const {
+    return message_type() == siskinrack::wire::message::crash_evidence ? static_cast<const siskinrack::wire::crash_evidence *>(message()) : nullptr;
+  }
+  const siskinrack::wire::quarantine_release *message_as_quarantine_release() const {
+    return message_type() == siskinrack::wire::message::quarantine_release ? static_cast<const siskinrack::wire::quarantine_release *>(message()) : nullptr;
+  }
+  const siskinrack::wire::link_ping *message_as_link_ping() const {
+    return message_type() == siskinrack::wire::message::link_ping ? static_cast<const siskinrack::wire::link_ping *>(message()) : nullptr;
+  }
+  const siskinrack::wire::link_pong *message_as_link_pong() const {
+    return message_type() == siskinrack::wire::message::link_pong ? static_cast<const siskinrack::wire::link_pong *>(message()) : nullptr;
+  }
+  const siskinrack::wire::crash_history_request *message_as_crash_history_request() const {
+    return message_type() == siskinrack::wire::message::crash_history_request ? static_cast<const siskinrack::wire::crash_history_request *>(message()) : nullptr;
+  }
+  const siskinrack::wire::crash_history *message_as_crash_history() const {
+    return message_type() == siskinrack::wire::message::crash_history ? static_cast<const siskinrack::wire::crash_history *>(message()) : nullptr;
+  }
+  const siskinrack::wire::token_request *message_as_token_request() const {
+    return message_type() == siskinrack::wire::message::token_request ? static_cast<const siskinrack::wire::token_request *>(message()) : nullptr;
+  }
+  const siskinrack::wire::token_reply *message_as_token_reply() const {
+    return message_type() == siskinrack::wire::message::token_reply ? static_cast<const siskinrack::wire::token_reply *>(message()) : nullptr;
+  }
+  const siskinrack::wire::freshness_request *message_as_freshness_request() const {
+    return message_type() == siskinrack::wire::message::freshness_request ? static_cast<const siskinrack::wire::freshness_request *>(message()) : nullptr;
+  }
+  const siskinrack::wire::freshness_reply *message_as_freshness_reply() const {
+    return message_type() == siskinrack::wire::message::freshness_reply ? static_cast<const siskinrack::wire::freshness_reply *>(message()) : nullptr;
+  }
+  const siskinrack::wire::rollout_report *message_as_rollout_report() const {
+    return message_type() == siskinrack::wire::message::rollout_report ? static_cast<const siskinrack::wire::rollout_report *>(message()) : nullptr;
+  }
+  const siskinrack::wire::rollout_verdict *message_as_rollout_verdict() const {
+    return message_type() == siskinrack::wire::message::rollout_verdict ? static_cast<const siskinrack::wire::rollout_verdict *>(message()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyString(sender()) &&
+           VerifyField<int64_t>(verifier, VT_HLC_WALL_US, 8) &&
+           VerifyField<uint32_t>(verifier, VT_HLC_LOGICAL, 4) &&
+           VerifyField<uint64_t>(verifier, VT_CORRELATION_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_REPLY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
+           VerifyOffset(verifier, VT_MESSAGE) &&
+           Verifymessage(verifier, message(), message_type()) &&
+           verifier.EndTable();
+  }
+  envelope_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(envelope_t *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const envelope_t* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const siskinrack::wire::call_request *envelope::message_as<siskinrack::wire::call_request>() const {
+  return message_as_call_request();
+}
 
 template<> inline const siskinrack::wire::call_answer *envelope::message_as<siskinrack::wire::call_answer>() const {
   return message_as_call_answer();
@@ -3905,6 +4891,30 @@
   return message_as_crash_history();
 }
 
+template<> inline const siskinrack::wire::token_request *envelope::message_as<siskinrack::wire::token_request>() const {
+  return message_as_token_request();
+}
+
+template<> inline const siskinrack::wire::token_reply *envelope::message_as<siskinrack::wire::token_reply>() const {
+  return message_as_token_reply();
+}
+
+template<> inline const siskinrack::wire::freshness_request *envelope::message_as<siskinrack::wire::freshness_request>() const {
+  return message_as_freshness_request();
+}
+
+template<> inline const siskinrack::wire::freshness_reply *envelope::message_as<siskinrack::wire::freshness_reply>() const {
+  return message_as_freshness_reply();
+}
+
+template<> inline const siskinrack::wire::rollout_report *envelope::message_as<siskinrack::wire::rollout_report>() const {
+  return message_as_rollout_report();
+}
+
+template<> inline const siskinrack::wire::rollout_verdict *envelope::message_as<siskinrack::wire::rollout_verdict>() const {
+  return message_as_rollout_verdict();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4032,7 +5042,9 @@
         work_class(o.work_class),
         in_time_ms(o.in_time_ms),
         redirectable(o.redirectable),
-        known_limit(o.known_limit) {
+        known_limit(o.known_limit),
+        tenant(o.tenant),
+        expected_ms(o.expected_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -4058,6 +5070,8 @@
   std::swap(in_time_ms, o.in_time_ms);
   std::swap(redirectable, o.redirectable);
   std::swap(known_limit, o.known_limit);
+  std::swap(tenant, o.tenant);
+  std::swap(expected_ms, o.expected_ms);
   return *this;
 }
 
@@ -4090,6 +5104,8 @@
   { auto _e = in_time_ms(); _o->in_time_ms = _e; }
   { auto _e = redirectable(); _o->redirectable = _e; }
   { auto _e = known_limit(); _o->known_limit = _e; }
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = expected_ms(); _o->expected_ms = _e; }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4120,6 +5136,8 @@
   auto _in_time_ms = _o->in_time_ms;
   auto _redirectable = _o->redirectable;
   auto _known_limit = _o->known_limit;
+  auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
+  auto _expected_ms = _o->expected_ms;
   return siskinrack::wire::Createcall_request(
       _fbb,
       _service,
@@ -4141,7 +5159,9 @@
       _work_class,
       _in_time_ms,
       _redirectable,
-      _known_limit);
+      _known_limit,
+      _tenant,
+      _expected_ms);
 }
 
 inline call_answer_t::call_answer_t(const call_answer_t &o)
@@ -4158,7 +5178,9 @@
         config_version(o.config_version),
         service_ms(o.service_ms),
         leaving(o.leaving),
-        named_limit(o.named_limit) {
+        named_limit(o.named_limit),
+        work_left_ms(o.work_left_ms),
+        slowness(o.slowness) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -4179,6 +5201,8 @@
   std::swap(service_ms, o.service_ms);
   std::swap(leaving, o.leaving);
   std::swap(named_limit, o.named_limit);
+  std::swap(work_left_ms, o.work_left_ms);
+  std::swap(slowness, o.slowness);
   return *this;
 }
 
@@ -4206,6 +5230,8 @@
   { auto _e = service_ms(); _o->service_ms = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = named_limit(); _o->named_limit = _e; }
+  { auto _e = work_left_ms(); _o->work_left_ms = _e; }
+  { auto _e = slowness(); _o->slowness = _e; }
 }
 
 inline flatbuffers::Offset<call_answer> call_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4231,6 +5257,8 @@
   auto _service_ms = _o->service_ms;
   auto _leaving = _o->leaving;
   auto _named_limit = _o->named_limit;
+  auto _work_left_ms = _o->work_left_ms;
+  auto _slowness = _o->slowness;
   return siskinrack::wire::Createcall_answer(
       _fbb,
       _outcome,
@@ -4247,7 +5275,9 @@
       _config_version,
       _service_ms,
       _leaving,
-      _named_limit);
+      _named_limit,
+      _work_left_ms,
+      _slowness);
 }
 
 inline call_cancel_t *call_cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5085,6 +6115,331 @@
       _fingerprint);
 }
 
+inline token_request_t::token_request_t(const token_request_t &o)
+      : config_version(o.config_version) {
+  demands.reserve(o.demands.size());
+  for (const auto &demands_ : o.demands) { demands.emplace_back((demands_) ? new siskinrack::wire::token_demand_t(*demands_) : nullptr); }
+}
+
+inline token_request_t &token_request_t::operator=(token_request_t o) FLATBUFFERS_NOEXCEPT {
+  std::swap(config_version, o.config_version);
+  std::swap(demands, o.demands);
+  return *this;
+}
+
+inline token_request_t *token_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<token_request_t>(new token_request_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void token_request::UnPackTo(token_request_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = config_version(); _o->config_version = _e; }
+  { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = std::unique_ptr<siskinrack::wire::token_demand_t>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<token_request> token_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtoken_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<token_request> Createtoken_request(flatbuffers::FlatBufferBuilder &_fbb, const token_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_request_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _config_version = _o->config_version;
+  auto _demands = _o->demands.size() ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::token_demand>> (_o->demands.size(), [](size_t i, _VectorArgs *__va) { return Createtoken_demand(*__va->__fbb, __va->__o->demands[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return siskinrack::wire::Createtoken_request(
+      _fbb,
+      _config_version,
+      _demands);
+}
+
+inline token_demand_t *token_demand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<token_demand_t>(new token_demand_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void token_demand::UnPackTo(token_demand_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = wanted(); _o->wanted = _e; }
+}
+
+inline flatbuffers::Offset<token_demand> token_demand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_demand_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtoken_demand(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<token_demand> Createtoken_demand(flatbuffers::FlatBufferBuilder &_fbb, const token_demand_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_demand_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
+  auto _wanted = _o->wanted;
+  return siskinrack::wire::Createtoken_demand(
+      _fbb,
+      _tenant,
+      _wanted);
+}
+
+inline token_reply_t::token_reply_t(const token_reply_t &o) {
+  grants.reserve(o.grants.size());
+  for (const auto &grants_ : o.grants) { grants.emplace_back((grants_) ? new siskinrack::wire::token_grant_t(*grants_) : nullptr); }
+}
+
+inline token_reply_t &token_reply_t::operator=(token_reply_t o) FLATBUFFERS_NOEXCEPT {
+  std::swap(grants, o.grants);
+  return *this;
+}
+
+inline token_reply_t *token_reply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<token_reply_t>(new token_reply_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void token_reply::UnPackTo(token_reply_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = std::unique_ptr<siskinrack::wire::token_grant_t>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<token_reply> token_reply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_reply_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtoken_reply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<token_reply> Createtoken_reply(flatbuffers::FlatBufferBuilder &_fbb, const token_reply_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_reply_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _grants = _o->grants.size() ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::token_grant>> (_o->grants.size(), [](size_t i, _VectorArgs *__va) { return Createtoken_grant(*__va->__fbb, __va->__o->grants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return siskinrack::wire::Createtoken_reply(
+      _fbb,
+      _grants);
+}
+
+inline token_grant_t *token_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<token_grant_t>(new token_grant_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void token_grant::UnPackTo(token_grant_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = valid_ms(); _o->valid_ms = _e; }
+  { auto _e = refill_ms(); _o->refill_ms = _e; }
+  { auto _e = owned(); _o->owned = _e; }
+}
+
+inline flatbuffers::Offset<token_grant> token_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtoken_grant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<token_grant> Createtoken_grant(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_grant_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _granted = _o->granted;
+  auto _valid_ms = _o->valid_ms;
+  auto _refill_ms = _o->refill_ms;
+  auto _owned = _o->owned;
+  return siskinrack::wire::Createtoken_grant(
+      _fbb,
+      _granted,
+      _valid_ms,
+      _refill_ms,
+      _owned);
+}
+
+inline freshness_request_t *freshness_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<freshness_request_t>(new freshness_request_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void freshness_request::UnPackTo(freshness_request_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<freshness_request> freshness_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const freshness_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createfreshness_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<freshness_request> Createfreshness_request(flatbuffers::FlatBufferBuilder &_fbb, const freshness_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const freshness_request_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return siskinrack::wire::Createfreshness_request(
+      _fbb);
+}
+
+inline freshness_reply_t *freshness_reply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<freshness_reply_t>(new freshness_reply_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void freshness_reply::UnPackTo(freshness_reply_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = proved(); _o->proved = _e; }
+  { auto _e = config_version(); _o->config_version = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<freshness_reply> freshness_reply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const freshness_reply_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createfreshness_reply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<freshness_reply> Createfreshness_reply(flatbuffers::FlatBufferBuilder &_fbb, const freshness_reply_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const freshness_reply_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _proved = _o->proved;
+  auto _config_version = _o->config_version;
+  auto _age_ms = _o->age_ms;
+  return siskinrack::wire::Createfreshness_reply(
+      _fbb,
+      _proved,
+      _config_version,
+      _age_ms);
+}
+
+inline rollout_report_t::rollout_report_t(const rollout_report_t &o)
+      : service(o.service),
+        order_revision(o.order_revision),
+        node_id(o.node_id),
+        software_version(o.software_version) {
+  routes.reserve(o.routes.size());
+  for (const auto &routes_ : o.routes) { routes.emplace_back((routes_) ? new siskinrack::wire::rollout_count_t(*routes_) : nullptr); }
+}
+
+inline rollout_report_t &rollout_report_t::operator=(rollout_report_t o) FLATBUFFERS_NOEXCEPT {
+  std::swap(service, o.service);
+  std::swap(order_revision, o.order_revision);
+  std::swap(node_id, o.node_id);
+  std::swap(software_version, o.software_version);
+  std::swap(routes, o.routes);
+  return *this;
+}
+
+inline rollout_report_t *rollout_report::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<rollout_report_t>(new rollout_report_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void rollout_report::UnPackTo(rollout_report_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = order_revision(); _o->order_revision = _e; }
+  { auto _e = node_id(); if (_e) _o->node_id = _e->str(); }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
+  { auto _e = routes(); if (_e) { _o->routes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->routes[_i] = std::unique_ptr<siskinrack::wire::rollout_count_t>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<rollout_report> rollout_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_report_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrollout_report(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<rollout_report> Createrollout_report(flatbuffers::FlatBufferBuilder &_fbb, const rollout_report_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rollout_report_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _order_revision = _o->order_revision;
+  auto _node_id = _o->node_id.empty() ? 0 : _fbb.CreateString(_o->node_id);
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
+  auto _routes = _o->routes.size() ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::rollout_count>> (_o->routes.size(), [](size_t i, _VectorArgs *__va) { return Createrollout_count(*__va->__fbb, __va->__o->routes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return siskinrack::wire::Createrollout_report(
+      _fbb,
+      _service,
+      _order_revision,
+      _node_id,
+      _software_version,
+      _routes);
+}
+
+inline rollout_count_t *rollout_count::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<rollout_count_t>(new rollout_count_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void rollout_count::UnPackTo(rollout_count_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = work_class(); _o->work_class = _e; }
+  { auto _e = answered(); _o->answered = _e; }
+  { auto _e = failed(); _o->failed = _e; }
+  { auto _e = service_ms(); if (_e) { _o->service_ms.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->service_ms[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<rollout_count> rollout_count::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_count_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrollout_count(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<rollout_count> Createrollout_count(flatbuffers::FlatBufferBuilder &_fbb, const rollout_count_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rollout_count_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _work_class = _o->work_class;
+  auto _answered = _o->answered;
+  auto _failed = _o->failed;
+  auto _service_ms = _o->service_ms.size() ? _fbb.CreateVector(_o->service_ms) : 0;
+  return siskinrack::wire::Createrollout_count(
+      _fbb,
+      _work_class,
+      _answered,
+      _failed,
+      _service_ms);
+}
+
+inline rollout_verdict_t *rollout_verdict::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<rollout_verdict_t>(new rollout_verdict_t());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void rollout_verdict::UnPackTo(rollout_verdict_t *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = order_revision(); _o->order_revision = _e; }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
+  { auto _e = rolled_back(); _o->rolled_back = _e; }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+}
+
+inline flatbuffers::Offset<rollout_verdict> rollout_verdict::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_verdict_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrollout_verdict(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<rollout_verdict> Createrollout_verdict(flatbuffers::FlatBufferBuilder &_fbb, const rollout_verdict_t *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rollout_verdict_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _order_revision = _o->order_revision;
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
+  auto _rolled_back = _o->rolled_back;
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  return siskinrack::wire::Createrollout_verdict(
+      _fbb,
+      _service,
+      _order_revision,
+      _software_version,
+      _rolled_back,
+      _reason);
+}
+
 inline envelope_t *envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<envelope_t>(new envelope_t());
   UnPackTo(_o.get(), _resolver);
@@ -5226,6 +6581,30 @@
       auto ptr = reinterpret_cast<const siskinrack::wire::crash_history *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::token_request: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::token_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::token_reply: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::token_reply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::freshness_request: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::freshness_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::freshness_reply: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::freshness_reply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::rollout_report: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::rollout_report *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::rollout_verdict: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::rollout_verdict *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5337,6 +6716,30 @@
       auto ptr = reinterpret_cast<const siskinrack::wire::crash_history *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::token_request: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::token_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::token_reply: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::token_reply *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::freshness_request: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::freshness_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::freshness_reply: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::freshness_reply *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::rollout_report: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::rollout_report *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::rollout_verdict: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::rollout_verdict *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5436,6 +6839,30 @@
       auto ptr = reinterpret_cast<const siskinrack::wire::crash_history_t *>(value);
       return Createcrash_history(_fbb, ptr, _rehasher).Union();
     }
+    case message::token_request: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::token_request_t *>(value);
+      return Createtoken_request(_fbb, ptr, _rehasher).Union();
+    }
+    case message::token_reply: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::token_reply_t *>(value);
+      return Createtoken_reply(_fbb, ptr, _rehasher).Union();
+    }
+    case message::freshness_request: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::freshness_request_t *>(value);
+      return Createfreshness_request(_fbb, ptr, _rehasher).Union();
+    }
+    case message::freshness_reply: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::freshness_reply_t *>(value);
+      return Createfreshness_reply(_fbb, ptr, _rehasher).Union();
+    }
+    case message::rollout_report: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::rollout_report_t *>(value);
+      return Createrollout_report(_fbb, ptr, _rehasher).Union();
+    }
+    case message::rollout_verdict: {
+      auto ptr = reinterpret_cast<const siskinrack::wire::rollout_verdict_t *>(value);
+      return Createrollout_verdict(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5534,6 +6961,30 @@
       value = new siskinrack::wire::crash_history_t(*reinterpret_cast<siskinrack::wire::crash_history_t *>(u.value));
       break;
     }
+    case message::token_request: {
+      value = new siskinrack::wire::token_request_t(*reinterpret_cast<siskinrack::wire::token_request_t *>(u.value));
+      break;
+    }
+    case message::token_reply: {
+      value = new siskinrack::wire::token_reply_t(*reinterpret_cast<siskinrack::wire::token_reply_t *>(u.value));
+      break;
+    }
+    case message::freshness_request: {
+      value = new siskinrack::wire::freshness_request_t(*reinterpret_cast<siskinrack::wire::freshness_request_t *>(u.value));
+      break;
+    }
+    case message::freshness_reply: {
+      value = new siskinrack::wire::freshness_reply_t(*reinterpret_cast<siskinrack::wire::freshness_reply_t *>(u.value));
+      break;
+    }
+    case message::rollout_report: {
+      value = new siskinrack::wire::rollout_report_t(*reinterpret_cast<siskinrack::wire::rollout_report_t *>(u.value));
+      break;
+    }
+    case message::rollout_verdict: {
+      value = new siskinrack::wire::rollout_verdict_t(*reinterpret_cast<siskinrack::wire::rollout_verdict_t *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5656,6 +7107,36 @@
       delete ptr;
       break;
     }
+    case message::token_request: {
+      auto ptr = reinterpret_cast<siskinrack::wire::token_request_t *>(value);
+      delete ptr;
+      break;
+    }
+    case message::token_reply: {
+      auto ptr = reinterpret_cast<siskinrack::wire::token_reply_t *>(value);
+      delete ptr;
+      break;
+    }
+    case message::freshness_request: {
+      auto ptr = reinterpret_cast<siskinrack::wire::freshness_request_t *>(value);
+      delete ptr;
+      break;
+    }
+    case message::freshness_reply: {
+      auto ptr = reinterpret_cast<siskinrack::wire::freshness_reply_t *>(value);
+      delete ptr;
+      break;
+    }
+    case message::rollout_report: {
+      auto ptr = reinterpret_cast<siskinrack::wire::rollout_report_t *>(value);
+      delete ptr;
+      break;
+    }
+    case message::rollout_verdict: {
+      auto ptr = reinterpret_cast<siskinrack::wire::rollout_verdict_t *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
