Peer links: whether a request was sent is a fact of the frame that carried it

Cause: a recalled request whose cancel frame still waited in the queue of a slow link was reported as not sent, because the queue was searched by correlation id, which a request and its cancel frame share. Its caller got 503 for a request that ran.

Change: a queued frame refers to the request that it carries, and the request records when that frame is passed to the socket. Other queues hold no withdrawal beside its request: a slot gate withdraws a ticket in place, and an HTTP exchange is "not sent" only by the result of its own write.

--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -91,16 +91,17 @@
   return true;
 }
 
-void peer_link::Send(wire::envelope_t message) {
+void peer_link::Send(wire::envelope_t message) { Send(std::move(message), nullptr); }
+
+void peer_link::Send(wire::envelope_t message, std::shared_ptr<pending_request> request) {
   const support::hybrid_time now = context_.clock->Tick();
   message.sender = context_.node_id;
   message.hlc_wall_us = now.wall_us;
   message.hlc_logical = now.logical;
-  const std::uint64_t correlation_id = message.is_reply ? 0 : message.correlation_id;
   std::string frame = wire::EncodeFrame(message);
   context_.traffic->CountSent(message.message.type, frame.size());
   const bool is_answer = message.is_reply && message.message.type == wire::message::call_answer;
-  Enqueue({std::move(frame), correlation_id, is_answer});
+  Enqueue({std::move(frame), std::move(request), is_answer});
 }
 
 void peer_link::Enqueue(queued_frame frame) {
@@ -118,7 +119,10 @@
 void peer_link::StartWrite() {
   write_active_ = true;
   write_buffer_.clear();
-  for (queued_frame& frame : queue_) write_buffer_ += frame.bytes;
+  for (queued_frame& frame : queue_) {
+    write_buffer_ += frame.bytes;
+    if (frame.request != nullptr) frame.request->sent = true;
+  }
   queue_.clear();
   writing_answers_ = std::exchange(queued_answers_, 0);
   asio::async_write(socket_, asio::buffer(write_buffer_),
@@ -133,19 +137,13 @@
   if (!queue_.empty() && !closed_) StartWrite();
 }
 
-bool peer_link::IsQueued(std::uint64_t correlation_id) const {
-  return std::any_of(queue_.begin(), queue_.end(), [correlation_id](const auto& frame) {
-    return frame.correlation_id == correlation_id;
-  });
-}
-
 bool peer_link::AwaitReply(std::uint64_t correlation_id, pending_request& pending) {
   while (true) {
     const auto wait_error =
         AwaitDone([&](auto handler) { pending.timer.async_wait(std::move(handler)); });
     if (pending.reply != nullptr || closed_ || !pending.recalled) return bool(wait_error);
     pending.recalled = false;
-    if (IsQueued(correlation_id)) return true;
+    if (!pending.sent) return true;
     SendCancel(correlation_id);
     pending.timer.expires_after(kRecallReplyTime);
   }
@@ -161,7 +159,7 @@
   pending_requests_.emplace(id, pending);
   message.correlation_id = id;
   message.is_reply = false;
-  Send(std::move(message));
+  Send(std::move(message), pending);
   if (closed_) {
     pending_requests_.erase(id);
     return {exchange_stage::kNotSent, nullptr, "link is closed", false};
@@ -182,10 +180,8 @@
     return {exchange_stage::kAnswered, std::move(pending->reply), {}, false};
   }
   pending_requests_.erase(id);
-  const auto queued = std::find_if(queue_.begin(), queue_.end(),
-                                   [id](const auto& frame) { return frame.correlation_id == id; });
-  if (queued != queue_.end()) {
-    queue_.erase(queued);
+  if (!pending->sent) {
+    std::erase_if(queue_, [&](const queued_frame& frame) { return frame.request == pending; });
     return {exchange_stage::kNotSent, nullptr,
             "request was not sent before the deadline, a cancellation or the end of the link",
             timed_out};
@@ -249,7 +245,6 @@
 void peer_link::Close() {
   if (closed_) return;
   closed_ = true;
-  // `queue_` keeps its frames, so that Request recognizes requests that were not sent.
   context_.unwritten_answers -= std::exchange(queued_answers_, 0);
   idle_timer_.cancel();
   liveness_timer_.cancel();
--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -50,14 +50,19 @@
     boost::asio::steady_timer timer;
     std::unique_ptr<wire::envelope_t> reply;
     bool recalled = false;
+    /// True once the frame that carries the request was passed to the socket. Other frames with the
+    /// same correlation id, such as its cancellation, say nothing about that.
+    bool sent = false;
   };
   struct queued_frame {
     std::string bytes;
-    /// 0 if the frame isn't a request that expects a reply.
-    std::uint64_t correlation_id;
+    /// Request that the frame carries; null if it isn't a request that expects a reply.
+    std::shared_ptr<pending_request> request;
     bool is_answer;
   };
 
+  void Send(wire::envelope_t message, std::shared_ptr<pending_request> request);
+
   void Enqueue(queued_frame frame);
   void StartWrite();
   void OnWritten(const boost::system::error_code& error);
@@ -67,8 +72,6 @@
   /// Suspends the fiber until the request is done. A recalled request whose frame was sent gets
   /// another short wait for its reply. Returns false if the wait ended by its time limit.
   bool AwaitReply(std::uint64_t correlation_id, pending_request& pending);
-  /// Returns true if the frame of the request has not been passed to the socket.
-  [[nodiscard]] bool IsQueued(std::uint64_t correlation_id) const;
   /// Starts liveness checks, which run while requests wait for replies and close the link if the
   /// peer stops responding. A peer whose VM lost power or its connection state sends neither FIN
   /// nor RST, so the socket reports no error.
--- a/unittests/net/peer_pool_test.cpp
+++ b/unittests/net/peer_pool_test.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <thread>
 
 #include "siskinrack/net/peer.h"
@@ -82,5 +84,83 @@
   pool_.Stop();
 }
 
+/// Dials a peer that never reads, so that the first large frame blocks the link.
+class blocked_link_test : public testing::Test {
+ protected:
+  /// Exceeds the send and receive buffers that the kernel grants to a connection.
+  static constexpr std::size_t kBlockingBytes = 12U << 20U;
+
+  /// Starts a request in a fiber of its own and waits until its frame is queued. `result` is set
+  /// when the request ends.
+  void StartRequest(std::size_t bytes, std::optional<peer_result>& result,
+                    cancellation* recall = nullptr) {
+    const std::uint64_t before = traffic_.bytes_sent(wire::message::call_request);
+    runtime_.Post(0, [this, bytes, recall, &result] {
+      wire::call_request_t call;
+      call.body.resize(bytes);
+      const support::socket_address address{"127.0.0.1", acceptor_.local_endpoint().port()};
+      result = pool_.Request(address, wire::MakeEnvelope(std::move(call)),
+                             std::chrono::steady_clock::now() + 2 * kWaitLimit, nullptr, recall);
+      ++ended_;
+    });
+    const auto end = std::chrono::steady_clock::now() + kWaitLimit;
+    while (traffic_.bytes_sent(wire::message::call_request) == before &&
+           std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    // Runs behind the fiber that counted the frame, so the frame is queued by then.
+    runtime_.Run(0, [] {});
+  }
+
+  void AwaitEnded(int count) {
+    const auto end = std::chrono::steady_clock::now() + 2 * kWaitLimit;
+    while (ended_ < count && std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    ASSERT_GE(ended_, count);
+  }
+
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_{io_, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+  support::hybrid_clock clock_;
+  traffic_counters traffic_;
+  peer_context context_{"pool", &clock_, &traffic_, ""};
+  fiber_runtime runtime_{1};
+  peer_pool pool_{runtime_, context_};
+  std::atomic<int> ended_ = 0;
+};
+
+// Guards against a request that was sent and is reported as not sent because its own cancellation
+// still waits in the queue of the link: the caller was told that a request which ran had not run.
+TEST_F(blocked_link_test, QueuedCancellationIsNotTakenForTheRequest) {
+  std::optional<peer_result> sent;
+  std::optional<peer_result> blocking;
+  cancellation recall;
+  StartRequest(1, sent, &recall);
+  StartRequest(kBlockingBytes, blocking);
+  recall.Cancel();
+  AwaitEnded(1);
+  pool_.Stop();
+  AwaitEnded(2);
+  EXPECT_EQ(sent->stage, exchange_stage::kSent) << sent->error;
+  EXPECT_EQ(blocking->stage, exchange_stage::kSent) << blocking->error;
+}
+
+// Guards against a withdrawn request that stays in the queue and is sent later, or that is reported
+// as sent although its frame never left the queue.
+TEST_F(blocked_link_test, RecalledRequestLeavesTheQueue) {
+  std::optional<peer_result> blocking;
+  std::optional<peer_result> queued;
+  cancellation recall;
+  StartRequest(kBlockingBytes, blocking);
+  StartRequest(1, queued, &recall);
+  recall.Cancel();
+  AwaitEnded(1);
+  pool_.Stop();
+  AwaitEnded(2);
+  EXPECT_EQ(queued->stage, exchange_stage::kNotSent) << queued->error;
+  EXPECT_EQ(blocking->stage, exchange_stage::kSent) << blocking->error;
+}
+
 }  // namespace
 }  // namespace siskinrack::net
