Store: objects are decoded one by one

Cause: a list, a watch and a single read were parsed as a whole. One object that can't be decoded (arrays nested deeper than the parser allows, bytes that aren't UTF-8, a name of another type) hid all others of its kind, and after a restart no node became ready. The client of our own store interface did the same.

Metadata and content are decoded apart, so that an unreadable object keeps its name and revision and can be replaced or removed. Consumers leave out what they can't read: a log line (object_unreadable) and a metric (siskinrack_unreadable_objects_total) for each. An unreadable configuration keeps the last version in force and says so (config_rejected, kept_version).

--- a/include/siskinrack/platform/http_object_store.h
+++ b/include/siskinrack/platform/http_object_store.h
@@ -3,11 +3,13 @@
 
 #include <array>
 #include <atomic>
+#include <functional>
 #include <mutex>
 #include <random>
 
 #include "siskinrack/net/http_client.h"
 #include "siskinrack/platform/call_budget.h"
+#include "siskinrack/platform/json_items.h"
 #include "siskinrack/platform/object_store.h"
 
 namespace siskinrack::platform {
@@ -33,6 +35,9 @@
     /// Call budget of each call class.
     double calls_per_second = 20;
     double call_burst = 40;
+    /// Called with the reason for each object of a list or watch that is left out because it can't
+    /// be decoded; may be empty.
+    std::function<void(std::string_view problem)> on_unreadable;
   };
 
   http_object_store(net::fiber_runtime& runtime, const options& settings);
@@ -46,9 +51,10 @@
   /// Removes an object whose version is `expected_version` and returns that version. Fails with
   /// kConflict if it has another version.
   store_result<std::uint64_t> Delete(std::string_view name, std::uint64_t expected_version);
-  /// Returns the objects whose names begin with `prefix`.
+  /// Returns the objects whose names begin with `prefix`, except those that can't be decoded.
   store_result<std::vector<stored_object>> List(std::string_view prefix);
-  /// Waits up to `wait` for changes under `prefix` after the revision `since`.
+  /// Waits up to `wait` for changes under `prefix` after the revision `since`. Leaves out objects
+  /// that can't be decoded.
   store_result<watch_result> Watch(std::string_view prefix, std::uint64_t since,
                                    std::chrono::milliseconds wait);
 
@@ -60,6 +66,8 @@
   [[nodiscard]] std::uint64_t calls() const {
     return calls(call_class::kRead) + calls(call_class::kWrite) + calls(call_class::kWatch);
   }
+  /// Returns the number of objects that were left out since the start.
+  [[nodiscard]] std::uint64_t unreadable() const { return unreadable_; }
 
  private:
   std::variant<net::http_response, store_error> Call(call_class kind, net::http_request request,
@@ -67,12 +75,16 @@
   void RecordOutcome(call_class kind, const net::http_result& result,
                      std::chrono::milliseconds retry_after);
 
+  /// Decodes the objects of an answer one by one.
+  store_result<std::vector<stored_object>> DecodeObjects(const std::vector<json_member>& members);
+
   net::http_client client_;
   options options_;
   std::mutex mutex_;
   call_budget budget_;
   std::mt19937_64 random_{std::random_device{}()};
   std::array<std::atomic<std::uint64_t>, kCallClasses> calls_{};
+  std::atomic<std::uint64_t> unreadable_ = 0;
 };
 
 static_assert(object_store<http_object_store>);
--- a/lib/mesh/config_consumer.cpp
+++ b/lib/mesh/config_consumer.cpp
@@ -22,9 +22,12 @@
   support::findings problems;
   auto config = platform_adapter::ReadConfiguration(object.content, problems);
   if (!config) {
-    context_.log.Warn("config_rejected", {{"revision", object.revision},
-                                          {"kept_version", context_.version()},
-                                          {"findings", problems.ToText()}});
+    const std::string text = object.problem.empty() ? problems.ToText() : object.problem;
+    context_.unreadable.Add(platform_adapter::kConfigurationKind, object.name, object.revision,
+                            text);
+    context_.log.Warn(
+        "config_rejected",
+        {{"revision", object.revision}, {"kept_version", context_.version()}, {"findings", text}});
     return;
   }
   if (config->version <= context_.version()) return;
--- a/lib/mesh/endpoint_consumer.cpp
+++ b/lib/mesh/endpoint_consumer.cpp
@@ -9,9 +9,8 @@
   support::findings problems;
   auto endpoint = routing::FromRecord(object.content, problems);
   if (!endpoint) {
-    context_.log.Warn(
-        "endpoint_record_unreadable",
-        {{"name", object.name}, {"revision", object.revision}, {"findings", problems.ToText()}});
+    context_.unreadable.Add(kEndpointKind, object.name, object.revision,
+                            object.problem.empty() ? problems.ToText() : object.problem);
   }
   return endpoint;
 }
--- a/lib/mesh/mesh_context.h
+++ b/lib/mesh/mesh_context.h
@@ -16,6 +16,7 @@
 #include "siskinrack/support/event_log.h"
 #include "siskinrack/support/hybrid_clock.h"
 #include "siskinrack/support/metrics.h"
+#include "unreadable_objects.h"
 
 namespace siskinrack::mesh {
 
@@ -55,6 +56,7 @@
   support::event_log log;
   net::traffic_counters traffic;
   support::request_metrics requests;
+  unreadable_objects unreadable{log};
   net::peer_context peer;
   net::fiber_runtime runtime;
   platform_adapter::objects_client store;
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -208,6 +208,7 @@
     page.AddMetric("siskinrack_endpoints", "gauge", "endpoints in the platform's store");
     page.AddSample("siskinrack_endpoints", {},
                    static_cast<double>(context_.endpoints.All().size()));
+    context_.unreadable.AppendMetrics(page);
     page.AddMetric("siskinrack_log_lines_dropped_total", "counter",
                    "log lines that were not written");
     page.AddSample("siskinrack_log_lines_dropped_total", {},
--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -19,7 +19,9 @@
 
 /// Follows the objects of one kind: lists them, then watches for changes, and lists again when the
 /// store has discarded the history since the last revision. `Consumer` has OnList(object_listing)
-/// and OnChange(object_change).
+/// and OnChange(object_change). It gets objects whose content can't be decoded, too: it leaves out
+/// what it can't read, records that in mesh_context::unreadable, and keeps what it has of the
+/// object.
 ///
 /// A watch call returns every version of an object since the last call. During a series of changes
 /// of a large object, its versions would saturate the link of a small VM. A feed with a polled
@@ -78,6 +80,7 @@
     revision_ = listing.revision;
     listed_ = true;
     history_gone_ = false;
+    RecordUnnamed(listing.unnamed);
     consumer_.OnList(std::move(listing));
   }
 
@@ -97,6 +100,7 @@
     recovering_ = false;
     auto& changes = std::get<platform_adapter::object_changes>(result);
     revision_ = std::max(revision_, changes.revision);
+    RecordUnnamed(changes.unnamed);
     for (std::size_t i = 0; i < changes.events.size(); ++i) {
       if (!IsSuperseded(changes.events, i)) consumer_.OnChange(std::move(changes.events[i]));
     }
@@ -139,6 +143,11 @@
     return false;
   }
 
+  /// Records objects whose names can't be read. The consumer records the others that it can't read.
+  void RecordUnnamed(const std::vector<std::string>& problems) {
+    for (const std::string& problem : problems) context_.unreadable.Add(kind_, {}, 0, problem);
+  }
+
   void OnError(const platform_adapter::store_error& error) {
     const auto outage_start = std::chrono::steady_clock::now();
     context_.log.Warn("store_lost", {{"kind", kind_},
--- a/lib/node/node_context.h
+++ b/lib/node/node_context.h
@@ -27,7 +27,11 @@
         log(settings.node_id, clock, settings.log_level),
         peer{settings.node_id, &clock, &traffic, settings.source_ip},
         runtime(settings.threads),
-        store(runtime, {.address = settings.platform_address}),
+        store(runtime, {.address = settings.platform_address,
+                        .on_unreadable =
+                            [this](std::string_view problem) {
+                              log.Warn("object_unreadable", {{"findings", problem}});
+                            }}),
         upstream_client(runtime),
         peers(runtime, peer) {}
 
--- a/lib/node/node_metrics.cpp
+++ b/lib/node/node_metrics.cpp
@@ -42,6 +42,10 @@
                  calls(call_class::kWrite));
   page.AddSample("siskinrack_platform_calls_total", {{"class", "watch"}},
                  calls(call_class::kWatch));
+  page.AddMetric("siskinrack_unreadable_objects_total", "counter",
+                 "Objects of the platform's store that were left out.");
+  page.AddSample("siskinrack_unreadable_objects_total", {},
+                 static_cast<double>(context.store.unreadable()));
 }
 
 void AddMembers(const node_context& context, metrics_page& page) {
--- a/lib/platform/http_object_store.cpp
+++ b/lib/platform/http_object_store.cpp
@@ -3,6 +3,8 @@
 #include <boost/json.hpp>
 #include <charconv>
 
+#include "siskinrack/platform/json_items.h"
+
 namespace siskinrack::platform {
 namespace {
 
@@ -52,14 +54,22 @@
   return {store_errc::kBadAnswer, text, {}};
 }
 
-std::vector<stored_object> ParseObjects(const json::value& list) {
-  std::vector<stored_object> objects;
-  for (const json::value& object : list.as_array()) {
-    objects.push_back({json::value_to<std::string>(object.at("name")),
-                       object.at("version").to_number<std::uint64_t>(),
-                       json::value_to<std::string>(object.at("value"))});
+/// Decodes one object of a list. Returns std::nullopt and sets `problem` if that fails.
+std::optional<stored_object> DecodeObject(std::string_view text, std::string& problem) {
+  const auto decoded = DecodeJson(text, {}, problem);
+  if (!decoded) return std::nullopt;
+  const json::object* members = decoded->if_object();
+  const json::value* name = members == nullptr ? nullptr : members->if_contains("name");
+  const json::value* version = members == nullptr ? nullptr : members->if_contains("version");
+  const json::value* value = members == nullptr ? nullptr : members->if_contains("value");
+  if (name == nullptr || !name->is_string() || value == nullptr || !value->is_string() ||
+      version == nullptr || !version->is_int64() || version->get_int64() < 0) {
+    problem = "expected an object with a name, a version and a value";
+    return std::nullopt;
   }
-  return objects;
+  return stored_object{std::string(name->get_string()),
+                       static_cast<std::uint64_t>(version->get_int64()),
+                       std::string(value->get_string())};
 }
 
 store_error MakeBadAnswer(const std::string& message) {
@@ -184,12 +194,10 @@
   auto answer = Call(call_class::kRead, {"GET", "/objects?prefix=" + std::string(prefix), {}, {}},
                      options_.call_timeout);
   if (auto* error = std::get_if<store_error>(&answer)) return std::move(*error);
-  try {
-    const json::value body = json::parse(std::get<net::http_response>(answer).body);
-    return ParseObjects(body.at("objects"));
-  } catch (const std::exception& error) {
-    return MakeBadAnswer(error.what());
-  }
+  const std::string& body = std::get<net::http_response>(answer).body;
+  const auto members = SplitJsonObject(body);
+  if (!members) return MakeBadAnswer("answer is not a JSON object");
+  return DecodeObjects(*members);
 }
 
 store_result<watch_result> http_object_store::Watch(std::string_view prefix, std::uint64_t since,
@@ -199,13 +207,38 @@
                              "&wait_ms=" + std::to_string(wait.count());
   auto answer = Call(call_class::kWatch, {"GET", target, {}, {}}, wait + options_.call_timeout);
   if (auto* error = std::get_if<store_error>(&answer)) return std::move(*error);
-  try {
-    const json::value body = json::parse(std::get<net::http_response>(answer).body);
-    return watch_result{body.at("revision").to_number<std::uint64_t>(),
-                        ParseObjects(body.at("objects"))};
-  } catch (const std::exception& error) {
-    return MakeBadAnswer(error.what());
+  const std::string& body = std::get<net::http_response>(answer).body;
+  const auto members = SplitJsonObject(body);
+  if (!members) return MakeBadAnswer("answer is not a JSON object");
+  std::string problem;
+  const auto revision_text = FindJsonMember(*members, "revision");
+  const auto revision = revision_text ? DecodeJson(*revision_text, {}, problem) : std::nullopt;
+  if (!revision || !revision->is_int64() || revision->get_int64() < 0) {
+    return MakeBadAnswer("watch response without a revision");
   }
+  auto objects = DecodeObjects(*members);
+  if (auto* error = std::get_if<store_error>(&objects)) return std::move(*error);
+  return watch_result{static_cast<std::uint64_t>(revision->get_int64()),
+                      std::move(std::get<std::vector<stored_object>>(objects))};
+}
+
+store_result<std::vector<stored_object>> http_object_store::DecodeObjects(
+    const std::vector<json_member>& members) {
+  const auto array = FindJsonMember(members, "objects");
+  const auto items = array ? SplitJsonArray(*array) : std::nullopt;
+  if (!items) return MakeBadAnswer("response without an array of objects");
+  std::vector<stored_object> objects;
+  for (const std::string_view item : *items) {
+    std::string problem;
+    auto object = DecodeObject(item, problem);
+    if (object) {
+      objects.push_back(std::move(*object));
+      continue;
+    }
+    ++unreadable_;
+    if (options_.on_unreadable) options_.on_unreadable(problem);
+  }
+  return objects;
 }
 
 }  // namespace siskinrack::platform
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -206,6 +206,35 @@
                          [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
 }
 
+// Guards against an object of another writer that can't be decoded and keeps all nodes from
+// starting: they listed the endpoints as a whole.
+TEST_F(mesh_test, UnreadableRecordOfAnotherWriterDoesNotHideTheOthers) {
+  boost::json::value nested = 1;
+  for (int i = 0; i < 40; ++i) nested = boost::json::array{nested};
+  fleet_.store().Write("siskinrack-endpoints", "another", {{"instance", nested}});
+  EXPECT_TRUE(Eventually(milliseconds(5'000), [&] {
+    return CountLines(0, "event=object_unreadable kind=siskinrack-endpoints name=another") == 1;
+  }));
+  for (std::size_t i = 0; i < 3; ++i) fleet_.StartNode(i);
+  EXPECT_TRUE(Eventually(milliseconds(10'000),
+                         [&] { return fleet_.Send(0, "/dock/x").response.status == 200; }));
+}
+
+// Guards against losing the active configuration to one that can't be decoded, and against not
+// applying the next one.
+TEST_F(mesh_test, UnreadableConfigurationKeepsTheLastVersion) {
+  boost::json::value nested = 1;
+  for (int i = 0; i < 40; ++i) nested = boost::json::array{nested};
+  fleet_.store().Write("config", "main", {{"version", 2}, {"listeners", nested}});
+  EXPECT_TRUE(Eventually(milliseconds(5'000), [&] {
+    return CountLines(0, "event=config_rejected") == 1 && CountLines(0, "kept_version=1") == 1;
+  }));
+  EXPECT_EQ(fleet_.Send(0, "/dock/x").response.status, 200U);
+  fleet_.Configure(3, "dock");
+  EXPECT_TRUE(Eventually(milliseconds(5'000),
+                         [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
+}
+
 // Guards against requests that are cut off by a shutdown: one is running, others keep arriving.
 TEST_F(mesh_test, ShutdownAnswersEveryRequest) {
   std::atomic<int> slow_status = 0;
