Requests: what a call holds is given back by scope; odd requests end alone

Cause: an exception of the HTTP library, which refuses to build a request such as TRACE with a body, left the serving node's slot, the record of the run (with a reference to its call), the call count of the endpoint and, on our own interface, the claim of its key behind, and closed the link between the nodes. 36 such requests stopped a service.

Change: slot_lease, scoped_run, scoped_call and scope_exit give back slots, runs, calls, pending requests and dials however the scope ends, in lib/mesh and lib/node. FindRequestProblem builds the request without its body before it is admitted, so that whatever the library refuses gets 400; http_client reports the same as "not sent" instead of throwing. A handler that throws ends its own request: the peer gets "unknown" instead of a closed link. Responses to HEAD have no body.

--- a/include/siskinrack/net/http.h
+++ b/include/siskinrack/net/http.h
@@ -3,6 +3,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +32,11 @@
   std::string host;
 };
 
+/// Returns the reason for which http_client can't send `request`, for example content that the
+/// method forbids, or std::nullopt if it can. A node that passes requests on checks this before it
+/// admits one.
+std::optional<std::string> FindRequestProblem(const http_request& request);
+
 /// Represents an HTTP response. `fields` excludes the same fields as in http_request.
 struct http_response {
   unsigned status = 200;
--- a/lib/mesh/call_answers.h
+++ b/lib/mesh/call_answers.h
@@ -9,6 +9,7 @@
 
 namespace siskinrack::mesh {
 
+inline constexpr unsigned kStatusBadRequest = 400;
 inline constexpr unsigned kStatusNotFound = 404;
 inline constexpr unsigned kFirstServerError = 500;
 inline constexpr unsigned kStatusBadGateway = 502;
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -5,6 +5,7 @@
 
 #include "call_answers.h"
 #include "request_codec.h"
+#include "siskinrack/balancing/scoped_call.h"
 #include "siskinrack/net/wire_fields.h"
 
 namespace siskinrack::mesh {
@@ -114,6 +115,9 @@
 net::http_response entry_service::Handle(net::http_request request, net::cancellation& cancel) {
   const auto now = steady_clock::now();
   const platform_adapter::caller_request caller = platform_adapter::ExtractCallerFields(request);
+  if (const auto problem = net::FindRequestProblem(request)) {
+    return Refuse(caller.id, kStatusBadRequest, *problem);
+  }
   request_state state;
   state.started = now;
   state.routes = context_.routes;
@@ -234,13 +238,13 @@
     state.tried.insert(target.life.instance_id);
     const auto& endpoint_state = view.candidates[*index].state;
     const auto sent_at = steady_clock::now();
-    endpoint_state->Start(sent_at);
+    balancing::scoped_call attempt(*endpoint_state, sent_at);
     last = SendTo(target, state, cancel);
     const auto now = steady_clock::now();
     OnAnswer(target, last);
     balancing::call_report report = MakeCallReport(last, cancel.cancelled(), now - sent_at);
     RecordProfile(state, last, report);
-    endpoint_state->Finish(report, now);
+    attempt.Finish(report, now);
     if (cancel.cancelled() || !AllowRetry(state, last)) return last;
     context_.log.Info("call_resent", {{"request", state.call.request_id},
                                       {"after", wire::EnumNameanswer_cause(last.cause)},
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -12,6 +12,7 @@
 #include "object_feed.h"
 #include "registration.h"
 #include "serving_service.h"
+#include "siskinrack/net/head_responses.h"
 #include "siskinrack/net/http_server.h"
 #include "store_monitor.h"
 
@@ -75,10 +76,11 @@
               config_feed_.Interrupt();
               endpoint_feed_.Interrupt();
             }),
-        caller_server_(context_.runtime, {.address = context_.settings.caller_address},
-                       [this](net::http_request request, net::cancellation& cancel) {
-                         return entry_.Handle(std::move(request), cancel);
-                       }),
+        caller_server_(
+            context_.runtime, {.address = context_.settings.caller_address},
+            net::OmitHeadBodies([this](net::http_request request, net::cancellation& cancel) {
+              return entry_.Handle(std::move(request), cancel);
+            })),
         ready_server_(context_.runtime, {.address = context_.settings.ready_address},
                       [this](const net::http_request& request, net::cancellation&) {
                         return HandleReady(request);
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -4,7 +4,9 @@
 
 #include "call_answers.h"
 #include "request_codec.h"
+#include "siskinrack/admission/slot_lease.h"
 #include "siskinrack/net/wire_fields.h"
+#include "siskinrack/quarantine/scoped_run.h"
 #include "siskinrack/support/in_flight_guard.h"
 
 namespace siskinrack::mesh {
@@ -183,6 +185,7 @@
     return MakeNotRunAnswer(answer_cause::no_capacity, admission::ToText(decision.reason),
                             std::chrono::ceil<milliseconds>(decision.retry_after));
   }
+  admission::slot_lease lease(*gate_, decision.ticket);
   // The upstream may have announced its departure while the call waited.
   auto refusal = FindRefusal(call);
   const auto sent_at = steady_clock::now();
@@ -194,7 +197,7 @@
     answer.service_ms =
         static_cast<std::uint16_t>(std::min<std::int64_t>(took.count(), kMaxServiceMs));
   }
-  gate_->Release(decision.ticket, result, milliseconds(0));
+  lease.SetResult(result, milliseconds(0));
   return answer;
 }
 
@@ -221,11 +224,11 @@
       .request_id = call.request_id,
       .max_idle = call.at_most_once ? kMaxIdleAtMostOnce : kMaxIdleRepeatable};
   const routing::lifetime life = registration_.instance().current()->life;
-  const auto run = crashes_.BeginRun(call);
+  quarantine::scoped_run run(crashes_, call);
   net::http_result result =
       context_.upstream_client.Send(context_.settings.upstream_address, std::move(request),
                                     deadline + kUpstreamAnswerMargin, &cancel, options);
-  crashes_.EndRun(run, call, result, cancel.cancelled());
+  run.End(result, cancel.cancelled());
   ApplyStatements(life, result);
   return InterpretResult(std::move(result), cancel.cancelled());
 }
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -116,6 +116,9 @@
   http_result Send(const support::socket_address& address, http_request request,
                    steady_time deadline, cancellation* cancel, const exchange_options& options) {
     if (cancel != nullptr && cancel->cancelled()) return {{}, {}, "cancelled", false};
+    if (auto problem = FindRequestProblem(request)) {
+      return {exchange_stage::kNotSent, {}, "request can't be sent: " + *problem, false};
+    }
     connection_ptr conn = TakeIdle(address, options.max_idle, options.request_id);
     const bool reused = conn != nullptr;
     if (!reused) conn = std::make_shared<connection>(detail::GetCurrentContext());
--- a/lib/net/http_fields.cpp
+++ b/lib/net/http_fields.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <stdexcept>
 
 namespace siskinrack::net {
 namespace {
@@ -39,6 +41,17 @@
   for (const http_field& field : fields) message.insert(field.name, field.value);
 }
 
+/// Sets everything but the body and what depends on it.
+template <typename Message>
+void FillRequest(Message& message, const http_request& request, const std::string& host) {
+  message.method_string(request.method);
+  message.target(request.target);
+  message.version(kHttp11);
+  InsertFields(message, request.fields);
+  message.set(http::field::host, request.host.empty() ? host : request.host);
+  message.keep_alive(true);
+}
+
 }  // namespace
 
 std::string_view FindField(const std::vector<http_field>& fields, std::string_view name) {
@@ -50,6 +63,21 @@
   return {};
 }
 
+std::optional<std::string> FindRequestProblem(const http_request& request) {
+  if (request.method.empty() || request.target.empty()) return "request line is incomplete";
+  try {
+    http::request<http::span_body<const char>> message;
+    FillRequest(message, request, request.host);
+    // A view instead of a copy: a body may be long.
+    message.body() = {request.body.data(), request.body.size()};
+    message.prepare_payload();
+  } catch (const std::logic_error& error) {
+    // The library reports arguments that it refuses only by exceptions.
+    return error.what();
+  }
+  return std::nullopt;
+}
+
 namespace detail {
 
 http_request FromBeastRequest(beast_request message) {
@@ -72,12 +100,7 @@
 
 beast_request ToBeastRequest(http_request request, const std::string& host) {
   beast_request message;
-  message.method_string(request.method);
-  message.target(request.target);
-  message.version(kHttp11);
-  InsertFields(message, request.fields);
-  message.set(http::field::host, request.host.empty() ? host : request.host);
-  message.keep_alive(true);
+  FillRequest(message, request, host);
   message.body() = std::move(request.body);
   message.prepare_payload();
   return message;
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -8,6 +8,7 @@
 
 #include "await.h"
 #include "listener.h"
+#include "siskinrack/support/scope_exit.h"
 
 namespace siskinrack::net::detail {
 namespace {
@@ -157,13 +158,11 @@
   pending->timer.expires_at(deadline);
   const std::uint64_t id = next_correlation_id_++;
   pending_requests_.emplace(id, pending);
+  const support::scope_exit forget([this, id] { pending_requests_.erase(id); });
   message.correlation_id = id;
   message.is_reply = false;
   Send(std::move(message), pending);
-  if (closed_) {
-    pending_requests_.erase(id);
-    return {exchange_stage::kNotSent, nullptr, "link is closed", false};
-  }
+  if (closed_) return {exchange_stage::kNotSent, nullptr, "link is closed", false};
   StartLivenessChecks();
 
   asio::io_context& io = GetCurrentContext();
@@ -179,7 +178,6 @@
   if (pending->reply != nullptr) {
     return {exchange_stage::kAnswered, std::move(pending->reply), {}, false};
   }
-  pending_requests_.erase(id);
   if (!pending->sent) {
     std::erase_if(queue_, [&](const queued_frame& frame) { return frame.request == pending; });
     return {exchange_stage::kNotSent, nullptr,
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -9,6 +9,7 @@
 #include "listener.h"
 #include "peer_link.h"
 #include "siskinrack/net/peer.h"
+#include "siskinrack/support/scope_exit.h"
 
 namespace siskinrack::net {
 namespace {
@@ -102,17 +103,21 @@
         return nullptr;
       }
     }
-    if (state.link != nullptr && !state.link->closed()) return state.link;
+    if (state.link != nullptr && state.link->usable()) return state.link;
     const auto now = std::chrono::steady_clock::now();
     if (local.stopping || now < state.retry_at) return nullptr;
-    state.dialling = true;
-    state.link = Dial(address, std::min(deadline, now + options_.dial_timeout));
-    state.dialling = false;
+    {
+      state.dialling = true;
+      const support::scope_exit end([&state] {
+        state.dialling = false;
+        state.dialled.notify_all();
+      });
+      state.link = Dial(address, std::min(deadline, now + options_.dial_timeout));
+    }
     state.failures = state.link == nullptr ? state.failures + 1 : 0;
     if (state.link == nullptr)
       state.retry_at = now + ComputeBackoff(state.failures, options_.backoff_max);
     if (local.stopping && state.link != nullptr) state.link->Close();
-    state.dialled.notify_all();
     return state.link;
   }
 
--- a/lib/net/peer_server.cpp
+++ b/lib/net/peer_server.cpp
@@ -10,6 +10,22 @@
 
 using detail::peer_link;
 
+namespace {
+
+/// Returns the reply to a request whose handler failed: it may have run. A sender that expects
+/// another type of reply treats it as missing.
+wire::envelope_t MakeFailureReply() {
+  constexpr std::uint16_t kStatusBadGateway = 502;
+  wire::call_answer_t answer;
+  answer.outcome = wire::outcome_kind::unknown;
+  answer.status = kStatusBadGateway;
+  answer.cause = wire::answer_cause::broken;
+  answer.reason = "request handler failed";
+  return wire::MakeEnvelope(std::move(answer));
+}
+
+}  // namespace
+
 class peer_server::impl : public std::enable_shared_from_this<impl> {
  public:
   impl(fiber_runtime& runtime, peer_context& context, peer_server_options options,
@@ -78,8 +94,8 @@
         reply = self->handler_(*request, *cancel);
       } catch (const std::exception& failure) {
         detail::LogHandlerFailure("peer", failure);
-        // The peer can't tell whether the request ran.
-        if (id != 0) link->Close();
+        // Closing the link instead would end every other request on it.
+        reply = MakeFailureReply();
       }
       if (id == 0) return;
       running->erase(id);
--- a/lib/node/claim_service.cpp
+++ b/lib/node/claim_service.cpp
@@ -6,6 +6,7 @@
 #include "outcome.h"
 #include "serving_service.h"
 #include "siskinrack/quarantine/fingerprint.h"
+#include "siskinrack/support/scope_exit.h"
 
 namespace siskinrack::node {
 namespace {
@@ -138,10 +139,13 @@
   // The run is not cancelled when the caller disconnects, so that a repeat of the request gets the
   // recorded answer.
   net::cancellation not_cancelled;
+  // If the forwarder throws, the request may have run. Without a result its key would stay in
+  // progress.
+  result.executed = true;
+  const support::scope_exit report([this, &result] { ReportResult(std::move(result)); });
   wire::call_answer_t answer = forward(std::move(call), not_cancelled);
   result.executed = answer.outcome != wire::outcome_kind::not_run;
   if (answer.outcome == wire::outcome_kind::answered) result.answer = MakeStorableCopy(answer);
-  ReportResult(std::move(result));
   return answer;
 }
 
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -5,6 +5,7 @@
 
 #include "outcome.h"
 #include "request_headers.h"
+#include "siskinrack/balancing/scoped_call.h"
 #include "siskinrack/net/wire_fields.h"
 
 namespace siskinrack::node {
@@ -142,6 +143,7 @@
 net::http_response entry_service::Handle(net::http_request request, net::cancellation& cancel) {
   std::string problem;
   const request_headers headers = ParseRequestHeaders(request, problem);
+  if (problem.empty()) problem = net::FindRequestProblem(request).value_or("");
   if (!problem.empty()) return ToHttpResponse(MakeNotRunAnswer(kStatusBadRequest, problem));
   // Until the route is known, a request with an idempotency key is treated as non-repeatable.
   const auto refuse = [&](unsigned status, std::string_view reason) {
@@ -252,11 +254,10 @@
   const auto remaining = std::chrono::ceil<milliseconds>(deadline - start).count();
   if (remaining <= 0) return MakeNotRunAnswer(kStatusGatewayTimeout, "deadline has passed");
   call.deadline_ms = static_cast<std::uint32_t>(remaining);
-  balancing::endpoint_state& state = *list.candidates[index].state;
-  state.Start(start);
+  balancing::scoped_call attempt(*list.candidates[index].state, start);
   wire::call_answer_t answer = ForwardTo(list.endpoints[index], call, cancel);
   const auto end = steady_clock::now();
-  state.Finish(MakeCallReport(answer, cancel.cancelled(), end - start), end);
+  attempt.Finish(MakeCallReport(answer, cancel.cancelled(), end - start), end);
   return answer;
 }
 
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -11,6 +11,7 @@
 #include "node_metrics.h"
 #include "quarantine_service.h"
 #include "serving_service.h"
+#include "siskinrack/net/head_responses.h"
 #include "siskinrack/net/http_server.h"
 #include "watcher_service.h"
 
@@ -53,13 +54,14 @@
                    membership_.AddSeeds(peers);
                  }),
         admin_(context_, configs_, watcher_, claims_, quarantine_),
-        caller_server_(context_.runtime, {.address = context_.settings.caller_address},
-                       [this](net::http_request request, net::cancellation& cancel) {
-                         return HandleAndMeasure(
-                             context_, std::move(request), [&](net::http_request measured) {
-                               return entry_.Handle(std::move(measured), cancel);
-                             });
-                       }),
+        caller_server_(
+            context_.runtime, {.address = context_.settings.caller_address},
+            net::OmitHeadBodies([this](net::http_request request, net::cancellation& cancel) {
+              return HandleAndMeasure(context_, std::move(request),
+                                      [&](net::http_request measured) {
+                                        return entry_.Handle(std::move(measured), cancel);
+                                      });
+            })),
         admin_server_(context_.runtime, {.address = context_.settings.admin_address},
                       [this](const net::http_request& request, net::cancellation&) {
                         return admin_.Handle(request);
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -2,7 +2,9 @@
 
 #include "outcome.h"
 #include "request_headers.h"
+#include "siskinrack/admission/slot_lease.h"
 #include "siskinrack/net/wire_fields.h"
+#include "siskinrack/quarantine/scoped_run.h"
 #include "siskinrack/support/in_flight_guard.h"
 
 namespace siskinrack::node {
@@ -136,9 +138,9 @@
   const admission::decision decision = gate_->Acquire(
       admission::arrival{0, call.rank, call.caller, deadline}, queue_deadline, cancel);
   if (!decision.admitted) return MakeRefusal(decision);
+  admission::slot_lease lease(*gate_, decision.ticket);
   wire::call_answer_t answer = SendToUpstream(call, deadline, cancel);
-  gate_->Release(decision.ticket, ToCallResult(answer, cancel.cancelled()),
-                 milliseconds(answer.retry_after_ms));
+  lease.SetResult(ToCallResult(answer, cancel.cancelled()), milliseconds(answer.retry_after_ms));
   return answer;
 }
 
@@ -147,10 +149,10 @@
                                                     net::cancellation& cancel) {
   const auto remaining =
       std::chrono::ceil<milliseconds>(deadline - std::chrono::steady_clock::now());
-  const auto run = quarantine_.BeginRun(call);
+  quarantine::scoped_run run(quarantine_, call);
   net::http_result result = context_.upstream_client.Send(
       *context_.settings.upstream_address, ToHttpRequest(call, remaining), deadline, &cancel);
-  quarantine_.EndRun(run, call, result, cancel.cancelled());
+  run.End(result, cancel.cancelled());
   if (result.stage == net::exchange_stage::kNotSent) {
     return MakeNotRunAnswer(kStatusUnavailable, kUnreachableReason);
   }
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -1,11 +1,17 @@
 #include "mesh_fleet.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <fstream>
 #include <iostream>
 #include <random>
 #include <sstream>
 #include <thread>
 
+#include "siskinrack/net/head_responses.h"
+
 namespace siskinrack::test {
 namespace {
 
@@ -56,9 +62,9 @@
   options.limits.body_bytes = kMaxBodyBytes;
   server_ = std::make_unique<net::http_server>(
       runtime_, std::move(options),
-      [this](const net::http_request& request, net::cancellation& cancel) {
+      net::OmitHeadBodies([this](const net::http_request& request, net::cancellation& cancel) {
         return Handle(request, cancel);
-      });
+      }));
   const std::string error = server_->Start();
   if (!error.empty()) std::cerr << "upstream stand-in " << id_ << ": " << error << '\n';
 }
@@ -283,6 +289,26 @@
   return Exchange({MakeIp(machine), kCallerPort}, std::move(request));
 }
 
+std::string mesh_fleet::SendBytes(std::size_t machine, const std::string& bytes) const {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kCallerPort);
+  inet_pton(AF_INET, MakeIp(machine).c_str(), &address.sin_addr);
+  const timeval silence{.tv_sec = 1, .tv_usec = 0};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &silence, sizeof silence);
+  std::string received;
+  if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
+      send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())) {
+    char chunk[4096];
+    for (ssize_t size = 0; (size = recv(fd, chunk, sizeof chunk, 0)) > 0;) {
+      received.append(chunk, static_cast<std::size_t>(size));
+    }
+  }
+  close(fd);
+  return received;
+}
+
 std::string mesh_fleet::ReadLog(std::size_t machine) const {
   std::ifstream in(MakePath(machine, ".out"));
   std::ostringstream text;
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -108,6 +108,10 @@
   net::http_result Send(std::size_t machine, const std::string& target,
                         const std::string& method = "GET", const std::string& body = {});
 
+  /// Sends bytes to the caller port of a machine's node on a connection of their own and returns
+  /// what arrives until the node closes the connection or is silent for a second.
+  [[nodiscard]] std::string SendBytes(std::size_t machine, const std::string& bytes) const;
+
   [[nodiscard]] object_store_stand_in& store() { return *store_; }
   [[nodiscard]] instance_stand_in& instance(std::size_t machine) const {
     return *instances_[machine];
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -104,6 +104,91 @@
   EXPECT_EQ(fleet_.Send(0, "/nowhere/").response.status, 404U);
 }
 
+// Guards against a request that ends a link between two nodes or keeps a slot of its upstream: 36
+// TRACE requests with a body stopped a service for good. Sends every method with and without a
+// body, and each kind of odd framing, more often than the two upstreams have slots.
+TEST_F(mesh_test, OddRequestsEndOnlyThemselves) {
+  std::vector<std::string> requests;
+  const auto add = [&](const std::string& start, const std::string& rest) {
+    const std::string head = start + " HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n" +
+                             "Request-Id: odd-" + std::to_string(requests.size()) + "\r\n";
+    requests.push_back(head + rest);
+  };
+  constexpr std::string_view kNoBody = "\r\n";
+  constexpr std::string_view kLength = "Content-Length: 3\r\n\r\nabc";
+  constexpr std::string_view kChunks = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (const char* method : {"GET", "HEAD", "POST", "PUT", "DELETE", "CONNECT", "OPTIONS", "TRACE",
+                             "PATCH", "PROPFIND", "M-SEARCH", "OTHER", "get"}) {
+    for (const std::string_view rest : {kNoBody, kLength, kChunks}) {
+      add(std::string(method) + " /dock/odd", std::string(rest));
+    }
+  }
+  for (const char* rest : {"Content-Length: 0\r\n\r\n",
+                           "Content-Length: -1\r\n\r\n",
+                           "Content-Length: 3x\r\n\r\nabc",
+                           "Content-Length: 99999999999999999999\r\n\r\n",
+                           "Content-Length: 3\r\n\r\nabcdef",
+                           "Content-Length: 9\r\n\r\nabc",
+                           "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+                           "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                           "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+                           "Transfer-Encoding: identity\r\n\r\n",
+                           "Transfer-Encoding: chunked\r\n\r\nx\r\n",
+                           "Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nT: 1\r\n\r\n",
+                           "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n",
+                           "Expect: 100-continue\r\nContent-Length: 3\r\n\r\nabc",
+                           "Expect: other\r\n\r\n",
+                           "Upgrade: websocket\r\nConnection: upgrade\r\n\r\n",
+                           "Connection: Host, Content-Length\r\nContent-Length: 3\r\n\r\nabc",
+                           "No-Colon\r\n\r\n",
+                           ": empty\r\n\r\n",
+                           "Folded: a\r\n b\r\n\r\n",
+                           "Bare: a\nb: c\r\n\r\n",
+                           "Deadline-Ms: -1\r\n\r\n",
+                           "Deadline-Ms: nan\r\n\r\n",
+                           "Deadline-Ms: 1e300\r\n\r\n",
+                           "Host: other\r\n\r\n"}) {
+    add("POST /dock/odd", rest);
+  }
+  requests.push_back("\r\n\r\n");
+  requests.push_back("GET\r\n\r\n");
+  requests.push_back("GET /dock/odd HTTP/3.0\r\n\r\n");
+  requests.push_back("GET /dock/odd HTTP/1.0\r\n\r\n");
+  requests.push_back("GET  HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+  add("GET /dock/" + std::string(12'000, 'x'), std::string(kNoBody));
+
+  constexpr std::size_t kSenders = 8;
+  // More than the two upstreams have slots, so that a slot that is not freed shows.
+  constexpr std::size_t kRepetitions = 10;
+  std::atomic<std::size_t> next = 0;
+  std::atomic<bool> sending = true;
+  // Runs on the same links all the time.
+  std::thread steady([&] {
+    while (sending) {
+      const auto result = fleet_.Send(0, "/once/dock/slow", "POST", "order");
+      EXPECT_NE(result.response.status, 502U) << result.response.body;
+    }
+  });
+  std::vector<std::thread> senders;
+  for (std::size_t i = 0; i < kSenders; ++i) {
+    senders.emplace_back([&] {
+      for (std::size_t k = next++; k < requests.size() * kRepetitions; k = next++) {
+        const std::string& request = requests[k % requests.size()];
+        const std::string answer = fleet_.SendBytes(0, request);
+        EXPECT_FALSE(answer.starts_with("HTTP/1.1 500")) << request.substr(0, 200) << answer;
+        EXPECT_FALSE(answer.starts_with("HTTP/1.1 502")) << request.substr(0, 200) << answer;
+      }
+    });
+  }
+  for (std::thread& sender : senders) sender.join();
+  sending = false;
+  steady.join();
+  for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(CountLines(i, "event=handler_failed"), 0U);
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_EQ(fleet_.Send(0, "/once/dock/after", "POST", "order").response.status, 200U);
+  }
+}
+
 // Guards against an at-most-once request that is sent again, or reported as not run, after its
 // connection broke.
 TEST_F(mesh_test, BrokenExchangeOfAnAtMostOnceRequestIsUnknown) {
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -275,6 +275,28 @@
   server.Stop();
 }
 
+// Guards against an exception of the HTTP library, which its callers don't expect, for a request
+// that it refuses.
+TEST_F(http_client_test, RequestThatCannotBeBuiltIsNotSent) {
+  raw_server server(kOk + "Content-Length: 0\r\n\r\n", "", /*endless=*/false);
+  const http_request trace{"TRACE", "/", {}, "body", "host"};
+  const http_request no_method{"", "/", {}, {}, "host"};
+  const http_request long_field{"GET", "/", {{"Name", std::string(70'000, 'x')}}, {}, "host"};
+  const http_request long_name{"GET", "/", {{std::string(70'000, 'x'), "value"}}, {}, "host"};
+  for (const http_request& request : {trace, no_method, long_field, long_name}) {
+    EXPECT_TRUE(FindRequestProblem(request)) << request.method;
+    http_result result;
+    runtime_.Run(0, [&] {
+      result = client_.Send(server.address(), request, steady_clock::now() + milliseconds(500));
+    });
+    EXPECT_EQ(result.stage, exchange_stage::kNotSent) << request.method;
+    EXPECT_FALSE(result.error.empty());
+  }
+  EXPECT_FALSE(FindRequestProblem({"TRACE", "/", {}, {}, "host"}));
+  EXPECT_FALSE(FindRequestProblem({"GET", "/", {}, "body", "host"}));
+  EXPECT_EQ(server.accepted(), 0);
+}
+
 // Guards against a second copy of a response that arrives late, when the connection is in use
 // again: the next request got it as its own response.
 TEST_F(http_client_test, LateSecondCopyOfAResponseIsNotTheNextResponse) {
--- a/unittests/net/peer_pool_test.cpp
+++ b/unittests/net/peer_pool_test.cpp
@@ -22,6 +22,7 @@
       : server_(runtime_, server_context_, {.address = {"127.0.0.1", 0}},
                 [this](const wire::envelope_t&, cancellation&) {
                   ++requests_;
+                  if (fail_next_.exchange(false)) throw std::runtime_error("handler failed");
                   if (delay_replies_) SleepFor(3 * kIdleTimeout);
                   return std::optional(wire::MakeEnvelope(wire::probe_reply_t{}));
                 }),
@@ -57,6 +58,7 @@
   std::atomic<int> requests_ = 0;
   std::atomic<int> broken_links_ = 0;
   std::atomic<bool> delay_replies_ = false;
+  std::atomic<bool> fail_next_ = false;
   peer_server server_;
   peer_pool pool_;
 };
@@ -84,6 +86,32 @@
   pool_.Stop();
 }
 
+// Guards against a failing handler that closes the link, which ended every other request on it with
+// an unknown outcome.
+TEST_F(peer_pool_test, HandlerFailureEndsOnlyItsRequest) {
+  EXPECT_TRUE(Probe());
+  delay_replies_ = true;
+  std::atomic<bool> other_replied = false;
+  std::thread other([&] { other_replied = Probe(); });
+  while (requests_ < 2) std::this_thread::sleep_for(milliseconds(1));
+  fail_next_ = true;
+  peer_result failed;
+  runtime_.Run(0, [&] {
+    failed =
+        pool_.Request({"127.0.0.1", server_.port()}, wire::MakeEnvelope(wire::call_request_t{}),
+                      std::chrono::steady_clock::now() + kWaitLimit);
+  });
+  other.join();
+  EXPECT_TRUE(other_replied);
+  EXPECT_EQ(broken_links_, 0);
+  ASSERT_NE(failed.reply, nullptr) << failed.error;
+  const auto* answer = failed.reply->message.Ascall_answer();
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->outcome, wire::outcome_kind::unknown);
+  pool_.Stop();
+  server_.Stop();
+}
+
 /// Dials a peer that never reads, so that the first large frame blocks the link.
 class blocked_link_test : public testing::Test {
  protected:
--- a/unittests/node/request_path_test.cpp
+++ b/unittests/node/request_path_test.cpp
@@ -44,6 +44,44 @@
   EXPECT_EQ(runs, 0);
 }
 
+// Guards against a request that the HTTP library refuses and that keeps a slot of the upstream.
+TEST(RequestPath, RequestThatCannotBeBuiltGets400AndNoSlot) {
+  std::atomic<int> runs = 0;
+  test_node subject("a", [&](const net::http_request&, net::cancellation&) {
+    ++runs;
+    return net::http_response{};
+  });
+  subject.context().members.Merge(subject.MakeRecord());
+  for (int i = 0; i < 10; ++i) {
+    const auto response = subject.Send({"TRACE", "/tray", {}, "body"});
+    EXPECT_EQ(response.status, 400U);
+    EXPECT_EQ(GetOutcome(response), "not-run");
+  }
+  EXPECT_EQ(runs, 0);
+  EXPECT_EQ(subject.Send(Get("/tray")).status, 200U);
+}
+
+// Guards against a call that another node admitted and that keeps its slot when it can't be sent.
+TEST(RequestPath, CallThatCannotBeSentFreesItsSlot) {
+  test_node subject(
+      "a", [](const net::http_request&, net::cancellation&) { return net::http_response{}; });
+  subject.context().members.Merge(subject.MakeRecord());
+  wire::call_request_t call;
+  call.service = "counter";
+  call.rank = "urgent";
+  call.method = "TRACE";
+  call.target = "/tray";
+  call.body = {1};
+  call.deadline_ms = 2'000;
+  subject.context().runtime.Run(0, [&] {
+    net::cancellation cancel;
+    for (int i = 0; i < 10; ++i) {
+      EXPECT_EQ(subject.serving().Serve(call, cancel).outcome, wire::outcome_kind::not_run);
+    }
+  });
+  EXPECT_EQ(subject.Send(Get("/tray")).status, 200U);
+}
+
 // Guards against an upstream that runs calls whose deadline has passed: it must receive the time
 // that remains after the wait for a slot.
 TEST(RequestPath, UpstreamGetsTheRemainingTime) {
