Own interface: answers of an upstream are matched by their id

Cause: lib/node took the first response on a connection for the response to the request that was sent last on it. A second copy of an earlier response went to the next caller, and a second copy of a refusal was reported as "not run" for a request that ran.

Change: net::MatchResponse decides for both kinds of node: a response with another id is skipped and its connection closed; one without an id belongs to the request, but the connection isn't used again after it, since nothing would tell a second copy from the next response. On the platform, where each answer has an id, one without is skipped as before. lib/node gives requests without an id one of its own, also its status checks. An upstream that does not repeat ids gets one connection for each request. A repeated x-request-id gets 400.

--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -60,6 +60,11 @@
   /// that is sent again uses another connection, because a second copy of its first response could
   /// not be told from the response to the repetition.
   std::string_view request_id;
+  /// Field in which the server repeats `request_id` (see MatchResponse). If it is empty, responses
+  /// aren't matched: a second copy of an earlier response is then taken for the next one.
+  std::string_view id_field;
+  /// True if every response has an id, so that one without belongs to no request.
+  bool id_required = false;
   /// Connections that were idle for longer are not reused, because the server may be closing them.
   std::chrono::milliseconds max_idle{60'000};
   /// Time limit for connecting. The kernel retransmits a lost SYN only after 1 s, so a new attempt
@@ -72,6 +77,21 @@
   static constexpr std::chrono::milliseconds kProgressInterval{1'000};
 };
 
+/// Relation of a response to the request that was sent last on its connection.
+enum class response_match {
+  /// Repeats the id of the request, or ids aren't used.
+  kOwn,
+  /// Has no id. It belongs to the request if all responses before it on the connection had one, so
+  /// the connection must not be used for another request after it.
+  kUnidentified,
+  /// Belongs to another request.
+  kOther,
+};
+
+/// Matches a response to a request by its id. A server may send a response twice, the second time
+/// when the next response on the connection is expected.
+response_match MatchResponse(const http_response& response, const exchange_options& options);
+
 /// HTTP/1.1 client with one pool of keep-alive connections per thread. Thread-safe, but must be
 /// called from fibers of the runtime.
 class http_client {
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -216,13 +216,8 @@
        .instance_id = registration_.instance().current()->life.instance_id,
        .caller_service = call.caller},
       request.fields);
-  const net::exchange_options options{
-      .is_matching_response =
-          [&call](const net::http_response& response) {
-            return platform_adapter::IsResponseTo(response, call.request_id);
-          },
-      .request_id = call.request_id,
-      .max_idle = call.at_most_once ? kMaxIdleAtMostOnce : kMaxIdleRepeatable};
+  net::exchange_options options = platform_adapter::MakeExchangeOptions(call.request_id);
+  options.max_idle = call.at_most_once ? kMaxIdleAtMostOnce : kMaxIdleRepeatable;
   const routing::lifetime life = registration_.instance().current()->life;
   quarantine::scoped_run run(crashes_, call);
   net::http_result result =
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -232,15 +232,16 @@
       ApplyKeepAlive(*conn, parser.get()[http::field::keep_alive]);
       http_response response = detail::FromBeastResponse(parser.release());
       if (is_interim) continue;
-      if (options.is_matching_response && !options.is_matching_response(response)) {
+      const response_match match = MatchResponse(response, options);
+      if (match == response_match::kOther) {
         if (!reusable) return MakeFailure(exchange_stage::kSent, http::error::end_of_stream);
         response_skipped = true;
         continue;
       }
       // Surplus bytes after the response belong to no request, and the server would read the rest
       // of an incompletely sent body as the next request.
-      keep_alive = reusable && !response_skipped && pending->done && !pending->error &&
-                   conn->buffer.size() == 0;
+      keep_alive = reusable && match == response_match::kOwn && !response_skipped &&
+                   pending->done && !pending->error && conn->buffer.size() == 0;
       return {exchange_stage::kAnswered, std::move(response), {}, false};
     }
     return {
@@ -313,6 +314,18 @@
   std::vector<std::size_t> body_bytes_;
 };
 
+response_match MatchResponse(const http_response& response, const exchange_options& options) {
+  if (options.is_matching_response && !options.is_matching_response(response)) {
+    return response_match::kOther;
+  }
+  if (options.id_field.empty()) return response_match::kOwn;
+  const std::string_view id = FindField(response.fields, options.id_field);
+  if (!id.empty()) return id == options.request_id ? response_match::kOwn : response_match::kOther;
+  // A response to a request without an id can't have one.
+  return options.id_required && !options.request_id.empty() ? response_match::kOther
+                                                            : response_match::kUnidentified;
+}
+
 http_client::http_client(fiber_runtime& runtime, std::size_t max_idle_per_thread,
                          std::size_t body_budget)
     : impl_(std::make_unique<impl>(runtime, max_idle_per_thread, body_budget)) {}
--- a/lib/node/quarantine_service.cpp
+++ b/lib/node/quarantine_service.cpp
@@ -86,9 +86,11 @@
 }
 
 quarantine::upstream_health quarantine_service::QueryHealth() {
-  const auto result = context_.upstream_client.Send(*context_.settings.upstream_address,
-                                                    {"GET", "/healthz", {}, {}},
-                                                    steady_clock::now() + kHealthTimeout);
+  const std::string id = MakeRequestId();
+  const auto result = context_.upstream_client.Send(
+      *context_.settings.upstream_address,
+      {"GET", "/healthz", {{std::string(kRequestIdField), id}}, {}},
+      steady_clock::now() + kHealthTimeout, nullptr, MakeExchangeOptions(id));
   if (result.stage == net::exchange_stage::kAnswered) {
     return quarantine::upstream_health::kReachable;
   }
--- a/lib/node/request_headers.cpp
+++ b/lib/node/request_headers.cpp
@@ -1,6 +1,7 @@
 #include "request_headers.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
 #include <ctime>
@@ -43,6 +44,9 @@
     return *value;
   }
 
+  /// Returns the value of a field of any form, empty if the field is missing.
+  std::string_view ReadSingle(std::string_view name) { return FindSingleValue(name).value_or(""); }
+
   /// Returns the value of a numeric field, std::nullopt if the field is missing.
   template <typename Number>
   std::optional<Number> ReadNumber(std::string_view name) {
@@ -84,11 +88,20 @@
   const auto attempt = parser.ReadNumber<std::uint8_t>(kAttemptField);
   headers.attempt = attempt.value_or(0);
   headers.is_first_attempt = attempt == 0;
-  headers.request_id = net::FindField(request.fields, kRequestIdField);
+  headers.request_id = parser.ReadSingle(kRequestIdField);
   headers.idempotency_key = parser.ReadText(kIdempotencyKeyField);
   return headers;
 }
 
+std::string MakeRequestId() {
+  static std::atomic<std::uint64_t> next = 0;
+  return "node-" + std::to_string(++next);
+}
+
+net::exchange_options MakeExchangeOptions(std::string_view request_id) {
+  return {.request_id = request_id, .id_field = kRequestIdField};
+}
+
 bool ReportsNotRun(const net::http_response& response) {
   return response.status >= kStatusBadRequest &&
          net::FindField(response.fields, kOutcomeField) == kNotRunOutcome;
--- a/lib/node/request_headers.h
+++ b/lib/node/request_headers.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "siskinrack/net/http.h"
+#include "siskinrack/net/http_client.h"
 
 namespace siskinrack::node {
 
@@ -34,6 +35,14 @@
 /// that names the first one; the result must not be used then.
 request_headers ParseRequestHeaders(const net::http_request& request, std::string& problem);
 
+/// Returns an id for a request that has none, unique in this process.
+std::string MakeRequestId();
+
+/// Returns options for an exchange with the upstream, which may repeat the id of the request in its
+/// response. If it does, another response is not taken for the response to this request; if it does
+/// not, every request gets its own connection. `request_id` must be valid during the exchange.
+net::exchange_options MakeExchangeOptions(std::string_view request_id);
+
 /// Returns true if the upstream refused the request and reports in the outcome field that it did
 /// not run it.
 bool ReportsNotRun(const net::http_response& response);
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -149,9 +149,16 @@
                                                     net::cancellation& cancel) {
   const auto remaining =
       std::chrono::ceil<milliseconds>(deadline - std::chrono::steady_clock::now());
+  net::http_request request = ToHttpRequest(call, remaining);
+  std::string id = call.request_id;
+  if (id.empty()) {
+    id = MakeRequestId();
+    request.fields.push_back({std::string(kRequestIdField), id});
+  }
   quarantine::scoped_run run(quarantine_, call);
-  net::http_result result = context_.upstream_client.Send(
-      *context_.settings.upstream_address, ToHttpRequest(call, remaining), deadline, &cancel);
+  net::http_result result =
+      context_.upstream_client.Send(*context_.settings.upstream_address, std::move(request),
+                                    deadline, &cancel, MakeExchangeOptions(id));
   run.End(result, cancel.cancelled());
   if (result.stage == net::exchange_stage::kNotSent) {
     return MakeNotRunAnswer(kStatusUnavailable, kUnreachableReason);
@@ -174,9 +181,11 @@
 }
 
 bool serving_service::ProbeUpstream() {
+  const std::string id = MakeRequestId();
   const auto result = context_.upstream_client.Send(
-      *context_.settings.upstream_address, {"GET", "/healthz", {}, {}},
-      std::chrono::steady_clock::now() + kProbeTimeout);
+      *context_.settings.upstream_address,
+      {"GET", "/healthz", {{std::string(kRequestIdField), id}}, {}},
+      std::chrono::steady_clock::now() + kProbeTimeout, nullptr, MakeExchangeOptions(id));
   if (result.stage == net::exchange_stage::kNotSent) upstream_unreachable_ = true;
   const bool healthy =
       result.stage == net::exchange_stage::kAnswered && result.response.status == kStatusOk;
--- a/test/upstream_stand_in/main.cpp
+++ b/test/upstream_stand_in/main.cpp
@@ -81,12 +81,15 @@
     if (ConsumeResponseLoss()) {
       while (!cancel.cancelled()) net::SleepFor(kFrozenPollInterval);
     }
-    const json::object body = {
-        {"upstream", name_},
-        {"request_id", std::string(net::FindField(request.fields, "x-request-id"))},
-        {"target", request.target},
-        {"body", request.body}};
-    return {200, {{"Content-Type", "application/json"}}, json::serialize(body) + '\n'};
+    const std::string id(net::FindField(request.fields, "x-request-id"));
+    const json::object body = {{"upstream", name_},
+                               {"request_id", id},
+                               {"target", request.target},
+                               {"body", request.body}};
+    net::http_response response{
+        200, {{"Content-Type", "application/json"}}, json::serialize(body) + '\n'};
+    if (!id.empty()) response.fields.push_back({"x-request-id", id});
+    return response;
   }
 
   void CountExecution(const net::http_request& request) {
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -314,6 +314,55 @@
   }
 }
 
+TEST(ResponseMatch, IsDecidedByTheId) {
+  const exchange_options optional{.request_id = "a", .id_field = "Id"};
+  const exchange_options required{.request_id = "a", .id_field = "Id", .id_required = true};
+  const exchange_options without_id{.id_field = "Id", .id_required = true};
+  for (const exchange_options& options : {optional, required}) {
+    EXPECT_EQ(MatchResponse({200, {{"id", "a"}}, {}}, options), response_match::kOwn);
+    EXPECT_EQ(MatchResponse({200, {{"Id", "b"}}, {}}, options), response_match::kOther);
+  }
+  EXPECT_EQ(MatchResponse({200, {}, {}}, optional), response_match::kUnidentified);
+  EXPECT_EQ(MatchResponse({200, {}, {}}, required), response_match::kOther);
+  EXPECT_EQ(MatchResponse({400, {}, {}}, without_id), response_match::kUnidentified);
+  EXPECT_EQ(MatchResponse({200, {{"Id", "b"}}, {}}, without_id), response_match::kOther);
+  EXPECT_EQ(MatchResponse({200, {}, {}}, {}), response_match::kOwn);
+}
+
+// Guards against a late second copy of a response without an id that is taken for the next
+// response: nothing tells them apart, so the connection must not be used again.
+TEST_F(http_client_test, ConnectionIsNotReusedAfterAResponseWithoutAnId) {
+  raw_server server(kOk + "Content-Length: 1\r\n\r\na", kOk + "Content-Length: 1\r\n\r\nb",
+                    /*endless=*/false, milliseconds(100));
+  for (const char* id : {"1", "2", "3"}) {
+    const http_result result =
+        Send(server, milliseconds(2'000), {.request_id = id, .id_field = "Id"});
+    EXPECT_EQ(result.response.body, "a") << result.error;
+  }
+  EXPECT_EQ(server.accepted(), 3);
+}
+
+// Guards against one connection for each request to a server that identifies its responses.
+TEST_F(http_client_test, ConnectionIsReusedAfterAResponseWithItsId) {
+  http_server server(runtime_, {.address = {"127.0.0.1", 0}},
+                     [](const http_request& request, cancellation&) {
+                       const std::string id(FindField(request.fields, "Id"));
+                       return http_response{200, {{"Id", id}}, {}};
+                     });
+  ASSERT_EQ(server.Start(), "");
+  runtime_.Run(0, [&] {
+    const support::socket_address address{"127.0.0.1", server.port()};
+    for (const std::string id : {"1", "2", "3"}) {
+      const auto result = client_.Send(address, {"GET", "/", {{"Id", id}}, {}, "host"},
+                                       steady_clock::now() + milliseconds(2'000), nullptr,
+                                       {.request_id = id, .id_field = "Id"});
+      EXPECT_EQ(result.stage, exchange_stage::kAnswered) << result.error;
+    }
+    client_.CloseIdle();
+  });
+  server.Stop();
+}
+
 // Guards against a header section that breaks off, at any byte, and counts as a complete response
 // with an empty or short body.
 TEST_F(http_client_test, BrokenHeaderSectionIsNoAnswer) {
--- a/unittests/node/request_path_test.cpp
+++ b/unittests/node/request_path_test.cpp
@@ -44,6 +44,40 @@
   EXPECT_EQ(runs, 0);
 }
 
+// Guards against a second copy of an earlier answer that is passed on as the answer to this
+// request, or whose refusal is reported as this request's although it ran.
+TEST(RequestPath, AnswerToAnotherRequestIsNotPassedOn) {
+  const auto respond = [](const net::http_request& request, net::cancellation&) {
+    if (request.target == "/tray/refusal") {
+      return net::http_response{
+          503, {{"x-request-id", "other"}, {"x-siskinrack-outcome", "not-run"}}, {}};
+    }
+    if (request.target == "/tray/foreign") {
+      return net::http_response{200, {{"x-request-id", "other"}}, "foreign"};
+    }
+    const std::string id(net::FindField(request.fields, "x-request-id"));
+    return net::http_response{200, {{"X-Request-Id", id}}, "own"};
+  };
+  for (const char* target : {"/tray/refusal", "/tray/foreign"}) {
+    for (const char* id : {"", "mine"}) {
+      // A node of its own for each case: a failed call delays the next ones.
+      test_node subject("a", respond);
+      subject.context().members.Merge(subject.MakeRecord());
+      auto request = Get(target, {{"x-siskinrack-deadline-ms", "200"}});
+      if (*id != '\0') request.fields.push_back({"x-request-id", id});
+      const auto response = subject.Send(std::move(request));
+      EXPECT_EQ(GetOutcome(response), "unknown") << target << ' ' << id;
+      EXPECT_NE(response.body, "foreign");
+    }
+  }
+  test_node subject("a", respond);
+  subject.context().members.Merge(subject.MakeRecord());
+  EXPECT_EQ(subject.Send(Get("/tray", {{"x-request-id", "mine"}})).body, "own");
+  EXPECT_EQ(subject.Send(Get("/tray")).body, "own");
+  EXPECT_EQ(subject.Send(Get("/tray", {{"x-request-id", "a"}, {"x-request-id", "b"}})).status,
+            400U);
+}
+
 // Guards against a request that the HTTP library refuses and that keeps a slot of the upstream.
 TEST(RequestPath, RequestThatCannotBeBuiltGets400AndNoSlot) {
   std::atomic<int> runs = 0;
--- a/unittests/platform/platform_codec_test.cpp
+++ b/unittests/platform/platform_codec_test.cpp
@@ -183,9 +183,12 @@
 
 // Guards against the use of an answer to an earlier request on the same connection.
 TEST(UpstreamAnswers, BelongToTheRequestWithTheirId) {
-  EXPECT_TRUE(IsResponseTo({200, {{"request-id", "a"}}, {}}, "a"));
-  EXPECT_FALSE(IsResponseTo({200, {{"Request-Id", "b"}}, {}}, "a"));
-  EXPECT_FALSE(IsResponseTo({200, {}, {}}, "a"));
+  const net::exchange_options options = MakeExchangeOptions("a");
+  EXPECT_EQ(net::MatchResponse({200, {{"request-id", "a"}}, {}}, options),
+            net::response_match::kOwn);
+  EXPECT_EQ(net::MatchResponse({200, {{"Request-Id", "b"}}, {}}, options),
+            net::response_match::kOther);
+  EXPECT_EQ(net::MatchResponse({200, {}, {}}, options), net::response_match::kOther);
 }
 
 TEST(LocalResponses, ContainRetryAfter) {
