Planned stop: what was read is finished, within settings and routes

The close was orderly, so bytes that a cut held up were still delivered: a request that had been given up ran.

Change: a link whose peer is silent gets no new requests, but those that must not be sent again, and all of a stopping node, wait on until their deadlines (silence_policy). A link that is closed while replies are missing is reset. shutdown_schedule: callers are accepted until the platform has been told twice that the node isn't ready, or until the recall if it doesn't ask; a request is accepted if its limit ends before the last sixth of the grace period, in the first half also if its target latency does; deadlines are cut there and not before; peers are refused after half of the drain period.

--- a/include/siskinrack/net/peer.h
+++ b/include/siskinrack/net/peer.h
@@ -48,6 +48,15 @@
 using peer_handler = std::function<std::optional<wire::envelope_t>(const wire::envelope_t& request,
                                                                    cancellation& cancel)>;
 
+/// Specifies what becomes of a request whose peer shows no sign of life for some time.
+enum class silence_policy {
+  /// The request fails with kSent, so that it can be sent to another peer.
+  kGiveUp,
+  /// The request waits on, until its deadline: a late reply is worth more than none to a request
+  /// that must not be sent again.
+  kAwaitReply,
+};
+
 /// Options of a peer_pool.
 struct peer_pool_options {
   /// Time without a frame after which a link without pending requests is closed, and time without
@@ -72,10 +81,12 @@
   /// Sends `message` and waits for the reply, `deadline` or a cancellation. Fails with kNotSent if
   /// dialling fails or a backoff is in progress. A cancellation of `recall` withdraws the request
   /// at the peer like one of `cancel`, but the reply, which may tell that the request did not run,
-  /// is awaited for another moment.
+  /// is awaited for another moment. A link that is closed with requests whose replies are missing
+  /// is reset, so that bytes of them that are held up on the way don't reach the peer later.
   peer_result Request(const support::socket_address& address, wire::envelope_t message,
                       steady_time deadline, cancellation* cancel = nullptr,
-                      cancellation* recall = nullptr);
+                      cancellation* recall = nullptr,
+                      silence_policy silence = silence_policy::kGiveUp);
   /// Sets the callback for established links that are closed for any reason other than idleness and
   /// Stop. It runs in a fiber on the thread of the link. Must be called before the first use of the
   /// pool.
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -126,13 +126,14 @@
   }
   state.route = state.routes->Match(request.host, request.target);
   if (state.route == nullptr) return Refuse(caller.id, kStatusNotFound, "no route matches");
-  if (context_.shutdown && !context_.shutdown->Accepts(now, state.route->target_latency)) {
-    return Refuse(caller.id, kStatusUnavailable, "node is shutting down");
-  }
-  state.service = ChooseService(*state.route);
   const milliseconds timeout =
       state.route->timeout.count() > 0 ? state.route->timeout : kDefaultTimeout;
   const milliseconds deadline = caller.deadline.value_or(timeout);
+  if (context_.shutdown &&
+      !context_.shutdown->Accepts(now, state.route->target_latency, std::min(deadline, timeout))) {
+    return Refuse(caller.id, kStatusUnavailable, "node is shutting down");
+  }
+  state.service = ChooseService(*state.route);
   state.deadline = now + std::min(deadline, timeout);
   if (context_.shutdown) state.deadline = context_.shutdown->LimitDeadline(state.deadline);
   state.caller_deadline = now + deadline;
@@ -296,9 +297,13 @@
     const net::scoped_callback on_recall(&context_.recall, [&withdrawn] { withdrawn.Cancel(); });
     return serving_.Serve(state.call, withdrawn);
   }
-  auto result = context_.peers.Request(target.node_address,
-                                       wire::MakeEnvelope(wire::call_request_t(state.call)),
-                                       state.deadline + kAnswerMargin, &cancel, &context_.recall);
+  // If the request can't be sent again, giving it up early replaces its answer by a failure.
+  const bool may_repeat = !state.call.at_most_once && state.runs + 1 < state.route->attempts;
+  const bool gives_up = may_repeat && !context_.stopping;
+  auto result = context_.peers.Request(
+      target.node_address, wire::MakeEnvelope(wire::call_request_t(state.call)),
+      state.deadline + kAnswerMargin, &cancel, &context_.recall,
+      gives_up ? net::silence_policy::kGiveUp : net::silence_policy::kAwaitReply);
   if (result.stage == net::exchange_stage::kNotSent) {
     return MakeNotRunAnswer(answer_cause::unreachable, result.error);
   }
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -128,15 +128,17 @@
   }
 
   void Drain() {
-    const admission::shutdown_schedule schedule(steady_clock::now(),
-                                                context_.settings.grace_period);
+    std::optional<milliseconds> check_interval;
+    context_.runtime.Run(0, [&] { check_interval = check_interval_; });
+    const admission::shutdown_schedule schedule(steady_clock::now(), context_.settings.grace_period,
+                                                context_.settings.drain_period, check_interval);
     context_.stopping = true;
     context_.runtime.Run(0, [&] { context_.shutdown = schedule; });
     context_.log.Info("drain_started", {{"in_flight", CountOpenRequests()}});
     caller_server_.Drain();
     std::this_thread::sleep_until(schedule.peer_refusal());
     serving_.StopServing();
-    std::this_thread::sleep_until(schedule.caller_refusal());
+    AwaitCallerRefusal();
     caller_server_.CloseIdle();
     AwaitOpenRequests(schedule.recall());
     if (CountOpenRequests() > 0) {
@@ -158,6 +160,15 @@
     return caller_server_.in_flight() + serving_.in_flight() + context_.peer.unwritten_answers;
   }
 
+  /// Blocks until callers are refused, which depends on the platform's checks.
+  void AwaitCallerRefusal() {
+    auto refusal = net::steady_time::max();
+    while (steady_clock::now() < refusal) {
+      context_.runtime.Run(0, [&] { refusal = context_.shutdown->caller_refusal(); });
+      std::this_thread::sleep_until(std::min(refusal, steady_clock::now() + kDrainPollInterval));
+    }
+  }
+
   /// Blocks until no request is open, but not longer than until `end`.
   void AwaitOpenRequests(net::steady_time end) const {
     while (CountOpenRequests() > 0 && steady_clock::now() < end) {
@@ -187,6 +198,10 @@
 
   net::http_response HandleReady(const net::http_request& request) {
     if (!platform_adapter::IsReadinessCheck(request)) return {kStatusNotFound, {}, {}};
+    const auto now = steady_clock::now();
+    if (context_.shutdown) context_.shutdown->OnNotReady(now);
+    if (last_check_) check_interval_ = std::chrono::duration_cast<milliseconds>(now - *last_check_);
+    last_check_ = now;
     const bool ready = !context_.stopping && context_.routes != nullptr && endpoint_feed_.listed();
     return {ready ? kStatusOk : kStatusUnavailable, {}, {}};
   }
@@ -239,6 +254,9 @@
   }
 
   std::string path_;
+  /// Time of the platform's last readiness check, and its distance from the one before.
+  std::optional<net::steady_time> last_check_;
+  std::optional<milliseconds> check_interval_;
   mesh_context context_;
   registration registration_;
   crash_guard crashes_;
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -120,8 +120,9 @@
 
 std::optional<wire::call_answer_t> serving_service::FindRefusal(const wire::call_request_t& call) {
   if (stopped_) {
+    const auto now = steady_clock::now();
     const auto until_exit =
-        std::chrono::ceil<milliseconds>(context_.shutdown->caller_refusal() - steady_clock::now());
+        std::chrono::ceil<milliseconds>(context_.shutdown->ExpectCallerRefusal(now) - now);
     return MakeNotRunAnswer(answer_cause::draining, "node is shutting down",
                             std::max(milliseconds(0), until_exit) + kRestartTime);
   }
--- a/lib/net/listener.cpp
+++ b/lib/net/listener.cpp
@@ -141,6 +141,12 @@
   while (*fiber_count_ != 0) std::this_thread::sleep_for(kFiberPollInterval);
 }
 
+void ResetQuietly(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
 void CloseQuietly(tcp::socket& socket) {
   boost::system::error_code ignored;
   socket.shutdown(tcp::socket::shutdown_both, ignored);
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -58,6 +58,10 @@
 /// closed the connection already.
 void CloseQuietly(boost::asio::ip::tcp::socket& socket);
 
+/// Closes a socket with a reset, which discards the bytes that the peer has not received. Errors
+/// are ignored like those of CloseQuietly.
+void ResetQuietly(boost::asio::ip::tcp::socket& socket);
+
 /// Enables TCP keep-alive and limits the time for which sent data may stay unacknowledged, so that
 /// the connection fails within a few seconds after the peer becomes unreachable. Errors are
 /// ignored, because every exchange has its own timeout.
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -52,6 +52,7 @@
     if (read.error) break;
     last_received_ = std::chrono::steady_clock::now();
     ping_pending_ = false;
+    gave_up_ = false;
     buffered += read.value;
     std::size_t consumed = 0;
     while (buffered - consumed >= wire::kLengthPrefixBytes) {
@@ -151,14 +152,15 @@
 }
 
 peer_result peer_link::Request(wire::envelope_t message, steady_time deadline, cancellation* cancel,
-                               cancellation* recall) {
+                               cancellation* recall, silence_policy silence) {
   if (closed_) return {exchange_stage::kNotSent, nullptr, "link is closed", false};
   const auto self = shared_from_this();
   auto pending = std::make_shared<pending_request>(GetCurrentContext());
   pending->timer.expires_at(deadline);
+  pending->silence = silence;
   const std::uint64_t id = next_correlation_id_++;
   pending_requests_.emplace(id, pending);
-  const support::scope_exit forget([this, id] { pending_requests_.erase(id); });
+  const support::scope_exit forget([this, id] { Forget(id); });
   message.correlation_id = id;
   message.is_reply = false;
   Send(std::move(message), pending);
@@ -184,6 +186,7 @@
             "request was not sent before the deadline, a cancellation or the end of the link",
             timed_out};
   }
+  gave_up_ = true;
   SendCancel(id);
   return {exchange_stage::kSent, nullptr,
           closed_ ? "link was closed before the reply"
@@ -208,7 +211,7 @@
   if (now - last_received_ >= kLivenessInterval) {
     if (ping_pending_) {
       checking_liveness_ = false;
-      return Close();
+      return OnSilence();
     }
     ping_pending_ = true;
     Send(wire::MakeEnvelope(wire::link_ping_t{}));
@@ -219,6 +222,23 @@
   });
 }
 
+void peer_link::OnSilence() {
+  const bool any_waits =
+      std::any_of(pending_requests_.begin(), pending_requests_.end(), [](const auto& entry) {
+        return entry.second->sent && entry.second->silence == silence_policy::kAwaitReply;
+      });
+  if (!any_waits) return Close();
+  silent_ = true;
+  for (auto& [id, pending] : pending_requests_) {
+    if (!pending->sent || pending->silence == silence_policy::kGiveUp) pending->timer.cancel();
+  }
+}
+
+void peer_link::Forget(std::uint64_t correlation_id) {
+  pending_requests_.erase(correlation_id);
+  if (silent_ && pending_requests_.empty()) Close();
+}
+
 void peer_link::SendCancel(std::uint64_t correlation_id) {
   if (closed_) return;
   auto message = wire::MakeEnvelope(wire::call_cancel_t{});
@@ -246,7 +266,14 @@
   context_.unwritten_answers -= std::exchange(queued_answers_, 0);
   idle_timer_.cancel();
   liveness_timer_.cancel();
-  CloseQuietly(socket_);
+  const bool reply_missing = std::any_of(pending_requests_.begin(), pending_requests_.end(),
+                                         [](const auto& entry) { return entry.second->sent; });
+  // An orderly close would deliver bytes that are held up on the way.
+  if (gave_up_ || reply_missing) {
+    ResetQuietly(socket_);
+  } else {
+    CloseQuietly(socket_);
+  }
   for (auto& [id, pending] : pending_requests_) pending->timer.cancel();
 }
 
--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -33,7 +33,8 @@
   /// Sends a request and suspends the fiber until the reply, the deadline, a cancellation or the
   /// end of the connection. See peer_pool::Request for `recall`.
   peer_result Request(wire::envelope_t message, steady_time deadline, cancellation* cancel,
-                      cancellation* recall = nullptr);
+                      cancellation* recall = nullptr,
+                      silence_policy silence = silence_policy::kGiveUp);
   /// Closes the connection and resumes the fibers that wait for replies.
   void Close();
   /// Closes the link once no frame was sent or received for `timeout`. While a request waits for
@@ -41,6 +42,9 @@
   void CloseWhenIdle(std::chrono::milliseconds timeout);
   [[nodiscard]] bool closed_as_idle() const { return closed_as_idle_; }
   [[nodiscard]] bool closed() const { return closed_; }
+  /// Returns false if the link is closed, or if it is open only for requests that wait on although
+  /// the peer shows no sign of life.
+  [[nodiscard]] bool usable() const { return !closed_ && !silent_; }
   [[nodiscard]] steady_time last_activity() const { return last_activity_; }
 
  private:
@@ -53,6 +57,7 @@
     /// True once the frame that carries the request was passed to the socket. Other frames with the
     /// same correlation id, such as its cancellation, say nothing about that.
     bool sent = false;
+    silence_policy silence = silence_policy::kGiveUp;
   };
   struct queued_frame {
     std::string bytes;
@@ -77,6 +82,10 @@
   /// nor RST, so the socket reports no error.
   void StartLivenessChecks();
   void CheckLiveness();
+  /// Ends the requests that don't wait for a silent peer. Closes the link if no request waits on.
+  void OnSilence();
+  /// Removes a request that ended. Closes a silent link after its last one.
+  void Forget(std::uint64_t correlation_id);
 
   boost::asio::ip::tcp::socket socket_;
   peer_context& context_;
@@ -92,6 +101,11 @@
   bool checking_liveness_ = false;
   /// True if a ping was sent and no byte has been received since.
   bool ping_pending_ = false;
+  /// True if the peer has not replied to a ping in time. Not reset: the pool uses another link from
+  /// then on.
+  bool silent_ = false;
+  /// True if a request that was sent has ended without its reply since the last byte was received.
+  bool gave_up_ = false;
   std::uint64_t next_correlation_id_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<pending_request>> pending_requests_;
   std::deque<queued_frame> queue_;
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -42,10 +42,11 @@
       : runtime_(runtime), context_(context), options_(options), threads_(runtime.thread_count()) {}
 
   peer_result Request(const support::socket_address& address, wire::envelope_t message,
-                      steady_time deadline, cancellation* cancel, cancellation* recall) {
+                      steady_time deadline, cancellation* cancel, cancellation* recall,
+                      silence_policy silence) {
     const auto link = Acquire(address, deadline);
     if (link == nullptr) return {exchange_stage::kNotSent, nullptr, "peer is unreachable", false};
-    return link->Request(std::move(message), deadline, cancel, recall);
+    return link->Request(std::move(message), deadline, cancel, recall, silence);
   }
 
   void Send(const support::socket_address& address, wire::envelope_t message) {
@@ -181,8 +182,9 @@
 peer_pool::~peer_pool() = default;
 
 peer_result peer_pool::Request(const support::socket_address& address, wire::envelope_t message,
-                               steady_time deadline, cancellation* cancel, cancellation* recall) {
-  return impl_->Request(address, std::move(message), deadline, cancel, recall);
+                               steady_time deadline, cancellation* cancel, cancellation* recall,
+                               silence_policy silence) {
+  return impl_->Request(address, std::move(message), deadline, cancel, recall, silence);
 }
 
 void peer_pool::OnLinkBroken(std::function<void(const support::socket_address&)> callback) {
--- a/unittests/net/peer_pool_test.cpp
+++ b/unittests/net/peer_pool_test.cpp
@@ -1,9 +1,13 @@
 #include <gtest/gtest.h>
 
+#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <thread>
+#include <vector>
 
 #include "siskinrack/net/peer.h"
 
@@ -190,5 +194,129 @@
   EXPECT_EQ(blocking->stage, exchange_stage::kSent) << blocking->error;
 }
 
+/// Dials a peer that reads and replies only when the test says so.
+class silent_peer_test : public testing::Test {
+ protected:
+  /// Longer than the time after which a silent peer is noticed (1.2 s).
+  static constexpr milliseconds kSilence{2'000};
+  static constexpr milliseconds kDeadline{20'000};
+
+  void StartRequest(silence_policy silence, std::optional<peer_result>& result) {
+    const std::uint64_t before = traffic_.bytes_sent(wire::message::call_request);
+    runtime_.Post(0, [this, silence, &result] {
+      result =
+          pool_.Request({"127.0.0.1", acceptor_.local_endpoint().port()},
+                        wire::MakeEnvelope(wire::call_request_t{}),
+                        std::chrono::steady_clock::now() + kDeadline, nullptr, nullptr, silence);
+      ++ended_;
+    });
+    while (traffic_.bytes_sent(wire::message::call_request) == before) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    runtime_.Run(0, [] {});
+  }
+  void AwaitEnded(int count) {
+    const auto end = std::chrono::steady_clock::now() + kDeadline;
+    while (ended_ < count && std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    ASSERT_GE(ended_, count);
+  }
+  /// Reads frames and replies to each request until the other side closes the connection. Returns
+  /// the error of the last read.
+  boost::system::error_code ServePeer(boost::asio::ip::tcp::socket& peer) {
+    boost::system::error_code error;
+    while (true) {
+      std::array<std::uint8_t, wire::kLengthPrefixBytes> prefix{};
+      boost::asio::read(peer, boost::asio::buffer(prefix), error);
+      if (error) return error;
+      std::vector<std::uint8_t> bytes(wire::DecodeLength(prefix).value());
+      boost::asio::read(peer, boost::asio::buffer(bytes), error);
+      if (error) return error;
+      const auto message = wire::DecodeEnvelope(bytes);
+      if (message->message.Ascall_request() == nullptr) continue;
+      wire::envelope_t reply = wire::MakeEnvelope(wire::call_answer_t{});
+      reply.correlation_id = message->correlation_id;
+      reply.is_reply = true;
+      boost::asio::write(peer, boost::asio::buffer(wire::EncodeFrame(reply)), error);
+      if (error) return error;
+    }
+  }
+
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_{io_, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+  support::hybrid_clock clock_;
+  traffic_counters traffic_;
+  peer_context context_{"pool", &clock_, &traffic_, ""};
+  fiber_runtime runtime_{1};
+  peer_pool pool_{runtime_, context_};
+  std::atomic<int> ended_ = 0;
+};
+
+// Guards against an at-most-once request that runs and whose answer is replaced by a failure
+// because its peer was silent for a while, long before the deadline.
+TEST_F(silent_peer_test, RequestThatMustNotBeRepeatedWaitsOn) {
+  std::optional<peer_result> patient;
+  std::optional<peer_result> impatient;
+  StartRequest(silence_policy::kAwaitReply, patient);
+  StartRequest(silence_policy::kGiveUp, impatient);
+  boost::asio::ip::tcp::socket peer = acceptor_.accept();
+  AwaitEnded(1);
+  EXPECT_EQ(impatient->stage, exchange_stage::kSent) << impatient->error;
+  std::thread server([&] { ServePeer(peer); });
+  AwaitEnded(2);
+  EXPECT_EQ(patient->stage, exchange_stage::kAnswered) << patient->error;
+  pool_.Stop();
+  server.join();
+}
+
+// Guards against new requests on a link whose peer is silent.
+TEST_F(silent_peer_test, NewRequestsUseAnotherLink) {
+  std::optional<peer_result> patient;
+  std::optional<peer_result> later;
+  StartRequest(silence_policy::kAwaitReply, patient);
+  boost::asio::ip::tcp::socket first = acceptor_.accept();
+  std::this_thread::sleep_for(kSilence);
+  StartRequest(silence_policy::kGiveUp, later);
+  boost::asio::ip::tcp::socket second = acceptor_.accept();
+  std::thread server([&] { ServePeer(second); });
+  AwaitEnded(1);
+  EXPECT_EQ(later->stage, exchange_stage::kAnswered) << later->error;
+  boost::system::error_code ignored;
+  first.close(ignored);
+  AwaitEnded(2);
+  EXPECT_EQ(patient->stage, exchange_stage::kSent);
+  pool_.Stop();
+  server.join();
+}
+
+// Guards against a request that is given up and reaches its upstream afterwards: an orderly close
+// still delivers bytes that were held up on the way.
+TEST_F(silent_peer_test, LinkWithARequestThatWasGivenUpIsReset) {
+  std::optional<peer_result> result;
+  StartRequest(silence_policy::kGiveUp, result);
+  boost::asio::ip::tcp::socket peer = acceptor_.accept();
+  AwaitEnded(1);
+  EXPECT_EQ(result->stage, exchange_stage::kSent) << result->error;
+  std::array<char, 4'096> bytes{};
+  boost::system::error_code error;
+  while (!error) peer.read_some(boost::asio::buffer(bytes), error);
+  EXPECT_EQ(error, boost::asio::error::connection_reset) << error.message();
+  pool_.Stop();
+}
+
+// Guards against a reset of a link whose requests were all answered.
+TEST_F(silent_peer_test, LinkWithoutOpenRequestsIsClosedInOrder) {
+  std::optional<peer_result> result;
+  StartRequest(silence_policy::kGiveUp, result);
+  boost::asio::ip::tcp::socket peer = acceptor_.accept();
+  boost::system::error_code error;
+  std::thread server([&] { error = ServePeer(peer); });
+  AwaitEnded(1);
+  pool_.Stop();
+  server.join();
+  EXPECT_EQ(error, boost::asio::error::eof) << error.message();
+}
+
 }  // namespace
 }  // namespace siskinrack::net
