Departures: the record of an acknowledged departure binds the next process

Cause: the node that acknowledged a departure removed the endpoint record. If it was killed then, nothing told its next process, and a heartbeat that arrived late brought the departed upstream back.

Change: the record is replaced by one with the state "departed" instead of being removed; entry nodes treat it as removed. A recorded drain binds in the same way. endpoint_reaper removes the record after ten minutes.

--- a/include/siskinrack/routing/instance.h
+++ b/include/siskinrack/routing/instance.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "siskinrack/support/socket_address.h"
@@ -19,8 +20,9 @@
   auto operator<=>(const lifetime&) const = default;
 };
 
-/// State that an upstream reports about itself. A draining upstream receives no new calls.
-enum class instance_state { kReady, kDraining };
+/// State that an upstream reports about itself. A draining upstream receives no new calls. A
+/// departed one has announced its end; only records in the store have this state.
+enum class instance_state { kReady, kDraining, kDeparted };
 
 /// Represents one heartbeat of an upstream.
 struct instance_report {
@@ -78,6 +80,11 @@
   /// not the current one or has announced it before.
   bool OnAnnouncedDeparture(const lifetime& life, time_point now);
 
+  /// Applies a record of the store that an earlier process of this node wrote: a recorded departure
+  /// binds this process, however late a heartbeat of the departed lifetime arrives. A recorded
+  /// drain began long ago.
+  void OnRecord(const lifetime& life, instance_state state);
+
   /// Returns the latest heartbeat of the current lifetime, also after its departure; empty before
   /// the first heartbeat.
   [[nodiscard]] const std::optional<instance_report>& current() const { return current_; }
@@ -102,7 +109,15 @@
   };
   [[nodiscard]] bool MatchesUnknownDeparture(const lifetime& life, time_point now) const;
 
+  /// Maximum number of departed lifetimes; the smallest is discarded. Bounds memory.
+  static constexpr std::size_t kMaxDeparted = 256;
+
   std::optional<unknown_departure> unknown_departure_;
+  /// Lifetimes whose departure is recorded. Compared by equality: the wall clock may jump, and a
+  /// restarted upstream may reuse its id.
+  std::set<lifetime> departed_;
+  /// Lifetime that was draining according to its record.
+  std::optional<lifetime> recorded_drain_;
   time_point last_report_{};
 };
 
--- a/lib/mesh/endpoint_consumer.cpp
+++ b/lib/mesh/endpoint_consumer.cpp
@@ -20,6 +20,11 @@
   for (const platform_adapter::versioned_object& object : listing.objects) {
     auto endpoint = ParseEndpoint(object);
     if (!endpoint) continue;
+    if (endpoint->state == routing::instance_state::kDeparted) {
+      on_departure_(*endpoint, object.revision);
+      continue;
+    }
+    on_no_departure_(object.name);
     if (endpoint->node_address == context_.settings.peer_address)
       on_own_(object.name, object.revision);
     all.push_back(std::move(*endpoint));
@@ -34,11 +39,20 @@
   if (change.deleted) {
     context_.log.Info("endpoint_gone", {{"instance", id}, {"revision", change.object.revision}});
     context_.endpoints.Remove(id);
+    on_no_departure_(id);
     on_own_(id, 0);
     return;
   }
   auto endpoint = ParseEndpoint(change.object);
   if (!endpoint) return;
+  if (endpoint->state == routing::instance_state::kDeparted) {
+    context_.log.Info("endpoint_departed",
+                      {{"instance", id}, {"revision", change.object.revision}});
+    context_.endpoints.Remove(id);
+    on_departure_(*endpoint, change.object.revision);
+    return;
+  }
+  on_no_departure_(id);
   context_.log.Info("endpoint_changed",
                     {{"instance", id},
                      {"service", endpoint->service},
--- a/lib/mesh/endpoint_consumer.h
+++ b/lib/mesh/endpoint_consumer.h
@@ -20,8 +20,18 @@
   using own_record_listener =
       std::function<void(const std::string& instance_id, std::uint64_t revision)>;
 
-  endpoint_consumer(mesh_context& context, own_record_listener on_own)
-      : context_(context), on_own_(std::move(on_own)) {}
+  /// Called with each record of a departure, of this or another node, and its revision.
+  using departure_listener =
+      std::function<void(const routing::endpoint& departed, std::uint64_t revision)>;
+  /// Called with the instance id of each record that is not or no longer one of a departure.
+  using no_departure_listener = std::function<void(const std::string& instance_id)>;
+
+  endpoint_consumer(mesh_context& context, own_record_listener on_own,
+                    departure_listener on_departure, no_departure_listener on_no_departure)
+      : context_(context),
+        on_own_(std::move(on_own)),
+        on_departure_(std::move(on_departure)),
+        on_no_departure_(std::move(on_no_departure)) {}
 
   /// Replaces all endpoints by those in a complete list of the records.
   void OnList(platform_adapter::object_listing listing);
@@ -34,6 +44,8 @@
 
   mesh_context& context_;
   own_record_listener on_own_;
+  departure_listener on_departure_;
+  no_departure_listener on_no_departure_;
 };
 
 }  // namespace siskinrack::mesh
--- a/lib/mesh/endpoint_reaper.cpp
+++ b/lib/mesh/endpoint_reaper.cpp
@@ -18,6 +18,13 @@
 constexpr std::int64_t kRemovalDelayJitterMs = 5'000;
 /// A suspicion is dropped if no further attempt to reach the node fails within this time.
 constexpr milliseconds kSuspicionExpiry{6'000};
+/// Time for which a departure stays recorded. Heartbeats arrive seconds late; one that a partition
+/// held up arrives after its end.
+constexpr std::chrono::minutes kDepartureRetention{10};
+/// Other nodes wait longer by a random time, so that one of them removes the record and the others
+/// receive the removal before their own time ends.
+constexpr milliseconds kForeignDelay{10'000};
+constexpr std::int64_t kForeignDelayJitterMs = 60'000;
 
 }  // namespace
 
@@ -36,6 +43,34 @@
     net::SleepFor(kProbeInterval);
     ProbeSuccessor();
     if (const auto due = TakeDueRemoval()) RemoveRecord(*due);
+    RemoveDepartures();
+  }
+}
+
+void endpoint_reaper::OnDeparture(const routing::endpoint& departed, std::uint64_t revision) {
+  departure& entry = departures_[departed.life.instance_id];
+  if (entry.revision == revision) return;
+  entry = {revision, steady_clock::now() + kDepartureRetention};
+  if (departed.node_address == context_.settings.peer_address) return;
+  const auto jitter = static_cast<std::int64_t>(random_() % kForeignDelayJitterMs);
+  entry.due += kForeignDelay + milliseconds(jitter);
+}
+
+void endpoint_reaper::RemoveDepartures() {
+  const auto now = steady_clock::now();
+  std::vector<std::pair<std::string, std::uint64_t>> due;
+  for (auto& [id, entry] : departures_) {
+    if (now < entry.due) continue;
+    due.emplace_back(id, entry.revision);
+    // Repeated if the removal fails and the record stays.
+    entry.due = now + kDepartureRetention;
+  }
+  for (const auto& [id, revision] : due) {
+    const auto removed = context_.store.Remove(kEndpointKind, id, revision);
+    const auto* error = std::get_if<platform_adapter::store_error>(&removed);
+    context_.log.Info("departure_removed",
+                      {{"instance", id},
+                       {"outcome", error == nullptr ? "removed" : platform::ToText(error->code)}});
   }
 }
 
@@ -82,6 +117,7 @@
   support::findings problems;
   const auto recorded = routing::FromRecord(object->content, problems);
   if (!recorded || !(recorded->life == life)) return;
+  if (recorded->state == routing::instance_state::kDeparted) return;
   const auto removed = context_.store.Remove(kEndpointKind, life.instance_id, object->revision);
   const auto* error = std::get_if<platform_adapter::store_error>(&removed);
   context_.log.Info("endpoint_reaped",
--- a/lib/mesh/endpoint_reaper.h
+++ b/lib/mesh/endpoint_reaper.h
@@ -24,6 +24,12 @@
     suspicions_.erase(endpoint.life.instance_id);
   }
 
+  /// Schedules the removal of a record of a departure. The node that wrote it removes it; the
+  /// others do so later, if that node is gone.
+  void OnDeparture(const routing::endpoint& departed, std::uint64_t revision);
+  /// Forgets a record of a departure that was replaced or removed.
+  void OnNoDeparture(const std::string& instance_id) { departures_.erase(instance_id); }
+
   /// Runs until the process ends, in a fiber of its own.
   void Run();
 
@@ -44,8 +50,17 @@
   std::optional<routing::lifetime> TakeDueRemoval();
   /// Removes the record of `life` unless another lifetime has replaced it.
   void RemoveRecord(const routing::lifetime& life);
+  /// Removes the records of departures that are due.
+  void RemoveDepartures();
+
+  struct departure {
+    std::uint64_t revision = 0;
+    net::steady_time due;
+  };
 
   mesh_context& context_;
+  /// Records of departures in the store, by instance id.
+  std::map<std::string, departure> departures_;
   std::map<std::string, suspicion> suspicions_;
   std::mt19937_64 random_{std::random_device{}()};
 };
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -57,10 +57,16 @@
         reaper_(context_),
         entry_(context_, serving_, reaper_, crashes_),
         configs_(context_, [this] { OnConfiguration(); }),
-        endpoints_(context_,
-                   [this](const std::string& id, std::uint64_t revision) {
-                     registration_.OnOwnRecord(id, revision);
-                   }),
+        endpoints_(
+            context_,
+            [this](const std::string& id, std::uint64_t revision) {
+              registration_.OnOwnRecord(id, revision);
+            },
+            [this](const routing::endpoint& departed, std::uint64_t revision) {
+              registration_.OnDepartureRecord(departed, revision);
+              reaper_.OnDeparture(departed, revision);
+            },
+            [this](const std::string& id) { reaper_.OnNoDeparture(id); }),
         config_feed_(context_, platform_adapter::kConfigurationKind,
                      platform_adapter::read_freshness::kCurrent, configs_,
                      ComputeWatchPause(context_.settings.activation_limit),
--- a/lib/mesh/registration.h
+++ b/lib/mesh/registration.h
@@ -5,6 +5,7 @@
 #include <boost/fiber/mutex.hpp>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "mesh_context.h"
@@ -35,17 +36,29 @@
   /// `instance_id`, of this or another node, was removed.
   void OnOwnRecord(const std::string& instance_id, std::uint64_t revision);
 
+  /// Handles a record of a departure in the store, of this or another node.
+  void OnDepartureRecord(const routing::endpoint& departed, std::uint64_t revision);
+
   [[nodiscard]] const routing::local_instance& instance() const { return instance_; }
   /// Returns true if the upstream may receive work and should have a record in the store.
   [[nodiscard]] bool IsAlive() const;
 
  private:
+  /// Returns true if a heartbeat of `life` may be applied: an earlier process of this node may have
+  /// acknowledged its departure or drain, which only the store knows. Waits for the store for a
+  /// short time.
+  bool CheckRecord(const routing::lifetime& life);
+  /// Reads the record of `life` and applies it, once the store answers.
+  void ReadRecord(const routing::lifetime& life);
   /// Returns the record that the store should have, or std::nullopt if the upstream is gone.
   [[nodiscard]] std::optional<routing::endpoint> MakeDesiredRecord() const;
   [[nodiscard]] bool IsUpToDate() const;
   /// Makes at most one write towards the desired state; returns false if it failed.
   bool ReconcileOnce();
   bool Write(const routing::endpoint& desired);
+  bool WriteDeparture(const routing::endpoint& departed);
+  /// Creates or replaces a record of this node and returns its revision; 0 if that failed.
+  std::uint64_t Store(const routing::endpoint& entry);
   bool Remove(const std::string& id, std::uint64_t revision);
   /// Returns the id and revision of a record of this node that should not be in the store.
   [[nodiscard]] std::optional<std::pair<std::string, std::uint64_t>> FindOutdated(
@@ -62,6 +75,12 @@
   routing::local_instance instance_;
   /// Last known revisions of this node's records in the store, by instance id.
   std::map<std::string, std::uint64_t> revisions_;
+  /// Departures that were acknowledged and are not yet recorded in the store, by instance id.
+  std::map<std::string, routing::endpoint> departures_;
+  /// Lifetimes whose records were read since the start, or are being read.
+  std::set<routing::lifetime> read_;
+  std::set<routing::lifetime> reading_;
+  net::steady_time started_at_ = std::chrono::steady_clock::now();
   /// Last record that the store accepted.
   std::optional<routing::endpoint> published_;
   boost::fibers::mutex mutex_;
--- a/lib/routing/endpoint_record.cpp
+++ b/lib/routing/endpoint_record.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::string_view kReady = "ready";
 constexpr std::string_view kDraining = "draining";
+constexpr std::string_view kDeparted = "departed";
 constexpr std::uint32_t kMaxSlots = 65'535;
 
 std::optional<std::string> ReadString(const json::object& members, std::string_view name,
@@ -31,6 +32,26 @@
   return value->get_int64();
 }
 
+std::string_view ToText(instance_state state) {
+  switch (state) {
+    case instance_state::kReady:
+      return kReady;
+    case instance_state::kDraining:
+      return kDraining;
+    case instance_state::kDeparted:
+      break;
+  }
+  return kDeparted;
+}
+
+std::optional<instance_state> ParseState(std::string_view text) {
+  for (const instance_state state :
+       {instance_state::kReady, instance_state::kDraining, instance_state::kDeparted}) {
+    if (ToText(state) == text) return state;
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 json::value ToRecord(const endpoint& entry) {
@@ -41,7 +62,7 @@
       {"zone", entry.zone},
       {"node", entry.node_address.ToText()},
       {"slots", static_cast<std::int64_t>(entry.slots)},
-      {"state", entry.state == instance_state::kReady ? kReady : kDraining},
+      {"state", ToText(entry.state)},
   };
 }
 
@@ -57,19 +78,16 @@
   const auto zone = ReadString(members, "zone", problems);
   const auto node = ReadString(members, "node", problems);
   const auto slots = ReadInteger(members, "slots", problems);
-  const auto state = ReadString(members, "state", problems);
+  const auto state_text = ReadString(members, "state", problems);
+  const auto state = state_text ? ParseState(*state_text) : std::nullopt;
   const auto address = node ? support::ParseSocketAddress(*node) : std::nullopt;
   if (node && !address) problems.Add("node", "expected an IPv4 address and port");
-  if (state && *state != kReady && *state != kDraining)
-    problems.Add("state", "expected \"ready\" or \"draining\"");
+  if (state_text && !state)
+    problems.Add("state", "expected \"ready\", \"draining\" or \"departed\"");
   if (slots && (*slots == 0 || *slots > kMaxSlots)) problems.Add("slots", "expected 1 to 65535");
   if (!problems.empty()) return std::nullopt;
-  return endpoint{{*instance, *born},
-                  *service,
-                  *zone,
-                  *address,
-                  static_cast<std::uint32_t>(*slots),
-                  *state == kReady ? instance_state::kReady : instance_state::kDraining};
+  return endpoint{
+      {*instance, *born}, *service, *zone, *address, static_cast<std::uint32_t>(*slots), *state};
 }
 
 }  // namespace siskinrack::routing
--- a/lib/routing/instance.cpp
+++ b/lib/routing/instance.cpp
@@ -18,7 +18,9 @@
 }
 
 report_result local_instance::OnReport(const instance_report& report, time_point now) {
-  if (MatchesUnknownDeparture(report.life, now)) return report_result::kOutdated;
+  if (MatchesUnknownDeparture(report.life, now) || departed_.contains(report.life)) {
+    return report_result::kOutdated;
+  }
   const bool same_lifetime = current_ && report.life == current_->life;
   if (same_lifetime && (has_departed_ || report.sequence <= current_->sequence))
     return report_result::kOutdated;
@@ -34,6 +36,8 @@
     // acknowledged the departure already, so the drain period counts as over.
     leaving_since_ = same_lifetime ? now : time_point::min();
   }
+  // A late heartbeat may have been sent before the drain.
+  if (recorded_drain_ == report.life && !leaving_since_) leaving_since_ = time_point::min();
   return report_result::kApplied;
 }
 
@@ -49,6 +53,16 @@
   return true;
 }
 
+void local_instance::OnRecord(const lifetime& life, instance_state state) {
+  if (state == instance_state::kDraining) recorded_drain_ = life;
+  if (state != instance_state::kDeparted) return;
+  departed_.insert(life);
+  if (departed_.size() > kMaxDeparted) departed_.erase(departed_.begin());
+  if (!current_ || !(current_->life == life)) return;
+  has_departed_ = true;
+  if (!leaving_since_) leaving_since_ = time_point::min();
+}
+
 bool local_instance::OnAnnouncedDeparture(const lifetime& life, time_point now) {
   if (!current_ || !(current_->life == life) || leaving_since_) return false;
   leaving_since_ = now;
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -133,7 +133,9 @@
     : services_(services),
       network_(PickNetwork()),
       sequences_(services.size()),
-      states_(services.size(), "ready") {
+      states_(services.size(), "ready"),
+      lifetimes_(services.size()),
+      departed_(services.size()) {
   std::string path = (std::filesystem::temp_directory_path() / "siskinrack-mesh-XXXXXX").string();
   if (mkdtemp(path.data()) == nullptr) throw std::runtime_error("cannot create directory " + path);
   work_dir_ = path;
@@ -147,7 +149,9 @@
   }
   heartbeat_thread_ = std::thread([this] {
     while (!stopped_) {
-      for (std::size_t i = 0; i < services_.size(); ++i) SendHeartbeat(i, {});
+      for (std::size_t i = 0; i < services_.size(); ++i) {
+        if (!departed_[i]) SendHeartbeat(i, {});
+      }
       std::this_thread::sleep_for(kHeartbeatInterval);
     }
   });
@@ -252,7 +256,7 @@
   if (!state.empty()) states_[machine] = state;
   const json::object body{
       {"address", MakeIp(machine) + ':' + std::to_string(kUpstreamPort)},
-      {"born", kBornMs},
+      {"born", kBornMs + lifetimes_[machine]},
       {"info",
        {{"service", services_[machine]}, {"version", "v1"}, {"zone", "zone-a"}, {"slots", 4}}},
       {"status", {{"state", states_[machine]}, {"seq", ++sequences_[machine]}, {"coldLeftS", 0}}}};
@@ -262,6 +266,14 @@
   return result.stage == net::exchange_stage::kAnswered && result.response.status == 200;
 }
 
+bool mesh_fleet::SendDeparture(std::size_t machine) {
+  departed_[machine] = true;
+  const std::lock_guard lock(heartbeat_mutex_);
+  const auto result = Exchange({MakeIp(machine), kHeartbeatPort},
+                               {"DELETE", "/api/instances/" + instances_[machine]->id(), {}, {}});
+  return result.stage == net::exchange_stage::kAnswered && result.response.status == 200;
+}
+
 bool mesh_fleet::AwaitReady() {
   const auto end = steady_clock::now() + kReadyTimeout;
   while (steady_clock::now() < end) {
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -97,6 +97,14 @@
   /// is "ready" or "draining"; an empty one repeats the last state. Heartbeats with the last state
   /// are also sent periodically.
   bool SendHeartbeat(std::size_t machine, const std::string& state);
+  /// Announces the final departure of a machine's upstream, which sends no heartbeats any more, and
+  /// returns true if it was acknowledged.
+  bool SendDeparture(std::size_t machine);
+  /// Begins a new lifetime of a machine's upstream with the same id.
+  void RestartInstance(std::size_t machine) {
+    ++lifetimes_[machine];
+    departed_[machine] = false;
+  }
   /// Returns true once all nodes are ready and list all endpoints, or false after 15 s.
   [[nodiscard]] bool AwaitReady();
 
@@ -144,6 +152,10 @@
   std::mutex heartbeat_mutex_;
   std::vector<std::uint64_t> sequences_;
   std::vector<std::string> states_;
+  /// Number of restarts of each upstream.
+  std::vector<std::atomic<int>> lifetimes_;
+  /// True for upstreams that have announced their departure.
+  std::vector<std::atomic<bool>> departed_;
   std::atomic<bool> stopped_ = false;
   std::thread heartbeat_thread_;
   std::atomic<std::uint64_t> last_request_ = 0;
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -431,6 +431,42 @@
   EXPECT_EQ(fleet_.Send(0, "/dock/x").response.status, 200U);
 }
 
+// Guards against a heartbeat that arrives late at the next process of a node: the process before
+// was killed after it had acknowledged the departure, and the upstream got requests again.
+TEST_F(mesh_test, AcknowledgedDepartureBindsTheNextProcess) {
+  ASSERT_TRUE(fleet_.SendDeparture(1));
+  fleet_.node(1).Signal(SIGKILL);
+  fleet_.node(1).Wait();
+  fleet_.StartNode(1);
+  ASSERT_TRUE(Eventually(milliseconds(10'000), [&] { return fleet_.SendHeartbeat(1, "ready"); }));
+  const std::size_t before = fleet_.instance(1).runs().size();
+  for (int i = 0; i < 50; ++i) {
+    EXPECT_EQ(fleet_.Send(0, "/dock/x").response.status, 200U);
+    fleet_.SendHeartbeat(1, "ready");
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  EXPECT_EQ(fleet_.instance(1).runs().size(), before);
+  const auto record = fleet_.store().Read("siskinrack-endpoints", "i-1");
+  ASSERT_TRUE(record.is_object());
+  EXPECT_EQ(record.at("state"), "departed");
+}
+
+// Guards against an upstream that restarts with the id that it had and is never used again because
+// its earlier lifetime departed.
+TEST_F(mesh_test, UpstreamThatReturnsAfterItsDepartureIsUsed) {
+  ASSERT_TRUE(fleet_.SendDeparture(1));
+  ASSERT_TRUE(Eventually(milliseconds(5'000), [&] {
+    const auto record = fleet_.store().Read("siskinrack-endpoints", "i-1");
+    return record.is_object() && record.at("state") == "departed";
+  }));
+  fleet_.RestartInstance(1);
+  const std::size_t before = fleet_.instance(1).runs().size();
+  EXPECT_TRUE(Eventually(milliseconds(10'000), [&] {
+    fleet_.Send(0, "/dock/x");
+    return fleet_.instance(1).runs().size() > before;
+  }));
+}
+
 // Guards against a record that stays wrong because the answer to its write was lost.
 TEST_F(mesh_test, RecordIsCorrectedAfterALostWriteAnswer) {
   fleet_.store().LoseWriteAnswers(1);
--- a/unittests/routing/routing_test.cpp
+++ b/unittests/routing/routing_test.cpp
@@ -157,6 +157,49 @@
   EXPECT_EQ(local.OnReport(Report("a", 900, 1), At(60'000)), report_result::kApplied);
 }
 
+// Guards against a heartbeat that arrives late at the next process of the node, after the process
+// before acknowledged the departure of the upstream.
+TEST(LocalInstance, RecordedDepartureBindsHoweverLateAHeartbeatComes) {
+  local_instance local;
+  local.OnRecord({"a", 100}, instance_state::kDeparted);
+  for (const std::int64_t ms : {0, 60'000, 3'600'000}) {
+    EXPECT_EQ(local.OnReport(Report("a", 100, 7 + ms), At(ms)), report_result::kOutdated);
+  }
+  EXPECT_FALSE(local.current());
+}
+
+// Guards against rejecting a restarted upstream with the same id, also if the clock was set back.
+TEST(LocalInstance, RecordedDepartureBindsOneLifetimeOnly) {
+  local_instance local;
+  local.OnRecord({"a", 100}, instance_state::kDeparted);
+  EXPECT_EQ(local.OnReport(Report("a", 99, 1), At(0)), report_result::kApplied);
+  EXPECT_EQ(local.OnReport(Report("a", 101, 1), At(1)), report_result::kApplied);
+  EXPECT_FALSE(local.leaving_since());
+}
+
+// Guards against a late "ready" heartbeat that reverts a drain that an earlier process
+// acknowledged.
+TEST(LocalInstance, RecordedDrainHoldsForItsLifetime) {
+  local_instance local;
+  local.OnRecord({"a", 100}, instance_state::kDraining);
+  EXPECT_EQ(local.OnReport(Report("a", 100, 7), At(0)), report_result::kApplied);
+  ASSERT_TRUE(local.leaving_since());
+  EXPECT_LT(*local.leaving_since() + std::chrono::hours(1), At(0));
+  local.OnReport(Report("a", 200, 1), At(1));
+  EXPECT_FALSE(local.leaving_since());
+}
+
+// Guards against a record of a departure that is read after the late heartbeat was applied.
+TEST(LocalInstance, RecordedDepartureEndsTheCurrentLifetime) {
+  local_instance local;
+  local.OnReport(Report("a", 100, 7), At(0));
+  local.OnRecord({"b", 100}, instance_state::kDeparted);
+  EXPECT_FALSE(local.has_departed());
+  local.OnRecord({"a", 100}, instance_state::kDeparted);
+  EXPECT_TRUE(local.has_departed());
+  EXPECT_EQ(local.OnReport(Report("a", 100, 8), At(1)), report_result::kOutdated);
+}
+
 // Guards against ending the current lifetime by the departure of an earlier one.
 TEST(LocalInstance, DepartureOfAnotherLifetimeIsIgnored) {
   local_instance local;
@@ -208,6 +251,8 @@
   const endpoint item = Endpoint("a", 12345, "tray", 7, instance_state::kDraining);
   support::findings problems;
   EXPECT_EQ(FromRecord(ToRecord(item), problems), item);
+  const endpoint departed = Endpoint("a", 12345, "tray", 7, instance_state::kDeparted);
+  EXPECT_EQ(FromRecord(ToRecord(departed), problems), departed);
   for (const char* member : {"instance", "born_ms", "service", "zone", "node", "slots", "state"}) {
     boost::json::value record = ToRecord(item);
     record.as_object()[member] = boost::json::array{};
