net: requests on one connection run together and are answered in order

Cause: http_server handled the requests of a connection one after the other. A caller that left was not noticed once it had sent more, and closing a connection with unread bytes reset it, which could lose the last response. Change: while a request runs, another fiber reads the next one, up to max_overlapping; response_order keeps the order of responses. may_overlap decides which requests may start before the ones in front are answered; the mesh allows repeatable ones, since a request behind a response that closes counts as not read and is sent again. The last response is followed by a half-close and a short read. max_connections counts connections, no longer accept loops. A connection without overlapping requests needs one fiber as before. Six new tests; on the code before, RunTogether, AreReadUpToALimit and the disconnect can't pass, since may_overlap didn't exist.

--- a/include/siskinrack/net/http_server.h
+++ b/include/siskinrack/net/http_server.h
@@ -16,24 +16,31 @@
 namespace siskinrack::net {
 
 /// Handles one request. Runs in a fiber and may suspend it. `cancel` is cancelled when the client
-/// closes its side of the connection. This isn't detected if the client has sent data after the
-/// request.
+/// closes its side of the connection. This isn't detected while the client has sent data after the
+/// request that the server doesn't read yet.
 using http_handler = std::function<http_response(http_request request, cancellation& cancel)>;
 
 /// Options of an http_server.
 struct http_server_options {
   support::socket_address address;
   http_limits limits = {};
-  /// Limit of the number of open connections plus the number of threads, whose accept loops count
-  /// as well. Connections beyond it are closed on accept.
+  /// Limit of the number of open connections. Connections beyond it are closed on accept.
   std::size_t max_connections = 4096;
   std::chrono::milliseconds write_timeout{10'000};
+  /// Returns true if the request may run while earlier requests on its connection are unanswered.
+  /// It may run although its client doesn't count it as read, because an earlier response closes
+  /// the connection. If the function is empty, no request may.
+  std::function<bool(const http_request&)> may_overlap = {};
+  /// Limit of the number of requests on one connection that are read and not answered, if requests
+  /// may overlap.
+  std::size_t max_overlapping = 16;
   /// Field of error responses to requests that were rejected before they reached the handler.
   http_field not_run_field = {"x-siskinrack-outcome", "not-run"};
 };
 
-/// HTTP/1.1 server. Handles the requests of a connection one after the other, as pipelining
-/// requires. A started server must be stopped before it is destroyed. Thread-safe.
+/// HTTP/1.1 server. Answers the requests of a connection in their order, and handles them one after
+/// the other unless they may overlap. A started server must be stopped before it is destroyed.
+/// Thread-safe.
 class http_server {
  public:
   http_server(fiber_runtime& runtime, http_server_options options, http_handler handler);
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -145,6 +145,12 @@
   return ToHttp(state, std::move(answer));
 }
 
+bool entry_service::MayOverlap(const net::http_request& request) const {
+  if (context_.routes == nullptr) return false;
+  const routing::route* route = context_.routes->Match(request.host, request.target);
+  return route != nullptr && route->repeats == routing::repeatability::kRepeatable;
+}
+
 void entry_service::OnConfiguration() {
   splits_.clear();
   caller_waits_.clear();
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -30,6 +30,10 @@
   /// calling fiber.
   net::http_response Handle(net::http_request request, net::cancellation& cancel);
 
+  /// Returns true if the request may run while earlier requests on its connection are unanswered:
+  /// its caller sends it again if one of them closes the connection.
+  [[nodiscard]] bool MayOverlap(const net::http_request& request) const;
+
   /// Discards the state of the previous configuration's routes. Must be called after each change of
   /// the active configuration, because the state is stored by the address of the route.
   void OnConfiguration();
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -75,10 +75,14 @@
               config_feed_.Interrupt();
               endpoint_feed_.Interrupt();
             }),
-        caller_server_(context_.runtime, {.address = context_.settings.caller_address},
-                       [this](net::http_request request, net::cancellation& cancel) {
-                         return entry_.Handle(std::move(request), cancel);
-                       }),
+        caller_server_(
+            context_.runtime,
+            {.address = context_.settings.caller_address,
+             .may_overlap =
+                 [this](const net::http_request& request) { return entry_.MayOverlap(request); }},
+            [this](net::http_request request, net::cancellation& cancel) {
+              return entry_.Handle(std::move(request), cancel);
+            }),
         ready_server_(context_.runtime, {.address = context_.settings.ready_address},
                       [this](const net::http_request& request, net::cancellation&) {
                         return HandleReady(request);
--- a/lib/net/listener.cpp
+++ b/lib/net/listener.cpp
@@ -104,11 +104,7 @@
     }
     boost::system::error_code ignored;
     socket->set_option(tcp::no_delay(true), ignored);
-    ++*fiber_count_;
-    Spawn([this, socket, fiber_count = fiber_count_] {
-      handler_(std::move(*socket));
-      --*fiber_count;
-    });
+    SpawnCounted([this, socket] { handler_(std::move(*socket)); });
     if (accepts_per_second_ <= 0) continue;
     const auto now = std::chrono::steady_clock::now();
     const auto interval = std::chrono::duration_cast<std::chrono::steady_clock::duration>(
@@ -120,6 +116,16 @@
   --*fiber_count_;
 }
 
+void listener::SpawnCounted(std::function<void()> body) const {
+  ++*fiber_count_;
+  Spawn([body = std::move(body), fiber_count = fiber_count_]() mutable {
+    body();
+    // Releases what the body owns before the fiber counts as ended.
+    body = nullptr;
+    --*fiber_count;
+  });
+}
+
 void listener::StopAccepting() {
   for (const auto& state : acceptors_) {
     asio::post(state->context, [state] { DropNewConnections(state->acceptor.native_handle()); });
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -35,9 +35,12 @@
   void StopAccepting();
   /// Closes the listening sockets.
   void Close();
+  /// Starts a fiber on the calling thread that WaitForFibers waits for.
+  void SpawnCounted(std::function<void()> body) const;
   /// Blocks until every fiber that the listener started has ended. Must not be called from a fiber.
   void WaitForFibers() const;
-  /// Returns the number of running fibers: one per open connection and one accept loop per thread.
+  /// Returns the number of running fibers: one per open connection, one accept loop per thread and
+  /// those that SpawnCounted started.
   [[nodiscard]] std::size_t fiber_count() const { return *fiber_count_; }
 
  private:
--- a/unittests/net/http_test.cpp
+++ b/unittests/net/http_test.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <thread>
 
 #include "siskinrack/net/http_client.h"
@@ -146,5 +147,142 @@
   });
 }
 
+/// Runs a server on one thread on which requests may overlap unless their target begins with
+/// /once. Requests to /wait are answered after Release; /close as well, but closes the connection
+/// by a request that asks for it.
+class overlapping_requests_test : public testing::Test {
+ protected:
+  void SetUp() override { ASSERT_EQ(server_.Start(), ""); }
+  void TearDown() override {
+    released_ = true;
+    server_.Stop();
+  }
+
+  http_response Handle(const http_request& request, const cancellation& cancel) {
+    ++started_;
+    if (request.target == "/wait") {
+      while (!released_ && !cancel.cancelled()) SleepFor(milliseconds(1));
+      if (cancel.cancelled()) ++cancelled_;
+    }
+    return {200, {}, request.target};
+  }
+
+  /// Waits up to 10 s until `count` requests have reached the handler.
+  bool AwaitStarted(int count) const {
+    for (int i = 0; i < 10'000 && started_ < count; ++i) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    return started_ >= count;
+  }
+
+  static std::string MakeRequest(const std::string& target, const std::string& fields = {}) {
+    return "GET " + target + " HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n";
+  }
+
+  static void Send(int fd, const std::string& bytes) {
+    ASSERT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+
+  std::atomic<bool> released_ = false;
+  std::atomic<int> started_ = 0;
+  std::atomic<int> cancelled_ = 0;
+  fiber_runtime runtime_{1};
+  http_server server_{
+      runtime_,
+      {.address = {"127.0.0.1", 0},
+       .may_overlap =
+           [](const http_request& request) { return !request.target.starts_with("/once"); },
+       .max_overlapping = 3},
+      [this](const http_request& request, const cancellation& cancel) {
+        return Handle(request, cancel);
+      }};
+};
+
+// Guards against a request that waits for the ones before it on its connection, though it could run
+// at the same time.
+TEST_F(overlapping_requests_test, RunTogetherAndAreAnsweredInOrder) {
+  const int fd = Connect(server_.port());
+  Send(fd, MakeRequest("/wait"));
+  ASSERT_TRUE(AwaitStarted(1));
+  Send(fd, MakeRequest("/second"));
+  ASSERT_TRUE(AwaitStarted(2)) << "the second request waits for the first one";
+  released_ = true;
+  const std::string response =
+      SendAndReceiveAll(fd, MakeRequest("/third", "Connection: close\r\n"));
+  const std::size_t first = response.find("/wait");
+  const std::size_t second = response.find("/second");
+  const std::size_t third = response.find("/third");
+  ASSERT_NE(third, std::string::npos) << response;
+  EXPECT_LT(first, second);
+  EXPECT_LT(second, third);
+}
+
+// Guards against a client that occupies a server with any number of requests that it doesn't wait
+// for.
+TEST_F(overlapping_requests_test, AreReadUpToALimit) {
+  const int fd = Connect(server_.port());
+  std::string requests;
+  for (int i = 0; i < 5; ++i) requests += MakeRequest("/wait");
+  Send(fd, requests);
+  ASSERT_TRUE(AwaitStarted(3));
+  std::this_thread::sleep_for(milliseconds(50));
+  EXPECT_EQ(started_, 3);
+  released_ = true;
+  const std::string response = SendAndReceiveAll(fd, MakeRequest("/end", "Connection: close\r\n"));
+  EXPECT_NE(response.find("/end"), std::string::npos) << response;
+  EXPECT_EQ(started_, 6);
+}
+
+// Guards against running a request behind a response that closes the connection: its client sends
+// it again.
+TEST_F(overlapping_requests_test, RequestThatMustNotOverlapIsNotRunBehindAClosingResponse) {
+  const int fd = Connect(server_.port());
+  Send(fd, MakeRequest("/wait", "Connection: close\r\n") + MakeRequest("/once"));
+  ASSERT_TRUE(AwaitStarted(1));
+  std::this_thread::sleep_for(milliseconds(20));
+  EXPECT_EQ(started_, 1) << "the request didn't wait for the one before it";
+  released_ = true;
+  const std::string response = SendAndReceiveAll(fd, "");
+  EXPECT_NE(response.find("/wait"), std::string::npos) << response;
+  EXPECT_EQ(response.find("/once"), std::string::npos) << response;
+  EXPECT_EQ(started_, 1);
+}
+
+// Guards against work for a client that has left after it sent further requests.
+TEST_F(overlapping_requests_test, DisconnectAfterFurtherRequestsCancelsAll) {
+  const int fd = Connect(server_.port());
+  Send(fd, MakeRequest("/wait") + MakeRequest("/wait"));
+  ASSERT_TRUE(AwaitStarted(2));
+  close(fd);
+  for (int i = 0; i < 10'000 && cancelled_ < 2; ++i) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  EXPECT_EQ(cancelled_, 2);
+}
+
+// Guards against a shutdown that drops requests which were read behind an open one.
+TEST_F(overlapping_requests_test, DrainAnswersAllThatWasRead) {
+  const int fd = Connect(server_.port());
+  Send(fd, MakeRequest("/wait") + MakeRequest("/second"));
+  ASSERT_TRUE(AwaitStarted(2));
+  server_.Drain();
+  released_ = true;
+  const std::string response = SendAndReceiveAll(fd, "");
+  EXPECT_NE(response.find("/wait"), std::string::npos) << response;
+  EXPECT_NE(response.find("/second"), std::string::npos) << response;
+  EXPECT_EQ(response.find("Connection: close"), response.rfind("Connection: close")) << response;
+  EXPECT_LT(response.find("/wait"), response.find("Connection: close")) << response;
+}
+
+// Guards against an error response that is lost because the server closes the connection while
+// further bytes of the request arrive.
+TEST_F(http_server_test, ErrorResponseArrivesAlthoughTheClientGoesOnSending) {
+  const std::string response = SendAndReceiveAll(
+      server_.port(),
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n" + std::string(100'000, 'x'));
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 413")) << response;
+}
+
 }  // namespace
 }  // namespace siskinrack::net
