--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -83,7 +83,10 @@
               endpoint_feed_.Interrupt();
             }),
         caller_server_(
-            context_.runtime, {.address = context_.settings.caller_address},
+            context_.runtime,
+            {.address = context_.settings.caller_address,
+             .may_overlap =
+                 [this](const net::http_request& request) { return entry_.MayOverlap(request); }},
             net::OmitHeadBodies([this](net::http_request request, net::cancellation& cancel) {
               return entry_.Handle(std::move(request), cancel);
             })),
