net: large frames are paced to the network link of the VM

Change: link_pacer passes frames above 16 KiB to the sockets in parts, one frame after the other, as the link has room (linkMbps of the settings); small frames pass between them. answer_link refuses a call at once whose answer can't be sent before its deadline, or which another node may send in time. Answers carry link_wait_ms, and the choice of the endpoint counts it for large bodies.

--- a/include/siskinrack/balancing/endpoint_state.h
+++ b/include/siskinrack/balancing/endpoint_state.h
@@ -49,6 +49,8 @@
   nanoseconds service{0};
   /// Service time that was expected of an average upstream (call_profile); zero if unknown.
   nanoseconds expected_service{0};
+  /// Time for which a large answer waits for the network link of the serving node.
+  nanoseconds link_wait{0};
 };
 
 /// Availability of an endpoint for new calls.
@@ -80,6 +82,8 @@
     double predicted_ms = 0;
     /// Fraction of the recent calls that the upstream itself refused.
     double shed_rate = 0;
+    /// Expected time for which a large answer waits for the network link of the serving node.
+    double link_wait_ms = 0;
     /// End of the pause that the upstream requested; a past time if there is none.
     time_point paused_until;
   };
@@ -126,6 +130,7 @@
   /// Number of calls that ran or waited at the upstream according to its last report.
   double load_ = 0;
   time_point load_reported_at_;
+  double link_wait_ms_ = 0;
   unsigned consecutive_failures_ = 0;
   bool probing_ = false;
   time_point ejected_until_;
--- a/include/siskinrack/balancing/selection.h
+++ b/include/siskinrack/balancing/selection.h
@@ -24,6 +24,10 @@
 /// expensive: a large body crosses only if the wait in the own domain would be very long.
 inline constexpr double kCrossDomainMsPerKilobyte = 10;
 
+/// Bodies from this size on wait for the network link of the serving node; smaller ones are sent
+/// ahead of them.
+inline constexpr double kLargeBodyKilobytes = 16;
+
 /// Criteria for selecting an endpoint by expected completion time.
 struct completion_goal {
   /// Remaining time in which an answer has its full worth.
--- a/include/siskinrack/net/peer.h
+++ b/include/siskinrack/net/peer.h
@@ -19,6 +19,8 @@
 
 namespace siskinrack::net {
 
+class link_pacer;
+
 /// State that all links of a process share. A link is a TCP connection between two nodes that
 /// carries frames (wire/frame.h). `clock` and `traffic` must not be null.
 struct peer_context {
@@ -27,6 +29,8 @@
   traffic_counters* traffic = nullptr;
   /// Source IP address of outgoing links; if empty, the kernel selects one.
   std::string source_ip;
+  /// Paces large frames; null if they are sent at once.
+  link_pacer* pacer = nullptr;
   /// Number of call answers that are queued or being written. A shutdown waits until it is 0.
   std::atomic<std::size_t> unwritten_answers = 0;
 };
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -1535,6 +1535,7 @@
   float named_limit = 0.0f;
   uint32_t work_left_ms = 0;
   float slowness = 0.0f;
+  uint32_t link_wait_ms = 0;
   call_answer_t() = default;
   call_answer_t(const call_answer_t &o);
   call_answer_t(call_answer_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1561,7 +1562,8 @@
     VT_LEAVING = 30,
     VT_NAMED_LIMIT = 32,
     VT_WORK_LEFT_MS = 34,
-    VT_SLOWNESS = 36
+    VT_SLOWNESS = 36,
+    VT_LINK_WAIT_MS = 38
   };
   siskinrack::wire::outcome_kind outcome() const {
     return static_cast<siskinrack::wire::outcome_kind>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -1614,6 +1616,9 @@
   float slowness() const {
     return GetField<float>(VT_SLOWNESS, 0.0f);
   }
+  uint32_t link_wait_ms() const {
+    return GetField<uint32_t>(VT_LINK_WAIT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -1638,6 +1643,7 @@
            VerifyField<float>(verifier, VT_NAMED_LIMIT, 4) &&
            VerifyField<uint32_t>(verifier, VT_WORK_LEFT_MS, 4) &&
            VerifyField<float>(verifier, VT_SLOWNESS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LINK_WAIT_MS, 4) &&
            verifier.EndTable();
   }
   call_answer_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1700,6 +1706,9 @@
   void add_slowness(float slowness) {
     fbb_.AddElement<float>(call_answer::VT_SLOWNESS, slowness, 0.0f);
   }
+  void add_link_wait_ms(uint32_t link_wait_ms) {
+    fbb_.AddElement<uint32_t>(call_answer::VT_LINK_WAIT_MS, link_wait_ms, 0);
+  }
   explicit call_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1729,9 +1738,11 @@
     bool leaving = false,
     float named_limit = 0.0f,
     uint32_t work_left_ms = 0,
-    float slowness = 0.0f) {
+    float slowness = 0.0f,
+    uint32_t link_wait_ms = 0) {
   call_answerBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
+  builder_.add_link_wait_ms(link_wait_ms);
   builder_.add_slowness(slowness);
   builder_.add_work_left_ms(work_left_ms);
   builder_.add_named_limit(named_limit);
@@ -1769,7 +1780,8 @@
     bool leaving = false,
     float named_limit = 0.0f,
     uint32_t work_left_ms = 0,
-    float slowness = 0.0f) {
+    float slowness = 0.0f,
+    uint32_t link_wait_ms = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::header_field>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -1792,7 +1804,8 @@
       leaving,
       named_limit,
       work_left_ms,
-      slowness);
+      slowness,
+      link_wait_ms);
 }
 
 flatbuffers::Offset<call_answer> Createcall_answer(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5180,7 +5193,8 @@
         leaving(o.leaving),
         named_limit(o.named_limit),
         work_left_ms(o.work_left_ms),
-        slowness(o.slowness) {
+        slowness(o.slowness),
+        link_wait_ms(o.link_wait_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -5203,6 +5217,7 @@
   std::swap(named_limit, o.named_limit);
   std::swap(work_left_ms, o.work_left_ms);
   std::swap(slowness, o.slowness);
+  std::swap(link_wait_ms, o.link_wait_ms);
   return *this;
 }
 
@@ -5232,6 +5247,7 @@
   { auto _e = named_limit(); _o->named_limit = _e; }
   { auto _e = work_left_ms(); _o->work_left_ms = _e; }
   { auto _e = slowness(); _o->slowness = _e; }
+  { auto _e = link_wait_ms(); _o->link_wait_ms = _e; }
 }
 
 inline flatbuffers::Offset<call_answer> call_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_answer_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5259,6 +5275,7 @@
   auto _named_limit = _o->named_limit;
   auto _work_left_ms = _o->work_left_ms;
   auto _slowness = _o->slowness;
+  auto _link_wait_ms = _o->link_wait_ms;
   return siskinrack::wire::Createcall_answer(
       _fbb,
       _outcome,
@@ -5277,7 +5294,8 @@
       _leaving,
       _named_limit,
       _work_left_ms,
-      _slowness);
+      _slowness,
+      _link_wait_ms);
 }
 
 inline call_cancel_t *call_cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/lib/balancing/endpoint_state.cpp
+++ b/lib/balancing/endpoint_state.cpp
@@ -46,6 +46,7 @@
   result.cost_ms = latency * (static_cast<double>(in_flight_) + load + 1) / slots_;
   result.predicted_ms = PredictedMs(now, expected_service);
   result.shed_rate = Decay(shed_rate_, now - shed_rate_updated_at_, kPenaltyTimeConstant);
+  result.link_wait_ms = Decay(link_wait_ms_, now - load_reported_at_, kLoadTimeConstant);
   result.paused_until = paused_until_;
   if (now < paused_until_) {
     result.ready = readiness::kPaused;
@@ -96,6 +97,7 @@
   if (report.load) {
     load_ = report.load->in_flight + report.load->queued;
     load_reported_at_ = now;
+    link_wait_ms_ = Ms(report.link_wait);
     in_flight_at_report_ = in_flight_;
     if (report.load->slots > 0) slots_ = report.load->slots;
   }
--- a/lib/balancing/selection.cpp
+++ b/lib/balancing/selection.cpp
@@ -149,6 +149,7 @@
     switch (view.ready) {
       case readiness::kAvailable:
         predicted_ms = view.predicted_ms + view.shed_rate * goal.refusal_cost_ms;
+        if (goal.kilobytes >= kLargeBodyKilobytes) predicted_ms += view.link_wait_ms;
         (is_local ? local : remote).Offer(i, predicted_ms);
         if (predicted_ms + (is_local ? 0 : crossing_ms) <= goal.in_time_ms) ++in_time;
         break;
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -77,6 +77,7 @@
     report.load = balancing::reported_load{answer.in_flight, answer.queued, answer.slots};
   }
   report.service = milliseconds(answer.service_ms);
+  report.link_wait = milliseconds(answer.link_wait_ms);
   if (answer.cause == answer_cause::draining) {
     report.retry_after = milliseconds(answer.retry_after_ms);
   }
--- a/lib/mesh/mesh_context.h
+++ b/lib/mesh/mesh_context.h
@@ -10,6 +10,7 @@
 #include "siskinrack/net/cancellation.h"
 #include "siskinrack/net/fiber_runtime.h"
 #include "siskinrack/net/http_client.h"
+#include "siskinrack/net/link_pacer.h"
 #include "siskinrack/net/peer.h"
 #include "siskinrack/routing/endpoint_table.h"
 #include "siskinrack/routing/route_table.h"
@@ -34,7 +35,12 @@
         store(runtime, settings.store_address),
         upstream_client(runtime, kMaxIdleUpstreamConnections,
                         settings.memory_bytes / kResponseMemoryDivisor),
-        peers(runtime, peer, {.dial_timeout = kPeerDialTimeout, .backoff_max = kPeerBackoffMax}) {}
+        peers(runtime, peer, {.dial_timeout = kPeerDialTimeout, .backoff_max = kPeerBackoffMax}) {
+    if (settings.link_bytes_per_second > 0) {
+      pacer.emplace(settings.link_bytes_per_second);
+      peer.pacer = &*pacer;
+    }
+  }
 
   /// Returns the active configuration version, or 0 if there is none.
   [[nodiscard]] std::uint64_t version() const {
@@ -57,6 +63,8 @@
   net::traffic_counters traffic;
   support::request_metrics requests;
   unreadable_objects unreadable{log};
+  /// Empty if the capacity of the network link is unknown.
+  std::optional<net::link_pacer> pacer;
   net::peer_context peer;
   net::fiber_runtime runtime;
   platform_adapter::objects_client store;
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -2,6 +2,7 @@
 
 #include <thread>
 
+#include "answer_link.h"
 #include "call_answers.h"
 #include "config_consumer.h"
 #include "crash_guard.h"
@@ -259,7 +260,9 @@
     }
     const auto* call = message.message.Ascall_request();
     if (call == nullptr) return std::nullopt;
-    return wire::MakeEnvelope(serving_.Serve(*call, cancel));
+    wire::call_answer_t answer = serving_.Serve(*call, cancel, answer_link_.FindRefusal(*call));
+    answer_link_.OnAnswer(*call, answer);
+    return wire::MakeEnvelope(std::move(answer));
   }
 
   std::string path_;
@@ -270,6 +273,7 @@
   registration registration_;
   crash_guard crashes_;
   serving_service serving_;
+  answer_link answer_link_{context_};
   endpoint_reaper reaper_;
   entry_service entry_;
   config_consumer configs_;
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -143,11 +143,13 @@
 }
 
 wire::call_answer_t serving_service::Serve(const wire::call_request_t& call,
-                                           net::cancellation& cancel) {
+                                           net::cancellation& cancel,
+                                           std::optional<wire::call_answer_t> link_refusal) {
   const support::in_flight_guard count(in_flight_);
   last_call_ = steady_clock::now();
   const auto deadline = steady_clock::now() + milliseconds(call.deadline_ms);
   auto refusal = FindRefusal(call);
+  if (!refusal) refusal = std::move(link_refusal);
   wire::call_answer_t answer = refusal ? std::move(*refusal) : AdmitAndSend(call, deadline, cancel);
   const admission::upstream_load load = gate_->WithController(
       [](const admission::deadline_controller& controller) { return controller.Load(); });
--- a/lib/mesh/serving_service.h
+++ b/lib/mesh/serving_service.h
@@ -20,8 +20,10 @@
   serving_service(mesh_context& context, registration& instance, crash_guard& crashes);
 
   /// Serves one call and returns its answer with the load of the upstream. The outcome of the
-  /// answer shows whether the call ran. May suspend the calling fiber.
-  wire::call_answer_t Serve(const wire::call_request_t& call, net::cancellation& cancel);
+  /// answer shows whether the call ran. `link_refusal` is the refusal of a call whose answer can't
+  /// be sent in time. May suspend the calling fiber.
+  wire::call_answer_t Serve(const wire::call_request_t& call, net::cancellation& cancel,
+                            std::optional<wire::call_answer_t> link_refusal = std::nullopt);
 
   /// Refuses all calls from now on, because the node is about to exit. Requires
   /// mesh_context::shutdown. The answers tell other nodes for how long not to call again.
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -8,6 +8,7 @@
 
 #include "await.h"
 #include "listener.h"
+#include "siskinrack/net/link_pacer.h"
 #include "siskinrack/support/scope_exit.h"
 
 namespace siskinrack::net::detail {
@@ -114,26 +115,80 @@
     ++queued_answers_;
     ++context_.unwritten_answers;
   }
+  if (IsPaced(frame)) AddWaiting(frame.bytes.size());
   queue_.push_back(std::move(frame));
   if (!write_active_) StartWrite();
 }
 
 void peer_link::StartWrite() {
   write_active_ = true;
-  write_buffer_.clear();
-  for (queued_frame& frame : queue_) {
-    write_buffer_ += frame.bytes;
+  if (context_.pacer == nullptr) {
+    writing_ = std::exchange(queue_, {});
+  } else {
+    TakeSmallFrames();
+    if (writing_.empty()) {
+      writing_.push_back(std::move(queue_.front()));
+      queue_.pop_front();
+    }
+  }
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(writing_.size());
+  std::size_t bytes = 0;
+  for (const queued_frame& frame : writing_) {
     if (frame.request != nullptr) frame.request->sent = true;
+    if (frame.is_answer) ++writing_answers_;
+    buffers.push_back(asio::buffer(frame.bytes));
+    bytes += frame.bytes.size();
   }
-  queue_.clear();
-  writing_answers_ = std::exchange(queued_answers_, 0);
-  asio::async_write(socket_, asio::buffer(write_buffer_),
+  queued_answers_ -= writing_answers_;
+  if (IsPaced(writing_.front())) return WritePart(0);
+  if (context_.pacer != nullptr) context_.pacer->OnSent(bytes);
+  asio::async_write(socket_, buffers,
                     [self = shared_from_this()](const boost::system::error_code& error,
                                                 std::size_t) { self->OnWritten(error); });
 }
 
+void peer_link::AddWaiting(std::size_t bytes) {
+  waiting_bytes_ += bytes;
+  context_.pacer->AddWaiting(bytes);
+}
+
+void peer_link::DropWaiting(std::size_t bytes) {
+  waiting_bytes_ -= bytes;
+  context_.pacer->DropWaiting(bytes);
+}
+
+bool peer_link::IsPaced(const queued_frame& frame) const {
+  return context_.pacer != nullptr && frame.bytes.size() > link_pacer::kLargeFrameBytes;
+}
+
+void peer_link::TakeSmallFrames() {
+  std::deque<queued_frame> large;
+  for (queued_frame& frame : queue_) {
+    (IsPaced(frame) ? large : writing_).push_back(std::move(frame));
+  }
+  queue_ = std::move(large);
+}
+
+void peer_link::WritePart(std::size_t offset) {
+  const std::size_t size = std::min(link_pacer::kPartBytes, writing_.front().bytes.size() - offset);
+  waiting_bytes_ -= size;
+  context_.pacer->SendPart(
+      size, /*continues=*/offset > 0, [self = shared_from_this(), offset, size] {
+        if (self->closed_) return self->OnWritten(asio::error::operation_aborted);
+        asio::async_write(
+            self->socket_, asio::buffer(self->writing_.front().bytes.data() + offset, size),
+            [self, offset, size](const boost::system::error_code& error, std::size_t) {
+              const bool is_last = offset + size == self->writing_.front().bytes.size();
+              if (error || is_last || self->closed_) return self->OnWritten(error);
+              self->WritePart(offset + size);
+            });
+      });
+}
+
 void peer_link::OnWritten(const boost::system::error_code& error) {
   write_active_ = false;
+  writing_.clear();
   context_.unwritten_answers -= std::exchange(writing_answers_, 0);
   if (error) return Close();
   if (!queue_.empty() && !closed_) StartWrite();
@@ -181,7 +236,11 @@
     return {exchange_stage::kAnswered, std::move(pending->reply), {}, false};
   }
   if (!pending->sent) {
-    std::erase_if(queue_, [&](const queued_frame& frame) { return frame.request == pending; });
+    std::erase_if(queue_, [&](const queued_frame& frame) {
+      const bool matches = frame.request == pending;
+      if (matches && !closed_ && IsPaced(frame)) DropWaiting(frame.bytes.size());
+      return matches;
+    });
     return {exchange_stage::kNotSent, nullptr,
             "request was not sent before the deadline, a cancellation or the end of the link",
             timed_out};
@@ -264,6 +323,7 @@
   if (closed_) return;
   closed_ = true;
   context_.unwritten_answers -= std::exchange(queued_answers_, 0);
+  if (waiting_bytes_ > 0) DropWaiting(waiting_bytes_);
   idle_timer_.cancel();
   liveness_timer_.cancel();
   const bool reply_missing = std::any_of(pending_requests_.begin(), pending_requests_.end(),
--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -70,6 +70,14 @@
 
   void Enqueue(queued_frame frame);
   void StartWrite();
+  /// Returns true if the frame is sent in parts when the network link has room for them.
+  [[nodiscard]] bool IsPaced(const queued_frame& frame) const;
+  /// Moves the frames that aren't paced from `queue_` to `writing_`.
+  void TakeSmallFrames();
+  /// Writes the paced frame in `writing_` from `offset` on.
+  void WritePart(std::size_t offset);
+  void AddWaiting(std::size_t bytes);
+  void DropWaiting(std::size_t bytes);
   void OnWritten(const boost::system::error_code& error);
   /// Handles one encoded envelope. Returns false if it is malformed.
   bool Dispatch(std::span<const std::uint8_t> bytes);
@@ -110,9 +118,11 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<pending_request>> pending_requests_;
   std::deque<queued_frame> queue_;
   /// Frames that are being written.
-  std::string write_buffer_;
+  std::deque<queued_frame> writing_;
   bool write_active_ = false;
-  /// Numbers of call answers in `write_buffer_` and in `queue_`, included in the context's
+  /// Bytes of paced frames that have not been passed to the pacer.
+  std::size_t waiting_bytes_ = 0;
+  /// Numbers of call answers in `writing_` and in `queue_`, included in the context's
   /// unwritten_answers.
   std::size_t writing_answers_ = 0;
   std::size_t queued_answers_ = 0;
