--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -188,10 +189,10 @@
   }
   gave_up_ = true;
   SendCancel(id);
-  return {exchange_stage::kSent, nullptr,
-          closed_ ? "link was closed before the reply"
-                  : "no reply before the deadline or a cancellation",
-          timed_out};
+  std::string_view reason = "no reply before the deadline or a cancellation";
+  if (closed_) reason = "link was closed before the reply";
+  if (!closed_ && silent_ && !timed_out) reason = "peer showed no sign of life";
+  return {exchange_stage::kSent, nullptr, std::string(reason), timed_out};
 }
 
 void peer_link::StartLivenessChecks() {
