--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -123,8 +123,9 @@
   return response;
 }
 
-mesh_fleet::mesh_fleet(const std::vector<std::string>& services)
+mesh_fleet::mesh_fleet(const std::vector<std::string>& services, machine_limits limits)
     : services_(services),
+      limits_(limits),
       network_(PickNetwork()),
       sequences_(services.size()),
       states_(services.size(), "ready") {
@@ -160,6 +161,18 @@
   return network_ + std::to_string(machine + 1);
 }
 
+support::socket_address mesh_fleet::caller(std::size_t machine) const {
+  return {MakeIp(machine), kCallerPort};
+}
+
+support::socket_address mesh_fleet::upstream(std::size_t machine) const {
+  return {MakeIp(machine), kUpstreamPort};
+}
+
+support::socket_address mesh_fleet::peer(std::size_t machine) const {
+  return {MakeIp(machine), kPeerPort};
+}
+
 std::filesystem::path mesh_fleet::MakePath(std::size_t machine, const std::string& suffix) const {
   return work_dir_ / ("node-" + std::to_string(machine) + suffix);
 }
@@ -180,7 +193,7 @@
         {"control", at(kHeartbeatPort)}}},
       {"portRange", {kMetricsPort, kMetricsPort + 10}},
       {"heartbeatS", 0.5},
-      {"limits", {{"memoryMb", 260}}},
+      {"limits", {{"memoryMb", limits_.memory_mb}, {"maxFds", limits_.max_descriptors}}},
       {"bounds",
        {"configApplyS=2", "drainS=1", "graceS=6", "budgetRatio=0.2", "budgetExtra=60",
         "budgetWindowS=10"}},
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -54,6 +54,8 @@
   void SetNamedLimit(double per_second) { named_limit_ = per_second; }
   /// Announces in every answer that the upstream is leaving.
   void SetLeaving() { leaving_ = true; }
+  /// Stops serving, so that another server can take the address.
+  void Stop() { server_->Stop(); }
   [[nodiscard]] const std::string& id() const { return id_; }
 
  private:
@@ -77,6 +79,12 @@
   std::unique_ptr<net::http_server> server_;
 };
 
+/// Limits of a simulated VM, as its settings state them.
+struct machine_limits {
+  std::size_t memory_mb = 260;
+  std::size_t max_descriptors = 4'100;
+};
+
 /// Runs a mesh of real node processes, each on its own loopback address, with stand-ins for the
 /// store and the upstreams. A machine is a simulated VM, identified by its index in the list of
 /// services.
@@ -84,7 +92,7 @@
  public:
   /// Starts the store and one upstream for each element of `services`, but no nodes. Throws
   /// std::runtime_error if the working directory can't be created.
-  explicit mesh_fleet(const std::vector<std::string>& services);
+  explicit mesh_fleet(const std::vector<std::string>& services, machine_limits limits = {});
   ~mesh_fleet();
 
   /// Writes version `version` of the configuration to the store. It has two routes to each service:
@@ -114,6 +122,11 @@
   }
   /// Returns the node process of a machine, which must have been started.
   [[nodiscard]] child_process& node(std::size_t machine) { return *nodes_[machine]; }
+  /// Returns the address for requests of callers, the one for links of other nodes and the one of
+  /// the upstream.
+  [[nodiscard]] support::socket_address caller(std::size_t machine) const;
+  [[nodiscard]] support::socket_address upstream(std::size_t machine) const;
+  [[nodiscard]] support::socket_address peer(std::size_t machine) const;
   /// Returns the output of all processes that were started with StartNode for the machine.
   [[nodiscard]] std::string ReadLog(std::size_t machine) const;
 
@@ -128,6 +141,7 @@
                                                const std::string& suffix) const;
 
   std::vector<std::string> services_;
+  machine_limits limits_;
   std::string network_;
   std::filesystem::path work_dir_;
   net::fiber_runtime runtime_{2};
