--- a/include/siskinrack/net/http.h
+++ b/include/siskinrack/net/http.h
@@ -28,6 +28,9 @@
   std::string body;
   /// Value of the Host field. If it is empty, http_client sends the address that it connects to.
   std::string host;
+  /// Body that http_client sends in place of `body` if it isn't empty. The owner of the bytes keeps
+  /// them until the exchange ends; a large body isn't copied then.
+  std::string_view body_view = {};
 };
 
 /// Represents an HTTP response. `fields` excludes the same fields as in http_request.
--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -12,6 +12,7 @@
 #include "siskinrack/net/cancellation.h"
 #include "siskinrack/net/fiber_runtime.h"
 #include "siskinrack/net/http.h"
+#include "siskinrack/net/memory_budget.h"
 #include "siskinrack/support/socket_address.h"
 
 namespace siskinrack::net {
@@ -77,9 +78,11 @@
 class http_client {
  public:
   /// `body_budget` bounds the bytes of all response bodies that are being received; an exchange
-  /// that exceeds it fails. A server may send a body without end.
+  /// that exceeds it fails. A server may send a body without end. They are also charged to `memory`
+  /// unless it is null.
   explicit http_client(fiber_runtime& runtime, std::size_t max_idle_per_thread = 64,
-                       std::size_t body_budget = std::numeric_limits<std::size_t>::max());
+                       std::size_t body_budget = std::numeric_limits<std::size_t>::max(),
+                       memory_budget* memory = nullptr);
   ~http_client();
 
   /// Sends a request and waits for the response, `deadline` or a cancellation. A cancelled or
--- a/include/siskinrack/net/http_server.h
+++ b/include/siskinrack/net/http_server.h
@@ -11,6 +11,8 @@
 #include "siskinrack/net/cancellation.h"
 #include "siskinrack/net/fiber_runtime.h"
 #include "siskinrack/net/http.h"
+#include "siskinrack/net/limit_counters.h"
+#include "siskinrack/net/memory_budget.h"
 #include "siskinrack/support/socket_address.h"
 
 namespace siskinrack::net {
@@ -24,8 +26,13 @@
 struct http_server_options {
   support::socket_address address;
   http_limits limits = {};
-  /// Limit of the number of open connections. Connections beyond it are closed on accept.
+  /// Limit of the number of open connections. Beyond it, the connection that has been idle for the
+  /// longest time is closed, or the new one if none is idle.
   std::size_t max_connections = 4096;
+  /// Budget for connections, request bodies and responses; may be null.
+  memory_budget* memory = nullptr;
+  /// Counts the limits that act on clients; may be null.
+  limit_counters* client_limits = nullptr;
   std::chrono::milliseconds write_timeout{10'000};
   /// Returns true if the request may run while earlier requests on its connection are unanswered.
   /// It may run although its client doesn't count it as read, because an earlier response closes
--- a/include/siskinrack/net/peer.h
+++ b/include/siskinrack/net/peer.h
@@ -12,6 +12,7 @@
 #include "siskinrack/net/cancellation.h"
 #include "siskinrack/net/fiber_runtime.h"
 #include "siskinrack/net/http_client.h"
+#include "siskinrack/net/memory_budget.h"
 #include "siskinrack/net/traffic.h"
 #include "siskinrack/support/hybrid_clock.h"
 #include "siskinrack/support/socket_address.h"
@@ -27,6 +28,8 @@
   traffic_counters* traffic = nullptr;
   /// Source IP address of outgoing links; if empty, the kernel selects one.
   std::string source_ip;
+  /// Budget for the frames that are received and sent; may be null.
+  memory_budget* memory = nullptr;
   /// Number of call answers that are queued or being written. A shutdown waits until it is 0.
   std::atomic<std::size_t> unwritten_answers = 0;
 };
--- a/include/siskinrack/net/wire_fields.h
+++ b/include/siskinrack/net/wire_fields.h
@@ -1,6 +1,7 @@
 #ifndef SISKINRACK_NET_WIRE_FIELDS_H_
 #define SISKINRACK_NET_WIRE_FIELDS_H_
 
+#include <cstdint>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,11 @@
   return ToWireFields(fields, [](std::string_view) { return false; });
 }
 
+/// Returns a view of the body of a wire message.
+inline std::string_view ViewBytes(const std::vector<std::uint8_t>& bytes) {
+  return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
+}
+
 }  // namespace siskinrack::net
 
 #endif  // SISKINRACK_NET_WIRE_FIELDS_H_
--- a/include/siskinrack/node/node_settings.h
+++ b/include/siskinrack/node/node_settings.h
@@ -40,6 +40,10 @@
   std::chrono::milliseconds drain_period{3'000};
   /// Offset added to the clock, for tests.
   std::chrono::milliseconds clock_skew{0};
+  /// Memory of the process in bytes. Requests that would exceed it are refused.
+  std::size_t memory_bytes = std::size_t{1'024} * 1'000'000;
+  /// Limit of the connections of callers.
+  std::size_t max_connections = 4'096;
   /// Source IP address of links to peers; if empty, the kernel selects it.
   std::string source_ip;
   support::log_level log_level = support::log_level::kInfo;
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -298,6 +298,10 @@
     const net::scoped_callback on_recall(&context_.recall, [&withdrawn] { withdrawn.Cancel(); });
     return serving_.Serve(state.call, withdrawn);
   }
+  // The frame needs as much memory as the request until it is sent.
+  if (!context_.memory.HasRoom(state.call.body.size())) {
+    return MakeNotRunAnswer(answer_cause::no_capacity, "no memory to send the request");
+  }
   auto result = context_.peers.Request(target.node_address,
                                        wire::MakeEnvelope(wire::call_request_t(state.call)),
                                        state.deadline + kAnswerMargin, &cancel, &context_.recall);
--- a/lib/mesh/mesh_context.h
+++ b/lib/mesh/mesh_context.h
@@ -10,6 +10,7 @@
 #include "siskinrack/net/cancellation.h"
 #include "siskinrack/net/fiber_runtime.h"
 #include "siskinrack/net/http_client.h"
+#include "siskinrack/net/limit_counters.h"
 #include "siskinrack/net/peer.h"
 #include "siskinrack/routing/endpoint_table.h"
 #include "siskinrack/routing/route_table.h"
@@ -28,11 +29,17 @@
   explicit mesh_context(platform_adapter::machine_settings checked)
       : settings(std::move(checked)),
         log(settings.node_id, clock, support::log_level::kInfo, /*recent_events=*/0),
-        peer{settings.node_id, &clock, &traffic, settings.ip},
+        memory(net::ComputeMemoryLimits(settings.memory_bytes)),
+        client_limits([this](net::client_limit limit, std::uint64_t count) {
+          log.Warn(
+              "client_limited",
+              {{"limit", net::ToText(limit)}, {"count", count}, {"charged_bytes", memory.used()}});
+        }),
+        peer{settings.node_id, &clock, &traffic, settings.ip, &memory},
         runtime(1),
         store(runtime, settings.store_address),
         upstream_client(runtime, kMaxIdleUpstreamConnections,
-                        settings.memory_bytes / kResponseMemoryDivisor),
+                        settings.memory_bytes / kResponseMemoryDivisor, &memory),
         peers(runtime, peer, {.dial_timeout = kPeerDialTimeout, .backoff_max = kPeerBackoffMax}) {}
 
   /// Returns the active configuration version, or 0 if there is none.
@@ -55,6 +62,8 @@
   support::event_log log;
   net::traffic_counters traffic;
   support::request_metrics requests;
+  net::memory_budget memory;
+  net::limit_counters client_limits;
   net::peer_context peer;
   net::fiber_runtime runtime;
   platform_adapter::objects_client store;
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -30,6 +30,14 @@
 /// memory several times: as read from the caller, as a frame, and as received by the other node. A
 /// few bodies at once have to fit into the memory of a small VM.
 constexpr std::size_t kBodyMemoryDivisor = 16;
+/// Descriptors that the platform keeps for files.
+constexpr std::size_t kFileDescriptors = 200;
+/// Part of the other descriptors that is for connections of callers, in percent. The rest is for
+/// the store, the upstream and links to other nodes.
+constexpr std::size_t kCallerDescriptorPercent = 75;
+constexpr std::size_t kPercent = 100;
+/// Limit of the connections to each port that only the platform and the local upstream use.
+constexpr std::size_t kMaxLocalConnections = 32;
 /// Pause after a watch call that returned changes, as a fraction of the time within which these
 /// must have an effect; changes made in the pause arrive in one call. Leaves the rest for the call
 /// itself, one repetition of it and the activation.
@@ -39,6 +47,10 @@
   return std::chrono::duration_cast<milliseconds>(limit * kWatchPauseFraction);
 }
 
+std::size_t CountCallerConnections(const platform_adapter::machine_settings& settings) {
+  return (settings.max_descriptors - kFileDescriptors) * kCallerDescriptorPercent / kPercent;
+}
+
 }  // namespace
 
 std::optional<std::string> FindPlatformSettingsPath() {
@@ -75,23 +87,23 @@
               config_feed_.Interrupt();
               endpoint_feed_.Interrupt();
             }),
-        caller_server_(
-            context_.runtime,
-            {.address = context_.settings.caller_address,
-             .may_overlap =
-                 [this](const net::http_request& request) { return entry_.MayOverlap(request); }},
-            [this](net::http_request request, net::cancellation& cancel) {
-              return entry_.Handle(std::move(request), cancel);
-            }),
-        ready_server_(context_.runtime, {.address = context_.settings.ready_address},
+        caller_server_(context_.runtime, MakeCallerOptions(),
+                       [this](net::http_request request, net::cancellation& cancel) {
+                         return entry_.Handle(std::move(request), cancel);
+                       }),
+        ready_server_(context_.runtime,
+                      MakeServerOptions(context_.settings.ready_address, kMaxLocalConnections),
                       [this](const net::http_request& request, net::cancellation&) {
                         return HandleReady(request);
                       }),
-        heartbeat_server_(context_.runtime, {.address = context_.settings.heartbeat_address},
-                          [this](const net::http_request& request, net::cancellation&) {
-                            return registration_.Handle(request);
-                          }),
-        metrics_server_(context_.runtime, {.address = context_.settings.metrics_address},
+        heartbeat_server_(
+            context_.runtime,
+            MakeServerOptions(context_.settings.heartbeat_address, kMaxLocalConnections),
+            [this](const net::http_request& request, net::cancellation&) {
+              return registration_.Handle(request);
+            }),
+        metrics_server_(context_.runtime,
+                        MakeServerOptions(context_.settings.metrics_address, kMaxLocalConnections),
                         [this](const net::http_request& request, net::cancellation&) {
                           return HandleMetrics(request);
                         }),
@@ -156,6 +168,25 @@
     if (!error.empty()) problems.Add(std::string(name) + " address", error);
   }
 
+  net::http_server_options MakeServerOptions(const support::socket_address& address,
+                                             std::size_t max_connections) {
+    net::http_server_options options;
+    options.address = address;
+    options.max_connections = max_connections;
+    options.memory = &context_.memory;
+    options.client_limits = &context_.client_limits;
+    return options;
+  }
+
+  net::http_server_options MakeCallerOptions() {
+    net::http_server_options options = MakeServerOptions(context_.settings.caller_address,
+                                                         CountCallerConnections(context_.settings));
+    options.may_overlap = [this](const net::http_request& request) {
+      return entry_.MayOverlap(request);
+    };
+    return options;
+  }
+
   [[nodiscard]] std::size_t CountOpenRequests() const {
     return caller_server_.in_flight() + serving_.in_flight() + context_.peer.unwritten_answers;
   }
@@ -218,6 +249,7 @@
                    static_cast<double>(context_.log.dropped()));
     page.AddMetric("siskinrack_resident_bytes", "gauge", "resident memory");
     page.AddSample("siskinrack_resident_bytes", {}, support::GetProcessResidentBytes());
+    net::AddLimitMetrics(page, context_.memory, context_.client_limits);
     return {kStatusOk, {{"Content-Type", "text/plain"}}, page.text()};
   }
 
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -201,8 +201,8 @@
 wire::call_answer_t serving_service::SendToUpstream(const wire::call_request_t& call,
                                                     net::steady_time deadline,
                                                     net::cancellation& cancel) {
-  net::http_request request{
-      call.method, call.target, {}, {call.body.begin(), call.body.end()}, call.host};
+  net::http_request request{call.method, call.target, {}, {}, call.host};
+  request.body_view = net::ViewBytes(call.body);
   request.fields.reserve(call.headers.size() + 3);
   for (const auto& field : call.headers) request.fields.push_back({field->name, field->value});
   const auto remaining = std::chrono::floor<milliseconds>(deadline - steady_clock::now());
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -107,9 +107,10 @@
 
 class http_client::impl {
  public:
-  impl(fiber_runtime& runtime, std::size_t max_idle, std::size_t body_budget)
+  impl(fiber_runtime& runtime, std::size_t max_idle, std::size_t body_budget, memory_budget* memory)
       : max_idle_(max_idle),
         body_budget_(body_budget / runtime.thread_count()),
+        memory_(memory),
         idle_(runtime.thread_count()),
         body_bytes_(runtime.thread_count()) {}
 
@@ -124,7 +125,7 @@
     }
     bool keep_alive = false;
     http_result result =
-        SendOn(conn, reused, address, std::move(request), deadline, cancel, options, keep_alive);
+        SendOn(conn, reused, address, request, deadline, cancel, options, keep_alive);
     // A cancellation that came with the response closes the connection later, when it could be in
     // use again.
     if (cancel != nullptr && cancel->cancelled()) keep_alive = false;
@@ -158,7 +159,7 @@
   /// Sends the request on `conn` after connecting it, unless it is reused. Sets `keep_alive` to
   /// true if the connection can be reused afterwards.
   http_result SendOn(const connection_ptr& conn, bool reused,
-                     const support::socket_address& address, http_request request,
+                     const support::socket_address& address, const http_request& request,
                      steady_time deadline, cancellation* cancel, const exchange_options& options,
                      bool& keep_alive) {
     const cancel_guard guard(cancel, conn);
@@ -169,8 +170,8 @@
       if (error) return MakeFailure(exchange_stage::kNotSent, error);
     }
     conn->stream.expires_at(deadline);
-    return Exchange(conn, detail::ToBeastRequest(std::move(request), address.ToText()), deadline,
-                    options, keep_alive);
+    return Exchange(conn, detail::ToBeastRequest(request, address.ToText()), deadline, options,
+                    keep_alive);
   }
 
   static boost::system::error_code Connect(connection& conn,
@@ -187,7 +188,8 @@
   }
 
   /// Represents a request that is written while its response is read, because a server may respond
-  /// before it has read the whole body.
+  /// before it has read the whole body. The body is owned by the caller of Send, which closes the
+  /// connection, and with it an unfinished write, before it returns.
   struct pending_write {
     explicit pending_write(detail::beast_request request) : message(std::move(request)) {}
     detail::beast_request message;
@@ -249,7 +251,11 @@
                                          steady_time deadline, const exchange_options& options) {
     const steady_time latest_end = deadline + options.progress_extension;
     body_share share(body_bytes_[fiber_runtime::GetCurrentThreadIndex()], body_budget_);
+    memory_charge charge(memory_, memory_use::kResponseBody);
     while (!parser.is_done()) {
+      if (!charge.Resize(parser.get().body().size() + kMaxBufferedBytes)) {
+        return http::error::body_limit;
+      }
       const auto read = Await<std::size_t>(
           [&](auto handler) { http::async_read_some(conn.stream, conn.buffer, parser, handler); });
       if (read.error) return read.error;
@@ -304,6 +310,7 @@
   std::size_t max_idle_;
   /// Limit of the bytes that one thread receives at a time.
   std::size_t body_budget_;
+  memory_budget* memory_;
   /// Idle connections by thread; each pool is used on its thread only.
   std::vector<pool> idle_;
   /// Bytes of the bodies that are being received, by thread.
@@ -311,8 +318,8 @@
 };
 
 http_client::http_client(fiber_runtime& runtime, std::size_t max_idle_per_thread,
-                         std::size_t body_budget)
-    : impl_(std::make_unique<impl>(runtime, max_idle_per_thread, body_budget)) {}
+                         std::size_t body_budget, memory_budget* memory)
+    : impl_(std::make_unique<impl>(runtime, max_idle_per_thread, body_budget, memory)) {}
 
 http_client::~http_client() = default;
 
--- a/lib/net/http_fields.cpp
+++ b/lib/net/http_fields.cpp
@@ -52,13 +52,12 @@
 
 namespace detail {
 
-http_request FromBeastRequest(beast_request message) {
+http_request FromBeastHeader(const http::request_header<>& header) {
   http_request request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  request.host = std::string(message[http::field::host]);
-  request.fields = CopyFields(message);
-  request.body = std::move(message.body());
+  request.method = std::string(header.method_string());
+  request.target = std::string(header.target());
+  request.host = std::string(header[http::field::host]);
+  request.fields = CopyFields(header);
   return request;
 }
 
@@ -70,7 +69,7 @@
   return response;
 }
 
-beast_request ToBeastRequest(http_request request, const std::string& host) {
+beast_request ToBeastRequest(const http_request& request, const std::string& host) {
   beast_request message;
   message.method_string(request.method);
   message.target(request.target);
@@ -78,7 +77,8 @@
   InsertFields(message, request.fields);
   message.set(http::field::host, request.host.empty() ? host : request.host);
   message.keep_alive(true);
-  message.body() = std::move(request.body);
+  const std::string_view body = request.body_view.empty() ? request.body : request.body_view;
+  message.body() = {body.data(), body.size()};
   message.prepare_payload();
   return message;
 }
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -10,14 +10,15 @@
 #include <boost/fiber/mutex.hpp>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <utility>
 
 #include "await.h"
 #include "handler_failure.h"
 #include "http_fields.h"
-#include "http_framing.h"
 #include "listener.h"
+#include "request_reader.h"
 #include "response_order.h"
 #include "siskinrack/support/in_flight_guard.h"
 
@@ -29,8 +30,22 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 using detail::Await;
-
-using request_parser = http::request_parser<http::string_body>;
+using detail::read_state;
+using detail::request_reader;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// Memory of a connection: the used part of the stack of its fiber, its buffer and its state.
+constexpr std::size_t kConnectionBytes = 24U << 10U;
+/// Time without a byte after which a connection with an incomplete request makes room for another.
+constexpr milliseconds kStallTime{1'000};
+/// Time without a byte of a body after which its request is refused. Longer than the suspension of
+/// a VM that other limits tolerate.
+constexpr milliseconds kBodyProgressTimeout{5'000};
+/// Wait of a request for memory. Longer than kStallTime, so that bodies that make no progress have
+/// given back theirs.
+constexpr milliseconds kMemoryWait{1'500};
+constexpr milliseconds kMemoryPollInterval{20};
 
 /// Returns true if the peer has closed its side of the connection or the connection has failed, and
 /// false if it is open, even if data is waiting to be read.
@@ -40,22 +55,6 @@
   return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-/// Returns the status of the response to a request that can't be read.
-unsigned ToHttpStatus(const boost::system::error_code& error) {
-  if (error == http::error::body_limit) return 413;
-  if (error == http::error::header_limit) return 431;
-  if (error == beast::error::timeout) return 408;
-  return 400;
-}
-
-/// Returns true if the client caused the error, by malformed data or a timeout, and must receive an
-/// error response.
-bool IsClientError(const boost::system::error_code& error) {
-  return error == beast::error::timeout ||
-         (error.category() == http::make_error_code(http::error::bad_method).category() &&
-          error != http::error::end_of_stream);
-}
-
 }  // namespace
 
 class http_server::impl : public std::enable_shared_from_this<impl> {
@@ -108,8 +107,9 @@
   /// while the last one runs, a new fiber takes over the reading, so that a connection without
   /// overlapping requests needs one fiber only.
   struct connection {
-    connection(tcp::socket socket, std::set<connection*>& all, std::atomic<std::size_t>& open)
-        : stream(std::move(socket)), registry(all), count(open) {
+    connection(tcp::socket socket, memory_charge own_charge, std::set<connection*>& all,
+               std::atomic<std::size_t>& open)
+        : stream(std::move(socket)), charge(std::move(own_charge)), registry(all), count(open) {
       registry.insert(this);
     }
     ~connection() {
@@ -124,10 +124,32 @@
       for (cancellation* request : open_requests) request->Cancel();
     }
 
+    /// Returns true if the connection may be closed to make room for another.
+    [[nodiscard]] bool IsEvictable(steady_clock::time_point now) const {
+      if (evicted || order.open() > 0) return false;
+      return idle || lingering || IsStalled(now);
+    }
+    /// Returns true if a request is being read and no byte has arrived for a while.
+    [[nodiscard]] bool IsStalled(steady_clock::time_point now) const {
+      return reading && now - last_progress >= kStallTime;
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    memory_charge charge;
     /// True while the server waits for the first byte of a request.
     bool idle = false;
+    /// True while the server waits for further bytes of a request.
+    bool reading = false;
+    /// True while the server discards what the client sends after the last response.
+    bool lingering = false;
+    /// Time at which the connection became idle or the server began to read the request or, in a
+    /// body, at which the last bytes arrived.
+    steady_clock::time_point last_progress = steady_clock::now();
+    /// True if the request is refused because its body makes no progress.
+    bool interrupted = false;
+    /// True if the connection was closed to make room for another.
+    bool evicted = false;
     detail::response_order order;
     std::set<cancellation*> open_requests;
     /// Watch of a fiber that can't hand over the reading, because as many requests are open as may
@@ -168,12 +190,53 @@
   }
 
   void ServeConnection(tcp::socket socket) {
-    if (stopped_ || open_connections_ >= options_.max_connections) return;
-    ReadRequests(std::make_shared<connection>(std::move(socket),
-                                              connections_[fiber_runtime::GetCurrentThreadIndex()],
+    if (stopped_) return;
+    auto& connections = connections_[fiber_runtime::GetCurrentThreadIndex()];
+    memory_charge charge(options_.memory, memory_use::kConnection);
+    if (open_connections_ >= options_.max_connections || !charge.Resize(kConnectionBytes)) {
+      Count(client_limit::kConnections);
+      if (!CloseLongestIdle(connections)) return;
+      charge.ForceResize(kConnectionBytes);
+    }
+    ReadRequests(std::make_shared<connection>(std::move(socket), std::move(charge), connections,
                                               open_connections_));
   }
 
+  void Count(client_limit limit) {
+    if (options_.client_limits != nullptr) {
+      options_.client_limits->Count(limit, steady_clock::now());
+    }
+  }
+
+  /// Closes the connection that has made no progress for the longest time, idle ones first. Returns
+  /// false if none may be closed.
+  static bool CloseLongestIdle(const std::set<connection*>& connections) {
+    const auto now = steady_clock::now();
+    const auto rank = [](const connection& conn) {
+      return std::pair(conn.reading, conn.last_progress);
+    };
+    connection* oldest = nullptr;
+    for (connection* conn : connections) {
+      if (!conn->IsEvictable(now)) continue;
+      if (oldest == nullptr || rank(*conn) < rank(*oldest)) oldest = conn;
+    }
+    if (oldest == nullptr) return false;
+    oldest->evicted = true;
+    oldest->charge.Release();
+    detail::CloseQuietly(oldest->stream.socket());
+    return true;
+  }
+
+  /// Ends the reading of requests that make no progress, on all threads.
+  void InterruptStalledReads() {
+    ForEachConnection([](connection& conn) {
+      // A response that is being written would be cancelled as well.
+      if (conn.interrupted || conn.order.open() > 0 || !conn.IsStalled(steady_clock::now())) return;
+      conn.interrupted = true;
+      conn.stream.cancel();
+    });
+  }
+
   /// Reads and serves requests until the connection ends or another fiber takes over the reading.
   void ReadRequests(const connection_ptr& conn) {
     while (ServeNextRequest(conn) && !stopped_) {
@@ -183,44 +246,41 @@
   /// Reads one request and serves it. Returns true if the calling fiber has to read the next one.
   bool ServeNextRequest(const connection_ptr& conn) {
     const std::shared_ptr<const http_limits> limits = limits_.load();
-    request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits->header_bytes));
-    parser.body_limit(limits->body_bytes);
-    std::string_view problem;
-    const boost::system::error_code error = ReadRequest(*conn, parser, *limits, problem);
+    request_reader reader(*limits, options_.memory);
+    const read_result result = ReadRequest(*conn, reader, *limits);
     // The request counts as not read, because it was sent behind a response that closes.
     if (conn->order.closed()) return false;
-    if (!problem.empty()) return RefuseUnreadable(*conn, kStatusBadRequest, std::string(problem));
-    if (error && IsClientError(error)) {
-      return RefuseUnreadable(*conn, ToHttpStatus(error), error.message());
+    if (result == read_result::kRefused) {
+      return RefuseUnreadable(*conn, reader.status(), std::string(reader.error()));
     }
-    if (error) {
+    if (result == read_result::kEnded) {
       conn->CancelOpenRequests();
       return false;
     }
     open_request open(*conn, in_flight_);
-    const bool keep_alive = parser.get().keep_alive();
-    const unsigned version = parser.get().version();
-    return ServeRequest(conn, open, detail::FromBeastRequest(parser.release()), version,
-                        keep_alive);
+    return ServeRequest(conn, open, reader);
   }
 
   /// Runs the handler and writes its response when all earlier ones are written. Returns true if
   /// the calling fiber has to read the next request.
-  bool ServeRequest(const connection_ptr& conn, open_request& open, http_request request,
-                    unsigned version, bool keep_alive) {
+  bool ServeRequest(const connection_ptr& conn, open_request& open, request_reader& reader) {
     WatchConnection(conn, open.watch);
+    memory_charge charge = reader.ReleaseCharge();
+    http_request request = reader.Release();
     const bool may_overlap = options_.may_overlap && options_.may_overlap(request);
     if (!may_overlap && !AwaitTurn(*conn, open.position)) return false;
     http_response response = RunHandler(std::move(request), open.cancel);
+    // The response exists already, so it is charged in any case.
+    charge = memory_charge(options_.memory, memory_use::kResponseBody);
+    charge.ForceResize(response.body.size());
     if (!AwaitTurn(*conn, open.position)) return false;
     // No other fiber writes now, and none reads unless the reading was handed over.
     open.watch->active = false;
     boost::system::error_code ignored;
     if (!open.watch->handed_over) conn->stream.socket().cancel(ignored);
     // Requests that were read before the drain are answered on the connection.
-    const bool keep_open = keep_alive && !(draining_ && conn->order.IsLast(open.position));
-    const auto error = WriteResponse(*conn, std::move(response), version, keep_open);
+    const bool keep_open = reader.keep_alive() && !(draining_ && conn->order.IsLast(open.position));
+    const auto error = WriteResponse(*conn, std::move(response), reader.version(), keep_open);
     FinishTurn(conn, keep_open && !error);
     if (!error && !keep_open) CloseAfterResponse(*conn, open.watch->handed_over);
     return keep_open && !error && !open.watch->handed_over;
@@ -276,74 +336,107 @@
     boost::system::error_code error;
     conn.stream.socket().shutdown(tcp::socket::shutdown_send, error);
     if (error || has_reader) return;
+    conn.lingering = true;
+    conn.last_progress = steady_clock::now();
     conn.stream.expires_after(kLingerTime);
     for (std::size_t bytes = 0; bytes < kMaxLingerBytes; bytes += conn.buffer.size()) {
       conn.buffer.consume(conn.buffer.size());
-      if (ReadSome(conn)) return;
+      if (ReadSome(conn, request_reader::kBodyChunkBytes)) return;
     }
   }
 
-  /// Reads one request into `parser`. If its framing is invalid, sets `problem` to an error
-  /// message.
-  boost::system::error_code ReadRequest(connection& conn, request_parser& parser,
-                                        const http_limits& limits, std::string_view& problem) {
+  enum class read_result {
+    kRead,
+    /// The reader has the status and the text of the error response.
+    kRefused,
+    /// The client has closed the connection or sent no request.
+    kEnded,
+  };
+
+  /// Reads one request.
+  read_result ReadRequest(connection& conn, request_reader& reader, const http_limits& limits) {
     if (conn.buffer.size() == 0) {
+      // An idle connection keeps no buffer of a large request.
+      conn.buffer.shrink_to_fit();
+      conn.last_progress = steady_clock::now();
       conn.stream.expires_after(limits.idle_timeout);
       conn.idle = conn.order.open() == 0;
-      const auto read_error = ReadSome(conn);
+      const auto error = ReadSome(conn, request_reader::kReadChunkBytes);
       conn.idle = false;
       // No request was started, so a close or timeout gets no error response.
-      if (read_error) return http::error::end_of_stream;
-    }
-    if (const auto error = ReadHeader(conn, parser, limits, problem); error || !problem.empty()) {
-      return error;
+      if (error) return read_result::kEnded;
     }
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-      // An interim response before the responses to earlier requests would be taken for theirs.
-      AwaitAllAnswered(conn);
-      http::response<http::empty_body> continue_response{http::status::continue_,
-                                                         parser.get().version()};
-      Await<std::size_t>(
-          [&](auto handler) { http::async_write(conn.stream, continue_response, handler); });
+    conn.interrupted = false;
+    conn.last_progress = steady_clock::now();
+    conn.reading = true;
+    const read_result result = ReadStartedRequest(conn, reader, limits);
+    conn.reading = false;
+    return result;
+  }
+
+  read_result ReadStartedRequest(connection& conn, request_reader& reader,
+                                 const http_limits& limits) {
+    conn.buffer.max_size(std::max(conn.buffer.size(), reader.max_buffered_bytes()));
+    const auto header_end = steady_clock::now() + limits.header_timeout;
+    std::optional<steady_clock::time_point> body_end;
+    while (reader.Read(conn.buffer) != read_state::kDone) {
+      if (reader.state() == read_state::kMemory) AwaitMemory(conn, reader);
+      if (reader.state() == read_state::kDone) break;
+      if (reader.state() == read_state::kFailed) {
+        if (reader.status() != kStatusBadRequest) {
+          const bool no_memory = reader.status() == kStatusUnavailable;
+          Count(no_memory ? client_limit::kMemory : client_limit::kSize);
+        }
+        return read_result::kRefused;
+      }
+      const bool in_body = reader.state() == read_state::kBody;
+      if (in_body && !body_end) {
+        if (reader.expects_continue()) WriteContinue(conn, reader.version());
+        body_end = steady_clock::now() + limits.body_timeout;
+      }
+      // Set for each read, because writing a response to an earlier request sets another time.
+      conn.stream.expires_at(
+          in_body ? std::min(*body_end, steady_clock::now() + kBodyProgressTimeout) : header_end);
+      const auto error = ReadSome(conn, reader.ComputeReadBytes());
+      if (error && !conn.evicted && (error == beast::error::timeout || conn.interrupted)) {
+        Count(client_limit::kStalledRequest);
+        reader.RefuseAsLate();
+        return read_result::kRefused;
+      }
+      if (error) return read_result::kEnded;
+      if (in_body) conn.last_progress = steady_clock::now();
     }
-    conn.stream.expires_after(limits.body_timeout);
-    const auto read = Await<std::size_t>(
-        [&](auto handler) { http::async_read(conn.stream, conn.buffer, parser, handler); });
     conn.stream.expires_never();
-    return read.error;
+    return read_result::kRead;
   }
 
-  /// Reads the whole header section before parsing it, so that its bytes can be checked as well.
-  static boost::system::error_code ReadHeader(connection& conn, request_parser& parser,
-                                              const http_limits& limits,
-                                              std::string_view& problem) {
-    constexpr std::string_view kHeaderEnd = "\r\n\r\n";
-    std::size_t end = std::string_view::npos;
-    const auto deadline = std::chrono::steady_clock::now() + limits.header_timeout;
-    while ((end = ViewBytes(conn.buffer).find(kHeaderEnd)) == std::string_view::npos) {
-      if (conn.buffer.size() > limits.header_bytes) return http::error::header_limit;
-      // Set for each read, because writing a response to an earlier request sets another time.
-      conn.stream.expires_at(deadline);
-      if (const auto error = ReadSome(conn)) return error;
+  /// Waits until a request has the memory that it needs, or fails it. Requests that make no
+  /// progress give way. A large body that has been received in part doesn't wait: it holds memory
+  /// that others wait for.
+  void AwaitMemory(connection& conn, request_reader& reader) {
+    const bool may_wait = reader.is_small() || reader.body_bytes() == 0;
+    conn.reading = false;
+    const auto end = steady_clock::now() + kMemoryWait;
+    while (may_wait && !stopped_ && steady_clock::now() < end) {
+      InterruptStalledReads();
+      SleepFor(kMemoryPollInterval);
+      if (reader.Read(conn.buffer) != read_state::kMemory) break;
     }
-    const std::size_t size = end + kHeaderEnd.size();
-    boost::system::error_code error;
-    parser.put(asio::buffer(conn.buffer.cdata().data(), size), error);
-    if (error == http::error::need_more) error = {};
-    if (error) return error;
-    problem = detail::CheckFraming(ViewBytes(conn.buffer).substr(0, size), parser.get().base());
-    conn.buffer.consume(size);
-    return {};
+    if (reader.state() == read_state::kMemory) reader.RefuseForMemory();
+    conn.reading = true;
+    conn.last_progress = steady_clock::now();
   }
 
-  static std::string_view ViewBytes(const beast::flat_buffer& buffer) {
-    return {static_cast<const char*>(buffer.cdata().data()), buffer.size()};
+  static void WriteContinue(connection& conn, unsigned version) {
+    // An interim response before the responses to earlier requests would be taken for theirs.
+    AwaitAllAnswered(conn);
+    http::response<http::empty_body> response{http::status::continue_, version};
+    Await<std::size_t>([&](auto handler) { http::async_write(conn.stream, response, handler); });
   }
 
-  static boost::system::error_code ReadSome(connection& conn) {
-    const auto read = Await<std::size_t>([&](auto handler) {
-      conn.stream.async_read_some(conn.buffer.prepare(kReadChunkBytes), handler);
-    });
+  static boost::system::error_code ReadSome(connection& conn, std::size_t bytes) {
+    const auto read = Await<std::size_t>(
+        [&](auto handler) { conn.stream.async_read_some(conn.buffer.prepare(bytes), handler); });
     if (!read.error) conn.buffer.commit(read.value);
     return read.error;
   }
@@ -377,8 +470,9 @@
   /// because the connection must be closed.
   bool RefuseUnreadable(connection& conn, unsigned status, const std::string& error) {
     if (!AwaitTurn(conn, conn.order.Add())) return false;
-    const auto write_error =
-        WriteResponse(conn, {status, {options_.not_run_field}, error + '\n'}, kHttp11, false);
+    http_response response{status, {options_.not_run_field}, error + '\n'};
+    if (status == kStatusUnavailable) response.fields.push_back({"Retry-After", "1"});
+    const auto write_error = WriteResponse(conn, std::move(response), kHttp11, false);
     conn.order.Answer(/*keep_open=*/false);
     if (!write_error) CloseAfterResponse(conn, /*has_reader=*/false);
     return false;
@@ -387,11 +481,13 @@
   static constexpr unsigned kHttp11 = 11;
   static constexpr unsigned kStatusBadRequest = 400;
   static constexpr unsigned kStatusInternalError = 500;
-  static constexpr std::size_t kReadChunkBytes = 4096;
+  static constexpr unsigned kStatusUnavailable = 503;
   /// Longest time and most bytes for which a connection is read after its last response: a round
   /// trip to a distant client, which closes the connection when it has the response.
   static constexpr std::chrono::milliseconds kLingerTime{1'000};
-  static constexpr std::size_t kMaxLingerBytes = 256U << 10U;
+  /// Covers the rest of the largest body that a node accepts, whose client reads the response only
+  /// after it has sent everything.
+  static constexpr std::size_t kMaxLingerBytes = kMaxResponseBytes;
 
   http_server_options options_;
   http_handler handler_;
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -26,6 +26,15 @@
 /// Wait for the reply to a recalled request: a round trip between failure domains and the time that
 /// a busy node needs to withdraw it.
 constexpr std::chrono::milliseconds kRecallReplyTime{150};
+/// Time without a byte after which a link with an incomplete frame is closed. Longer than the
+/// suspension of a VM that other limits tolerate.
+constexpr std::chrono::milliseconds kFrameStallTime{5'000};
+/// Wait for memory for a frame, shorter than the time after which the peer takes the link for
+/// broken.
+constexpr std::chrono::milliseconds kMemoryWait{500};
+constexpr std::chrono::milliseconds kMemoryPollInterval{20};
+/// A buffer that has grown beyond this size for a large frame is released after it.
+constexpr std::size_t kMaxKeptBufferBytes = 16 * kReadChunkBytes;
 
 }  // namespace
 
@@ -36,33 +45,75 @@
       last_activity_(std::chrono::steady_clock::now()),
       last_received_(last_activity_),
       idle_timer_(GetCurrentContext()),
-      liveness_timer_(GetCurrentContext()) {}
+      liveness_timer_(GetCurrentContext()),
+      stall_timer_(GetCurrentContext()),
+      buffer_charge_(context.memory, memory_use::kFrame) {}
+
+bool peer_link::GrowBuffer(std::vector<std::uint8_t>& buffer, std::size_t buffered,
+                           std::size_t frame_bytes) {
+  // Grows with the received bytes, because a peer can announce a frame that it doesn't send.
+  const std::size_t wanted = std::min(std::max(frame_bytes, buffered + kReadChunkBytes),
+                                      std::max(2 * buffered, buffered + kReadChunkBytes));
+  if (wanted <= buffer.size()) return true;
+  // A link can't do without this much.
+  if (wanted <= kReadChunkBytes) buffer_charge_.ForceResize(wanted);
+  const auto end = std::chrono::steady_clock::now() + kMemoryWait;
+  while (!buffer_charge_.Resize(wanted)) {
+    if (closed_ || std::chrono::steady_clock::now() >= end) return false;
+    SleepFor(kMemoryPollInterval);
+  }
+  buffer.reserve(wanted);
+  buffer.resize(wanted);
+  return true;
+}
+
+io_result<std::size_t> peer_link::ReadSome(std::vector<std::uint8_t>& buffer,
+                                           std::size_t buffered) {
+  if (buffered > 0) {
+    stall_timer_.expires_after(kFrameStallTime);
+    stall_timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+      if (!error) self->Close();
+    });
+  }
+  const auto read = Await<std::size_t>([&](auto handler) {
+    socket_.async_read_some(asio::buffer(buffer.data() + buffered, buffer.size() - buffered),
+                            handler);
+  });
+  if (buffered > 0) stall_timer_.cancel();
+  return read;
+}
 
 void peer_link::ReadLoop() {
   const auto self = shared_from_this();
   std::vector<std::uint8_t> buffer;
   std::size_t buffered = 0;
+  std::size_t frame_bytes = 0;
   while (!closed_) {
-    buffer.resize(std::max(buffer.size(), buffered + kReadChunkBytes));
-    const auto read = Await<std::size_t>([&](auto handler) {
-      socket_.async_read_some(asio::buffer(buffer.data() + buffered, buffer.size() - buffered),
-                              handler);
-    });
+    if (!GrowBuffer(buffer, buffered, frame_bytes)) break;
+    const auto read = ReadSome(buffer, buffered);
     if (read.error) break;
     last_received_ = std::chrono::steady_clock::now();
     ping_pending_ = false;
     buffered += read.value;
     std::size_t consumed = 0;
+    frame_bytes = 0;
     while (buffered - consumed >= wire::kLengthPrefixBytes) {
       const std::span<const std::uint8_t> remaining(buffer.data() + consumed, buffered - consumed);
       const auto length = wire::DecodeLength(remaining.first<wire::kLengthPrefixBytes>());
       if (!length) return Close();
-      if (remaining.size() < wire::kLengthPrefixBytes + *length) break;
+      frame_bytes = wire::kLengthPrefixBytes + *length;
+      if (remaining.size() < frame_bytes) break;
       if (!Dispatch(remaining.subspan(wire::kLengthPrefixBytes, *length))) return Close();
-      consumed += wire::kLengthPrefixBytes + *length;
+      consumed += std::exchange(frame_bytes, 0);
     }
+    if (consumed == 0) continue;
     buffer.erase(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(consumed));
     buffered -= consumed;
+    if (buffer.capacity() > kMaxKeptBufferBytes && buffered <= kMaxKeptBufferBytes) {
+      buffer.resize(buffered);
+      buffer.shrink_to_fit();
+    }
+    buffer_charge_.ForceResize(buffer.capacity());
   }
   Close();
 }
@@ -79,7 +130,9 @@
   }
   last_activity_ = std::chrono::steady_clock::now();
   if (!message->is_reply) {
-    on_request_(shared_from_this(), std::move(message));
+    memory_charge charge(context_.memory, memory_use::kFrame);
+    charge.ForceResize(bytes.size());
+    on_request_(shared_from_this(), std::move(message), std::move(charge));
     return true;
   }
   const auto found = pending_requests_.find(message->correlation_id);
@@ -100,7 +153,9 @@
   std::string frame = wire::EncodeFrame(message);
   context_.traffic->CountSent(message.message.type, frame.size());
   const bool is_answer = message.is_reply && message.message.type == wire::message::call_answer;
-  Enqueue({std::move(frame), correlation_id, is_answer});
+  memory_charge charge(context_.memory, memory_use::kFrame);
+  charge.ForceResize(frame.size());
+  Enqueue({std::move(frame), correlation_id, is_answer, std::move(charge)});
 }
 
 void peer_link::Enqueue(queued_frame frame) {
@@ -117,17 +172,19 @@
 
 void peer_link::StartWrite() {
   write_active_ = true;
-  write_buffer_.clear();
-  for (queued_frame& frame : queue_) write_buffer_ += frame.bytes;
-  queue_.clear();
+  writing_ = std::exchange(queue_, {});
   writing_answers_ = std::exchange(queued_answers_, 0);
-  asio::async_write(socket_, asio::buffer(write_buffer_),
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(writing_.size());
+  for (const queued_frame& frame : writing_) buffers.push_back(asio::buffer(frame.bytes));
+  asio::async_write(socket_, buffers,
                     [self = shared_from_this()](const boost::system::error_code& error,
                                                 std::size_t) { self->OnWritten(error); });
 }
 
 void peer_link::OnWritten(const boost::system::error_code& error) {
   write_active_ = false;
+  writing_.clear();
   context_.unwritten_answers -= std::exchange(writing_answers_, 0);
   if (error) return Close();
   if (!queue_.empty() && !closed_) StartWrite();
@@ -253,6 +310,7 @@
   context_.unwritten_answers -= std::exchange(queued_answers_, 0);
   idle_timer_.cancel();
   liveness_timer_.cancel();
+  stall_timer_.cancel();
   CloseQuietly(socket_);
   for (auto& [id, pending] : pending_requests_) pending->timer.cancel();
 }
--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -10,7 +10,9 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
+#include "await.h"
 #include "siskinrack/net/peer.h"
 
 namespace siskinrack::net::detail {
@@ -19,10 +21,11 @@
 /// on the thread of the socket.
 class peer_link : public std::enable_shared_from_this<peer_link> {
  public:
-  using frame_handler =
-      std::function<void(const std::shared_ptr<peer_link>&, std::unique_ptr<wire::envelope_t>)>;
+  using frame_handler = std::function<void(const std::shared_ptr<peer_link>&,
+                                           std::unique_ptr<wire::envelope_t>, memory_charge)>;
 
-  /// `on_request` receives every frame that is neither a reply nor a ping or pong.
+  /// `on_request` receives every frame that is neither a reply nor a ping or pong, with the charge
+  /// for its message.
   peer_link(boost::asio::ip::tcp::socket socket, peer_context& context, frame_handler on_request);
 
   /// Reads and dispatches frames until the link is closed. Must run in a fiber of its own.
@@ -56,11 +59,18 @@
     /// 0 if the frame isn't a request that expects a reply.
     std::uint64_t correlation_id;
     bool is_answer;
+    memory_charge charge;
   };
 
   void Enqueue(queued_frame frame);
   void StartWrite();
   void OnWritten(const boost::system::error_code& error);
+  /// Grows the buffer for the next read of a frame of `frame_bytes` bytes, of which `buffered` are
+  /// received. Waits for memory; returns false if there is none.
+  bool GrowBuffer(std::vector<std::uint8_t>& buffer, std::size_t buffered, std::size_t frame_bytes);
+  /// Reads once into the free space of `buffer`. Fails if a frame has been received in part and no
+  /// further byte arrives for a while.
+  io_result<std::size_t> ReadSome(std::vector<std::uint8_t>& buffer, std::size_t buffered);
   /// Handles one encoded envelope. Returns false if it is malformed.
   bool Dispatch(std::span<const std::uint8_t> bytes);
   void SendCancel(std::uint64_t correlation_id);
@@ -86,6 +96,10 @@
   steady_time last_received_;
   boost::asio::steady_timer idle_timer_;
   boost::asio::steady_timer liveness_timer_;
+  /// Closes the link if a frame stops short.
+  boost::asio::steady_timer stall_timer_;
+  /// Charge for the buffer of received bytes.
+  memory_charge buffer_charge_;
   bool checking_liveness_ = false;
   /// True if a ping was sent and no byte has been received since.
   bool ping_pending_ = false;
@@ -93,7 +107,7 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<pending_request>> pending_requests_;
   std::deque<queued_frame> queue_;
   /// Frames that are being written.
-  std::string write_buffer_;
+  std::deque<queued_frame> writing_;
   bool write_active_ = false;
   /// Numbers of call answers in `write_buffer_` and in `queue_`, included in the context's
   /// unwritten_answers.
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -136,8 +136,8 @@
     if (error || !socket->is_open()) return nullptr;
     socket->set_option(tcp::no_delay(true), error);
     detail::EnableKeepAlive(*socket);
-    auto link =
-        std::make_shared<peer_link>(std::move(*socket), context_, [](const auto&, const auto&) {});
+    auto link = std::make_shared<peer_link>(std::move(*socket), context_,
+                                            [](const auto&, const auto&, const auto&) {});
     link->CloseWhenIdle(options_.idle_timeout);
     Spawn([this, link, address] {
       link->ReadLoop();
--- a/lib/net/peer_server.cpp
+++ b/lib/net/peer_server.cpp
@@ -46,12 +46,12 @@
   /// Reads the frames of one link and cancels its running requests when it is closed.
   void ServeLink(boost::asio::ip::tcp::socket socket) {
     auto running = std::make_shared<running_requests>();
-    auto link =
-        std::make_shared<peer_link>(std::move(socket), context_,
-                                    [this, running](const std::shared_ptr<peer_link>& source,
-                                                    std::unique_ptr<wire::envelope_t> message) {
-                                      OnRequest(source, running, std::move(message));
-                                    });
+    auto link = std::make_shared<peer_link>(
+        std::move(socket), context_,
+        [this, running](const std::shared_ptr<peer_link>& source,
+                        std::unique_ptr<wire::envelope_t> message, memory_charge charge) {
+          OnRequest(source, running, std::move(message), std::move(charge));
+        });
     auto& links = links_[fiber_runtime::GetCurrentThreadIndex()];
     links.insert(link);
     link->ReadLoop();
@@ -62,7 +62,7 @@
 
   void OnRequest(const std::shared_ptr<peer_link>& link,
                  const std::shared_ptr<running_requests>& running,
-                 std::unique_ptr<wire::envelope_t> message) {
+                 std::unique_ptr<wire::envelope_t> message, memory_charge charge) {
     const std::uint64_t id = message->correlation_id;
     if (message->message.type == wire::message::call_cancel) {
       const auto found = running->find(id);
@@ -72,7 +72,8 @@
     auto cancel = std::make_shared<cancellation>();
     if (id != 0) running->emplace(id, cancel);
     std::shared_ptr<wire::envelope_t> request = std::move(message);
-    Spawn([self = shared_from_this(), link, running, request, cancel, id] {
+    auto held = std::make_shared<memory_charge>(std::move(charge));
+    Spawn([self = shared_from_this(), link, running, request, cancel, id, held] {
       std::optional<wire::envelope_t> reply;
       try {
         reply = self->handler_(*request, *cancel);
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -22,6 +22,8 @@
 /// Equal to the maximum deadline of a request, so that no request is aborted by this limit.
 constexpr milliseconds kMaxDrainWait{30'000};
 constexpr milliseconds kDrainPoll{10};
+/// Limit of the connections of operators and of the programs that read metrics.
+constexpr std::size_t kMaxAdminConnections = 64;
 constexpr std::int64_t kUsPerMs = 1000;
 /// Time to send the announcement that the node has left and to receive requests that were sent
 /// before it stopped accepting connections: a few round trips between failure domains.
@@ -53,17 +55,19 @@
                    membership_.AddSeeds(peers);
                  }),
         admin_(context_, configs_, watcher_, claims_, quarantine_),
-        caller_server_(context_.runtime, {.address = context_.settings.caller_address},
+        caller_server_(context_.runtime, MakeCallerOptions(),
                        [this](net::http_request request, net::cancellation& cancel) {
                          return HandleAndMeasure(
                              context_, std::move(request), [&](net::http_request measured) {
                                return entry_.Handle(std::move(measured), cancel);
                              });
                        }),
-        admin_server_(context_.runtime, {.address = context_.settings.admin_address},
-                      [this](const net::http_request& request, net::cancellation&) {
-                        return admin_.Handle(request);
-                      }),
+        admin_server_(
+            context_.runtime,
+            {.address = context_.settings.admin_address, .max_connections = kMaxAdminConnections},
+            [this](const net::http_request& request, net::cancellation&) {
+              return admin_.Handle(request);
+            }),
         peer_server_(context_.runtime, context_.peer, {.address = context_.settings.peer_address},
                      [this](const wire::envelope_t& message, net::cancellation& cancel) {
                        return HandlePeer(message, cancel);
@@ -108,6 +112,15 @@
   }
 
  private:
+  net::http_server_options MakeCallerOptions() {
+    net::http_server_options options;
+    options.address = context_.settings.caller_address;
+    options.max_connections = context_.settings.max_connections;
+    options.memory = &context_.memory;
+    options.client_limits = &context_.client_limits;
+    return options;
+  }
+
   /// Waits until no request is in progress and all answers are written to callers and peers, but
   /// not beyond `end`.
   void WaitForAnswers(std::chrono::steady_clock::time_point end) {
--- a/lib/node/node_context.h
+++ b/lib/node/node_context.h
@@ -2,6 +2,7 @@
 #define SISKINRACK_LIB_NODE_NODE_CONTEXT_H_
 
 #include <atomic>
+#include <limits>
 #include <mutex>
 
 #include "config_holder.h"
@@ -9,6 +10,7 @@
 #include "siskinrack/membership/member_table.h"
 #include "siskinrack/net/fiber_runtime.h"
 #include "siskinrack/net/http_client.h"
+#include "siskinrack/net/limit_counters.h"
 #include "siskinrack/net/peer.h"
 #include "siskinrack/node/node_settings.h"
 #include "siskinrack/platform/http_object_store.h"
@@ -25,17 +27,29 @@
       : settings(std::move(checked)),
         clock(std::chrono::microseconds(settings.clock_skew).count()),
         log(settings.node_id, clock, settings.log_level),
-        peer{settings.node_id, &clock, &traffic, settings.source_ip},
+        memory(net::ComputeMemoryLimits(settings.memory_bytes)),
+        client_limits([this](net::client_limit limit, std::uint64_t count) {
+          log.Warn(
+              "client_limited",
+              {{"limit", net::ToText(limit)}, {"count", count}, {"charged_bytes", memory.used()}});
+        }),
+        peer{settings.node_id, &clock, &traffic, settings.source_ip, &memory},
         runtime(settings.threads),
         store(runtime, {.address = settings.platform_address}),
-        upstream_client(runtime),
+        upstream_client(runtime, kMaxIdleUpstreamConnections,
+                        std::numeric_limits<std::size_t>::max(), &memory),
         peers(runtime, peer) {}
 
+  /// Covers the slots of one upstream.
+  static constexpr std::size_t kMaxIdleUpstreamConnections = 64;
+
   node_settings settings;
   support::hybrid_clock clock;
   support::event_log log;
   net::traffic_counters traffic;
   support::request_metrics requests;
+  net::memory_budget memory;
+  net::limit_counters client_limits;
   net::peer_context peer;
   net::fiber_runtime runtime;
   platform::http_object_store store;
--- a/lib/node/node_metrics.cpp
+++ b/lib/node/node_metrics.cpp
@@ -85,6 +85,7 @@
                  "Received clock times rejected as too far in the future.");
   page.AddSample("siskinrack_clock_refused_total", {},
                  static_cast<double>(context.clock.refused()));
+  net::AddLimitMetrics(page, context.memory, context.client_limits);
   page.AddMetric("process_cpu_seconds_total", "counter", "User and system CPU time in seconds.");
   page.AddSample("process_cpu_seconds_total", {}, support::GetProcessCpuSeconds());
   page.AddMetric("process_resident_memory_bytes", "gauge", "Resident memory size in bytes.");
--- a/lib/node/node_settings.cpp
+++ b/lib/node/node_settings.cpp
@@ -12,6 +12,11 @@
 /// Names of the log levels, in the order of support::log_level.
 constexpr std::array<std::string_view, 4> kLogLevels = {"debug", "info", "warn", "error"};
 
+constexpr std::size_t kBytesPerMegabyte = 1'000'000;
+/// Smallest memory in which a node serves requests: the program takes about 20 MB.
+constexpr std::int64_t kMinMemoryMb = 48;
+constexpr std::int64_t kMaxMemoryMb = 1 << 20;
+
 const std::vector<setting>& GetDeclarations() {
   static const std::vector<setting> declarations = {
       {"node-id", setting_kind::kName, "name of this node, constant for the lifetime of its VM",
@@ -38,6 +43,12 @@
       {"drain-ms", setting_kind::kInteger,
        "time from the announcement of a drain until new requests are refused", "3000", 0, 60'000,
        "ms"},
+      {"memory-mb", setting_kind::kInteger,
+       "memory of the process; requests that would exceed it are refused", "1024", kMinMemoryMb,
+       kMaxMemoryMb, "MB"},
+      {"max-connections", setting_kind::kInteger,
+       "maximum number of connections of callers; beyond it, idle ones are closed", "4096", 16,
+       1'000'000},
       {"clock-skew-ms", setting_kind::kInteger, "offset added to the clock, for tests", "0",
        -600'000, 600'000, "ms"},
       {"source-ip", setting_kind::kIp, "source IP address of links to peers", ""},
@@ -90,6 +101,8 @@
   result.threads = static_cast<std::size_t>(values.integer("threads"));
   result.drain_period = std::chrono::milliseconds(values.integer("drain-ms"));
   result.clock_skew = std::chrono::milliseconds(values.integer("clock-skew-ms"));
+  result.memory_bytes = static_cast<std::size_t>(values.integer("memory-mb")) * kBytesPerMegabyte;
+  result.max_connections = static_cast<std::size_t>(values.integer("max-connections"));
   result.source_ip = values.text("source-ip");
   if (result.upstream_address.has_value() != !result.service.empty()) {
     problems.Add("--service", "service and upstream address belong together",
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -15,7 +15,8 @@
 /// Converts a call to the request for the upstream, which contains the remaining time and the
 /// number of earlier attempts.
 net::http_request ToHttpRequest(const wire::call_request_t& call, milliseconds remaining) {
-  net::http_request request{call.method, call.target, {}, {call.body.begin(), call.body.end()}};
+  net::http_request request{call.method, call.target, {}, {}};
+  request.body_view = net::ViewBytes(call.body);
   request.fields.reserve(call.headers.size() + 2);
   for (const auto& field : call.headers) request.fields.push_back({field->name, field->value});
   request.fields.push_back({std::string(kDeadlineField), std::to_string(remaining.count())});
--- a/lib/wire/frame.cpp
+++ b/lib/wire/frame.cpp
@@ -6,11 +6,21 @@
 namespace {
 
 constexpr unsigned kBitsPerByte = 8;
+/// First size of the buffer for an encoded message, in addition to the body that it carries. The
+/// buffer grows by copying, which takes a multiple of a large body.
+constexpr std::size_t kInitialBytes = 1024;
+
+/// Returns the size of the body that a message carries; 0 for other messages.
+std::size_t CountBodyBytes(const envelope_t& message) {
+  if (const auto* call = message.message.Ascall_request()) return call->body.size();
+  if (const auto* answer = message.message.Ascall_answer()) return answer->body.size();
+  return 0;
+}
 
 }  // namespace
 
 std::string EncodeFrame(const envelope_t& message) {
-  flatbuffers::FlatBufferBuilder builder;
+  flatbuffers::FlatBufferBuilder builder(CountBodyBytes(message) + kInitialBytes);
   builder.Finish(envelope::Pack(builder, &message));
   const std::size_t size = builder.GetSize();
   assert(size <= kMaxFrameBytes && "encoded envelope exceeds kMaxFrameBytes");
--- a/test/overload/program_under_test.cpp
+++ b/test/overload/program_under_test.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kBytesPerKilobyte = 1024;
 /// A node accepts bodies of up to a sixteenth of its memory.
 constexpr std::size_t kLargestBodyBytes = kMemoryMb * 1'000'000 / 16;
+/// Leaves descriptors for the platform, the upstream and peers.
+constexpr std::size_t kMaxConnections = 375;
 constexpr std::size_t kEscapedBodyBytes = 1'000'000;
 
 std::string ReadFile(const std::filesystem::path& path) {
@@ -58,7 +60,11 @@
  public:
   own_program() : work_(MakeWorkFolder()), fleet_(SISKINRACK_BINARIES, work_.string(), /*seed=*/1) {
     fleet_.StartPlatform();
-    fleet_.StartNodes({.domains = 1, .nodes_per_domain = 1, .services = {"counter"}});
+    fleet_.StartNodes({.domains = 1,
+                       .nodes_per_domain = 1,
+                       .services = {"counter"},
+                       .node_flags = {"--memory-mb=" + std::to_string(kMemoryMb),
+                                      "--max-connections=" + std::to_string(kMaxConnections)}});
     Configure();
   }
   ~own_program() override {
--- a/tools/siskinrack-node/main.cpp
+++ b/tools/siskinrack-node/main.cpp
@@ -54,18 +54,28 @@
   std::_Exit(EXIT_SUCCESS);
 }
 
-/// Makes malloc return memory to the system after a burst or a large configuration. By default,
-/// glibc raises its mmap threshold dynamically, and fiber stacks then stay in the heap.
-void ConfigureMalloc() {
-  constexpr int kMmapThresholdBytes = 64 * 1024;
-  constexpr int kTrimThresholdBytes = 128 * 1024;
-  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
-  mallopt(M_TRIM_THRESHOLD, kTrimThresholdBytes);
+/// Bounds of the memory that malloc keeps after it has been freed. Both are fixed: by default,
+/// glibc raises them when large blocks are freed, and large bodies then fragment the heap.
+struct malloc_thresholds {
+  /// Blocks of at least this size are returned to the system when they are freed.
+  int mmap_bytes;
+  /// Free space at the end of the heap that is kept.
+  int trim_bytes;
+};
+/// Returns fiber stacks (128 KiB) to the system as well, because memory has a price on the
+/// platform.
+constexpr malloc_thresholds kPlatformThresholds{64 * 1024, 128 * 1024};
+/// Keeps fiber stacks in the heap, because returning them takes processor time for each request.
+constexpr malloc_thresholds kOwnThresholds{256 * 1024, 8 * 1024 * 1024};
+
+void ConfigureMalloc(const malloc_thresholds& thresholds) {
+  mallopt(M_MMAP_THRESHOLD, thresholds.mmap_bytes);
+  mallopt(M_TRIM_THRESHOLD, thresholds.trim_bytes);
 }
 
 /// Runs the node as the platform starts it: without arguments, configured by the settings file.
 int RunWithSettingsFile(const std::string& settings_path) {
-  ConfigureMalloc();
+  ConfigureMalloc(kPlatformThresholds);
   findings problems;
   const sigset_t signals = BlockSignals();
   siskinrack::mesh::mesh_node process(settings_path, problems);
@@ -106,6 +116,7 @@
     std::cout << values.Describe(declared);
     return EXIT_SUCCESS;
   }
+  ConfigureMalloc(kOwnThresholds);
   const sigset_t signals = BlockSignals();
   node::node process(std::move(settings));
   process.Start(problems);
--- a/unittests/platform/platform_codec_test.cpp
+++ b/unittests/platform/platform_codec_test.cpp
@@ -16,7 +16,8 @@
   "node": "sidecar-a-1", "zone": "a", "region": "r", "ip": "10.1.0.35",
   "listen": {"inbound": "10.1.0.35:8145", "outbound": "10.1.0.35:8141",
              "ready": "10.1.0.35:8140", "control": "10.1.0.35:8146"},
-  "portRange": [7660, 7675], "limits": {"cpuShare": 0.2, "memoryMb": 260}, "heartbeatS": 1.5,
+  "portRange": [7660, 7675], "limits": {"cpuShare": 0.2, "memoryMb": 260, "maxFds": 4100},
+  "heartbeatS": 1.5,
   "bounds": ["configApplyS=2.5", "drainS=2", "graceS=6", "budgetRatio=0.2", "budgetWindowS=10", "budgetExtra=62",
              "someFlag=true"],
   "appAddr": "10.1.0.35:8147", "service": "huvo11a", "somethingNew": [1, 2],
@@ -34,6 +35,17 @@
   EXPECT_EQ(settings.drain_period, milliseconds(2000));
   EXPECT_DOUBLE_EQ(settings.retries.extra, 62);
   EXPECT_EQ(settings.memory_bytes, 260'000'000U);
+  EXPECT_EQ(settings.max_descriptors, 4'100U);
+}
+
+// Guards against a node that doesn't start because its settings don't state every limit.
+TEST(MachineSettings, LimitOfDescriptorsMayBeMissing) {
+  std::string text(kSettings);
+  constexpr std::string_view kLimit = ", \"maxFds\": 4100";
+  text.erase(text.find(kLimit), kLimit.size());
+  support::findings problems;
+  EXPECT_EQ(ParseSettings(text, problems).max_descriptors, 1'024U);
+  EXPECT_TRUE(problems.empty()) << problems.ToText();
 }
 
 // Guards against a parser that reports only the first problem.
--- a/utils/test.sh
+++ b/utils/test.sh
@@ -31,9 +31,9 @@
 # an instrumented build of all targets takes minutes.
 echo "== sanitizers"
 cmake -S . -B build/sanitize -G Ninja -DSISKINRACK_SANITIZE=ON >/dev/null
-ninja -C build/sanitize ${JOBS:+-j "$JOBS"} support_unittests config_unittests wire_unittests >/dev/null
+ninja -C build/sanitize ${JOBS:+-j "$JOBS"} support_unittests config_unittests wire_unittests net_reading_unittests >/dev/null
 cmake -S . -B build/tsan -G Ninja -DSISKINRACK_TSAN=ON >/dev/null
-ninja -C build/tsan ${JOBS:+-j "$JOBS"} support_unittests >/dev/null
-for binary in build/sanitize/bin/{support,config,wire}_unittests build/tsan/bin/support_unittests; do
+ninja -C build/tsan ${JOBS:+-j "$JOBS"} support_unittests net_reading_unittests >/dev/null
+for binary in build/sanitize/bin/{support,config,wire,net_reading}_unittests build/tsan/bin/{support,net_reading}_unittests; do
   "$binary" --gtest_brief=1
 done
