--- a/lib/control/program.cpp
+++ b/lib/control/program.cpp
@@ -21,6 +21,7 @@
                                                        "service",       "slots",
                                                        "seeds",         "threads",
                                                        "drain-ms",      "clock-skew-ms",
+                                                       "memory-mb",     "max-connections",
                                                        "source-ip",     "log-level"};
 
 std::vector<std::string> KnownEnvironmentNames() {
--- a/test/overload/program_under_test.cpp
+++ b/test/overload/program_under_test.cpp
@@ -33,7 +33,8 @@
 
 class mesh_program : public program_under_test {
  public:
-  mesh_program() : fleet_({"dock"}, {.memory_mb = kMemoryMb, .max_descriptors = kMaxDescriptors}) {
+  explicit mesh_program(std::size_t memory_mb)
+      : fleet_({"dock"}, {.memory_mb = memory_mb, .max_descriptors = kMaxDescriptors}) {
     fleet_.Configure(1);
     fleet_.StartNode(0);
     if (!fleet_.AwaitReady()) throw std::runtime_error("node isn't ready: " + fleet_.ReadLog(0));
@@ -142,7 +143,9 @@
 
 }  // namespace
 
-std::unique_ptr<program_under_test> StartMeshNode() { return std::make_unique<mesh_program>(); }
+std::unique_ptr<program_under_test> StartMeshNode(std::size_t memory_mb) {
+  return std::make_unique<mesh_program>(memory_mb);
+}
 
 std::unique_ptr<program_under_test> StartOwnNode() { return std::make_unique<own_program>(); }
 
--- a/test/overload/program_under_test.h
+++ b/test/overload/program_under_test.h
@@ -44,7 +44,7 @@
 
 /// Starts a node on the users' platform and waits until it serves requests. Throws
 /// std::runtime_error on failure.
-std::unique_ptr<program_under_test> StartMeshNode();
+std::unique_ptr<program_under_test> StartMeshNode(std::size_t memory_mb = kMemoryMb);
 /// Starts a node of siskinrack's own interface and waits until it serves requests. Throws
 /// std::runtime_error on failure.
 std::unique_ptr<program_under_test> StartOwnNode();
