--- a/include/siskinrack/net/memory_budget.h
+++ b/include/siskinrack/net/memory_budget.h
@@ -30,8 +30,9 @@
 struct memory_limits {
   /// Limit of all charges together.
   std::size_t total = std::numeric_limits<std::size_t>::max();
-  /// Part of `total` that large charges can't take. It keeps memory for small requests while large
-  /// bodies use up the rest.
+  /// Part of `total` that large request bodies can't take, and half of which no large charge can
+  /// take. It keeps memory for small requests, and for answers to requests that have run, while
+  /// large request bodies use up the rest.
   std::size_t reserve = 0;
   /// Largest size of a charge that may use the reserve.
   std::size_t small_charge = kDefaultSmallCharge;
@@ -58,14 +59,14 @@
   [[nodiscard]] std::uint64_t refused(memory_use use) const { return refused_[ToIndex(use)]; }
   [[nodiscard]] const memory_limits& limits() const { return limits_; }
   /// Returns true if a new charge of `bytes` would be granted now.
-  [[nodiscard]] bool HasRoom(std::size_t bytes) const;
+  [[nodiscard]] bool HasRoom(memory_use use, std::size_t bytes) const;
 
  private:
   friend class memory_charge;
 
   static std::size_t ToIndex(memory_use use) { return static_cast<std::size_t>(use); }
   /// Returns the limit for a holder whose charge is `size` bytes in total.
-  [[nodiscard]] std::size_t FindLimit(std::size_t size) const;
+  [[nodiscard]] std::size_t FindLimit(memory_use use, std::size_t size) const;
   /// Adds `bytes` to a charge that is `size` bytes afterwards; returns false if they don't fit.
   bool Add(memory_use use, std::size_t bytes, std::size_t size);
   void AddUnchecked(memory_use use, std::size_t bytes);
@@ -94,6 +95,7 @@
   void ForceResize(std::size_t bytes);
   void Release() { ForceResize(0); }
   [[nodiscard]] std::size_t bytes() const { return bytes_; }
+  [[nodiscard]] memory_use use() const { return use_; }
 
  private:
   memory_budget* budget_ = nullptr;
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -299,7 +299,7 @@
     return serving_.Serve(state.call, withdrawn);
   }
   // The frame needs as much memory as the request until it is sent.
-  if (!context_.memory.HasRoom(state.call.body.size())) {
+  if (!context_.memory.HasRoom(net::memory_use::kFrame, state.call.body.size())) {
     return MakeNotRunAnswer(answer_cause::no_capacity, "no memory to send the request");
   }
   auto result = context_.peers.Request(target.node_address,
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -32,6 +32,12 @@
 /// Largest number of received bytes that wait to be parsed. The parser needs a whole header
 /// section, chunk header or trailer section at once and sets no limit to the latter two.
 constexpr std::size_t kMaxBufferedBytes = 4 * kMaxHeaderBytes;
+/// Bytes of a response body that a read may add; an ordinary response has no more.
+constexpr std::size_t kReadAheadBytes = 4U << 10U;
+/// Wait for memory for a response body. Callers that don't read their responses hold theirs for
+/// longer; those of the others are written in this time.
+constexpr std::chrono::milliseconds kMemoryWait{1'000};
+constexpr std::chrono::milliseconds kMemoryPollInterval{20};
 /// Limit of the interim responses and the responses to other requests that precede a response.
 constexpr int kMaxSkippedResponses = 16;
 
@@ -253,7 +259,7 @@
     body_share share(body_bytes_[fiber_runtime::GetCurrentThreadIndex()], body_budget_);
     memory_charge charge(memory_, memory_use::kResponseBody);
     while (!parser.is_done()) {
-      if (!charge.Resize(parser.get().body().size() + kMaxBufferedBytes)) {
+      if (!AwaitMemory(charge, parser.get().body().size() + kReadAheadBytes, deadline)) {
         return http::error::body_limit;
       }
       const auto read = Await<std::size_t>(
@@ -268,6 +274,17 @@
     return {};
   }
 
+  /// Resizes a charge. Waits for memory, because the request of the response may have run. Returns
+  /// false if there is none.
+  static bool AwaitMemory(memory_charge& charge, std::size_t bytes, steady_time deadline) {
+    const auto end = std::min(deadline, std::chrono::steady_clock::now() + kMemoryWait);
+    while (!charge.Resize(bytes)) {
+      if (std::chrono::steady_clock::now() >= end) return false;
+      SleepFor(kMemoryPollInterval);
+    }
+    return true;
+  }
+
   /// Sets `closes_at` from the value of a Keep-Alive field (timeout=N, in whole seconds).
   static void ApplyKeepAlive(connection& conn, beast::string_view value) {
     constexpr std::string_view kParameter = "timeout=";
--- a/lib/net/memory_budget.cpp
+++ b/lib/net/memory_budget.cpp
@@ -34,18 +34,19 @@
   return {.total = total, .reserve = total / kPercent * kReservePercent};
 }
 
-std::size_t memory_budget::FindLimit(std::size_t size) const {
-  return size <= limits_.small_charge ? limits_.total : limits_.total - limits_.reserve;
+std::size_t memory_budget::FindLimit(memory_use use, std::size_t size) const {
+  if (size <= limits_.small_charge) return limits_.total;
+  return limits_.total - (use == memory_use::kRequestBody ? limits_.reserve : limits_.reserve / 2);
 }
 
-bool memory_budget::HasRoom(std::size_t bytes) const {
-  const std::size_t limit = FindLimit(bytes);
+bool memory_budget::HasRoom(memory_use use, std::size_t bytes) const {
+  const std::size_t limit = FindLimit(use, bytes);
   const std::size_t used = used_;
   return used <= limit && bytes <= limit - used;
 }
 
 bool memory_budget::Add(memory_use use, std::size_t bytes, std::size_t size) {
-  const std::size_t limit = FindLimit(size);
+  const std::size_t limit = FindLimit(use, size);
   std::size_t used = used_;
   do {
     if (used > limit || bytes > limit - used) {
