--- a/lib/mesh/mesh_context.h
+++ b/lib/mesh/mesh_context.h
@@ -17,6 +17,7 @@
 #include "siskinrack/support/event_log.h"
 #include "siskinrack/support/hybrid_clock.h"
 #include "siskinrack/support/metrics.h"
+#include "unreadable_objects.h"
 
 namespace siskinrack::mesh {
 
@@ -64,6 +65,7 @@
   support::request_metrics requests;
   net::memory_budget memory;
   net::limit_counters client_limits;
+  unreadable_objects unreadable{log};
   net::peer_context peer;
   net::fiber_runtime runtime;
   platform_adapter::objects_client store;
--- a/lib/net/http_fields.cpp
+++ b/lib/net/http_fields.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <stdexcept>
 
 namespace siskinrack::net {
 namespace {
@@ -39,6 +41,22 @@
   for (const http_field& field : fields) message.insert(field.name, field.value);
 }
 
+/// Sets everything but the body and what depends on it.
+template <typename Message>
+void FillRequest(Message& message, const http_request& request, const std::string& host) {
+  message.method_string(request.method);
+  message.target(request.target);
+  message.version(kHttp11);
+  InsertFields(message, request.fields);
+  message.set(http::field::host, request.host.empty() ? host : request.host);
+  message.keep_alive(true);
+}
+
+boost::beast::span<const char> ViewBody(const http_request& request) {
+  const std::string_view body = request.body_view.empty() ? request.body : request.body_view;
+  return {body.data(), body.size()};
+}
+
 }  // namespace
 
 std::string_view FindField(const std::vector<http_field>& fields, std::string_view name) {
@@ -50,6 +68,21 @@
   return {};
 }
 
+std::optional<std::string> FindRequestProblem(const http_request& request) {
+  if (request.method.empty() || request.target.empty()) return "request line is incomplete";
+  try {
+    http::request<http::span_body<const char>> message;
+    FillRequest(message, request, request.host);
+    // A view instead of a copy: a body may be long.
+    message.body() = ViewBody(request);
+    message.prepare_payload();
+  } catch (const std::logic_error& error) {
+    // The library reports arguments that it refuses only by exceptions.
+    return error.what();
+  }
+  return std::nullopt;
+}
+
 namespace detail {
 
 http_request FromBeastHeader(const http::request_header<>& header) {
@@ -71,14 +104,8 @@
 
 beast_request ToBeastRequest(const http_request& request, const std::string& host) {
   beast_request message;
-  message.method_string(request.method);
-  message.target(request.target);
-  message.version(kHttp11);
-  InsertFields(message, request.fields);
-  message.set(http::field::host, request.host.empty() ? host : request.host);
-  message.keep_alive(true);
-  const std::string_view body = request.body_view.empty() ? request.body : request.body_view;
-  message.body() = {body.data(), body.size()};
+  FillRequest(message, request, host);
+  message.body() = ViewBody(request);
   message.prepare_payload();
   return message;
 }
--- a/lib/node/node_context.h
+++ b/lib/node/node_context.h
@@ -35,7 +35,11 @@
         }),
         peer{settings.node_id, &clock, &traffic, settings.source_ip, &memory},
         runtime(settings.threads),
-        store(runtime, {.address = settings.platform_address}),
+        store(runtime, {.address = settings.platform_address,
+                        .on_unreadable =
+                            [this](std::string_view problem) {
+                              log.Warn("object_unreadable", {{"findings", problem}});
+                            }}),
         upstream_client(runtime, kMaxIdleUpstreamConnections,
                         std::numeric_limits<std::size_t>::max(), &memory),
         peers(runtime, peer) {}
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -105,6 +105,14 @@
   /// is "ready" or "draining"; an empty one repeats the last state. Heartbeats with the last state
   /// are also sent periodically.
   bool SendHeartbeat(std::size_t machine, const std::string& state);
+  /// Announces the final departure of a machine's upstream, which sends no heartbeats any more, and
+  /// returns true if it was acknowledged.
+  bool SendDeparture(std::size_t machine);
+  /// Begins a new lifetime of a machine's upstream with the same id.
+  void RestartInstance(std::size_t machine) {
+    ++lifetimes_[machine];
+    departed_[machine] = false;
+  }
   /// Returns true once all nodes are ready and list all endpoints, or false after 15 s.
   [[nodiscard]] bool AwaitReady();
 
@@ -116,6 +124,10 @@
   net::http_result Send(std::size_t machine, const std::string& target,
                         const std::string& method = "GET", const std::string& body = {});
 
+  /// Sends bytes to the caller port of a machine's node on a connection of their own and returns
+  /// what arrives until the node closes the connection or is silent for a second.
+  [[nodiscard]] std::string SendBytes(std::size_t machine, const std::string& bytes) const;
+
   [[nodiscard]] object_store_stand_in& store() { return *store_; }
   [[nodiscard]] instance_stand_in& instance(std::size_t machine) const {
     return *instances_[machine];
@@ -154,6 +166,10 @@
   std::mutex heartbeat_mutex_;
   std::vector<std::uint64_t> sequences_;
   std::vector<std::string> states_;
+  /// Number of restarts of each upstream.
+  std::vector<std::atomic<int>> lifetimes_;
+  /// True for upstreams that have announced their departure.
+  std::vector<std::atomic<bool>> departed_;
   std::atomic<bool> stopped_ = false;
   std::thread heartbeat_thread_;
   std::atomic<std::uint64_t> last_request_ = 0;
--- a/test/overload/overload_test.cpp
+++ b/test/overload/overload_test.cpp
@@ -67,10 +67,8 @@
       std::cout << program_->ReadLog().substr(0, kMaxLogBytes) << '\n';
   }
 
-  /// Makes the header section of a request, up to its end unless `fields` lack the last empty line.
   [[nodiscard]] std::string MakeHead(const std::string& fields) const {
-    return "POST " + program_->target() +
-           " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: crowd\r\nDeadline-Ms: 3000\r\n" + fields;
+    return MakeRequestHead(*program_, fields);
   }
   [[nodiscard]] std::string MakeChunkedHead() const {
     return MakeHead("Transfer-Encoding: chunked\r\n\r\n");
--- a/test/overload/program_under_test.cpp
+++ b/test/overload/program_under_test.cpp
@@ -149,6 +149,11 @@
 
 std::unique_ptr<program_under_test> StartOwnNode() { return std::make_unique<own_program>(); }
 
+std::string MakeRequestHead(const program_under_test& program, const std::string& fields) {
+  return "POST " + program.target() +
+         " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: crowd\r\nDeadline-Ms: 3000\r\n" + fields;
+}
+
 std::size_t ReadPeakMemory(pid_t pid) {
   constexpr std::string_view kField = "VmHWM:";
   std::ifstream in("/proc/" + std::to_string(pid) + "/status");
--- a/test/overload/program_under_test.h
+++ b/test/overload/program_under_test.h
@@ -49,6 +49,10 @@
 /// std::runtime_error on failure.
 std::unique_ptr<program_under_test> StartOwnNode();
 
+/// Makes the header section of a request of the crowd, up to its end unless `fields` lack the last
+/// empty line.
+std::string MakeRequestHead(const program_under_test& program, const std::string& fields);
+
 /// Returns the largest resident memory that the process had since its start, in bytes; 0 if it has
 /// ended.
 std::size_t ReadPeakMemory(pid_t pid);
