--- a/utils/bench/uploads_bench.cpp
+++ b/utils/bench/uploads_bench.cpp
@@ -24,10 +24,8 @@
   {
     const auto callers =
         test::OpenCrowd(uploads, node->caller(), [&](const test::raw_client& caller) {
-          caller.Send(
-              "POST /dock/upload HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: upload\r\n"
-              "Deadline-Ms: 3000\r\nContent-Length: " +
-              std::to_string(bytes) + "\r\n\r\n");
+          const std::string length = "Content-Length: " + std::to_string(bytes);
+          caller.Send(test::MakeRequestHead(*node, length + "\r\n\r\n"));
           caller.Send(body);
           if (caller.ReadStatus() == 200) ++served;
         });
