--- a/include/siskinrack/net/peer.h
+++ b/include/siskinrack/net/peer.h
@@ -12,6 +12,7 @@
 #include "siskinrack/net/cancellation.h"
 #include "siskinrack/net/fiber_runtime.h"
 #include "siskinrack/net/http_client.h"
+#include "siskinrack/net/memory_budget.h"
 #include "siskinrack/net/traffic.h"
 #include "siskinrack/support/hybrid_clock.h"
 #include "siskinrack/support/socket_address.h"
@@ -31,6 +32,8 @@
   std::string source_ip;
   /// Paces large frames; null if they are sent at once.
   link_pacer* pacer = nullptr;
+  /// Budget for the frames that are received and sent; may be null.
+  memory_budget* memory = nullptr;
   /// Number of call answers that are queued or being written. A shutdown waits until it is 0.
   std::atomic<std::size_t> unwritten_answers = 0;
 };
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -304,6 +304,10 @@
     const net::scoped_callback on_recall(&context_.recall, [&withdrawn] { withdrawn.Cancel(); });
     return serving_.Serve(state.call, withdrawn);
   }
+  // The frame needs as much memory as the request until it is sent.
+  if (!context_.memory.HasRoom(net::memory_use::kFrame, state.call.body.size())) {
+    return MakeNotRunAnswer(answer_cause::no_capacity, "no memory to send the request");
+  }
   // If the request can't be sent again, giving it up early replaces its answer by a failure.
   const bool may_repeat = !state.call.at_most_once && state.runs + 1 < state.route->attempts;
   const bool gives_up = may_repeat && !context_.stopping;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -32,6 +32,12 @@
 /// Largest number of received bytes that wait to be parsed. The parser needs a whole header
 /// section, chunk header or trailer section at once and sets no limit to the latter two.
 constexpr std::size_t kMaxBufferedBytes = 4 * kMaxHeaderBytes;
+/// Bytes of a response body that a read may add; an ordinary response has no more.
+constexpr std::size_t kReadAheadBytes = 4U << 10U;
+/// Wait for memory for a response body. Callers that don't read their responses hold theirs for
+/// longer; those of the others are written in this time.
+constexpr std::chrono::milliseconds kMemoryWait{1'000};
+constexpr std::chrono::milliseconds kMemoryPollInterval{20};
 /// Limit of the interim responses and the responses to other requests that precede a response.
 constexpr int kMaxSkippedResponses = 16;
 
@@ -107,9 +113,10 @@
 
 class http_client::impl {
  public:
-  impl(fiber_runtime& runtime, std::size_t max_idle, std::size_t body_budget)
+  impl(fiber_runtime& runtime, std::size_t max_idle, std::size_t body_budget, memory_budget* memory)
       : max_idle_(max_idle),
         body_budget_(body_budget / runtime.thread_count()),
+        memory_(memory),
         idle_(runtime.thread_count()),
         body_bytes_(runtime.thread_count()) {}
 
@@ -127,7 +134,7 @@
     }
     bool keep_alive = false;
     http_result result =
-        SendOn(conn, reused, address, std::move(request), deadline, cancel, options, keep_alive);
+        SendOn(conn, reused, address, request, deadline, cancel, options, keep_alive);
     // A cancellation that came with the response closes the connection later, when it could be in
     // use again.
     if (cancel != nullptr && cancel->cancelled()) keep_alive = false;
@@ -161,7 +168,7 @@
   /// Sends the request on `conn` after connecting it, unless it is reused. Sets `keep_alive` to
   /// true if the connection can be reused afterwards.
   http_result SendOn(const connection_ptr& conn, bool reused,
-                     const support::socket_address& address, http_request request,
+                     const support::socket_address& address, const http_request& request,
                      steady_time deadline, cancellation* cancel, const exchange_options& options,
                      bool& keep_alive) {
     const cancel_guard guard(cancel, conn);
@@ -172,8 +179,8 @@
       if (error) return MakeFailure(exchange_stage::kNotSent, error);
     }
     conn->stream.expires_at(deadline);
-    return Exchange(conn, detail::ToBeastRequest(std::move(request), address.ToText()), deadline,
-                    options, keep_alive);
+    return Exchange(conn, detail::ToBeastRequest(request, address.ToText()), deadline, options,
+                    keep_alive);
   }
 
   static boost::system::error_code Connect(connection& conn,
@@ -190,7 +197,8 @@
   }
 
   /// Represents a request that is written while its response is read, because a server may respond
-  /// before it has read the whole body.
+  /// before it has read the whole body. The body is owned by the caller of Send, which closes the
+  /// connection, and with it an unfinished write, before it returns.
   struct pending_write {
     explicit pending_write(detail::beast_request request) : message(std::move(request)) {}
     detail::beast_request message;
@@ -253,7 +261,11 @@
                                          steady_time deadline, const exchange_options& options) {
     const steady_time latest_end = deadline + options.progress_extension;
     body_share share(body_bytes_[fiber_runtime::GetCurrentThreadIndex()], body_budget_);
+    memory_charge charge(memory_, memory_use::kResponseBody);
     while (!parser.is_done()) {
+      if (!AwaitMemory(charge, parser.get().body().size() + kReadAheadBytes, deadline)) {
+        return http::error::body_limit;
+      }
       const auto read = Await<std::size_t>(
           [&](auto handler) { http::async_read_some(conn.stream, conn.buffer, parser, handler); });
       if (read.error) return read.error;
@@ -266,6 +278,17 @@
     return {};
   }
 
+  /// Resizes a charge. Waits for memory, because the request of the response may have run. Returns
+  /// false if there is none.
+  static bool AwaitMemory(memory_charge& charge, std::size_t bytes, steady_time deadline) {
+    const auto end = std::min(deadline, std::chrono::steady_clock::now() + kMemoryWait);
+    while (!charge.Resize(bytes)) {
+      if (std::chrono::steady_clock::now() >= end) return false;
+      SleepFor(kMemoryPollInterval);
+    }
+    return true;
+  }
+
   /// Sets `closes_at` from the value of a Keep-Alive field (timeout=N, in whole seconds).
   static void ApplyKeepAlive(connection& conn, beast::string_view value) {
     constexpr std::string_view kParameter = "timeout=";
@@ -308,6 +331,7 @@
   std::size_t max_idle_;
   /// Limit of the bytes that one thread receives at a time.
   std::size_t body_budget_;
+  memory_budget* memory_;
   /// Idle connections by thread; each pool is used on its thread only.
   std::vector<pool> idle_;
   /// Bytes of the bodies that are being received, by thread.
@@ -327,8 +351,8 @@
 }
 
 http_client::http_client(fiber_runtime& runtime, std::size_t max_idle_per_thread,
-                         std::size_t body_budget)
-    : impl_(std::make_unique<impl>(runtime, max_idle_per_thread, body_budget)) {}
+                         std::size_t body_budget, memory_budget* memory)
+    : impl_(std::make_unique<impl>(runtime, max_idle_per_thread, body_budget, memory)) {}
 
 http_client::~http_client() = default;
 
--- a/lib/net/http_fields.cpp
+++ b/lib/net/http_fields.cpp
@@ -52,6 +52,11 @@
   message.keep_alive(true);
 }
 
+boost::beast::span<const char> ViewBody(const http_request& request) {
+  const std::string_view body = request.body_view.empty() ? request.body : request.body_view;
+  return {body.data(), body.size()};
+}
+
 }  // namespace
 
 std::string_view FindField(const std::vector<http_field>& fields, std::string_view name) {
@@ -69,7 +74,7 @@
     http::request<http::span_body<const char>> message;
     FillRequest(message, request, request.host);
     // A view instead of a copy: a body may be long.
-    message.body() = {request.body.data(), request.body.size()};
+    message.body() = ViewBody(request);
     message.prepare_payload();
   } catch (const std::logic_error& error) {
     // The library reports arguments that it refuses only by exceptions.
@@ -80,13 +85,12 @@
 
 namespace detail {
 
-http_request FromBeastRequest(beast_request message) {
+http_request FromBeastHeader(const http::request_header<>& header) {
   http_request request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  request.host = std::string(message[http::field::host]);
-  request.fields = CopyFields(message);
-  request.body = std::move(message.body());
+  request.method = std::string(header.method_string());
+  request.target = std::string(header.target());
+  request.host = std::string(header[http::field::host]);
+  request.fields = CopyFields(header);
   return request;
 }
 
@@ -98,10 +102,10 @@
   return response;
 }
 
-beast_request ToBeastRequest(http_request request, const std::string& host) {
+beast_request ToBeastRequest(const http_request& request, const std::string& host) {
   beast_request message;
   FillRequest(message, request, host);
-  message.body() = std::move(request.body);
+  message.body() = ViewBody(request);
   message.prepare_payload();
   return message;
 }
