--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -3890,6 +3890,7 @@
   typedef token_request TableType;
   uint64_t config_version = 0;
   std::vector<std::unique_ptr<siskinrack::wire::token_demand_t>> demands{};
+  bool relayed = false;
   token_request_t() = default;
   token_request_t(const token_request_t &o);
   token_request_t(token_request_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3901,7 +3902,8 @@
   typedef token_requestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CONFIG_VERSION = 4,
-    VT_DEMANDS = 6
+    VT_DEMANDS = 6,
+    VT_RELAYED = 8
   };
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
@@ -3909,12 +3911,16 @@
   const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_demand>> *demands() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_demand>> *>(VT_DEMANDS);
   }
+  bool relayed() const {
+    return GetField<uint8_t>(VT_RELAYED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyOffset(verifier, VT_DEMANDS) &&
            verifier.VerifyVector(demands()) &&
            verifier.VerifyVectorOfTables(demands()) &&
+           VerifyField<uint8_t>(verifier, VT_RELAYED, 1) &&
            verifier.EndTable();
   }
   token_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3932,6 +3938,9 @@
   void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_demand>>> demands) {
     fbb_.AddOffset(token_request::VT_DEMANDS, demands);
   }
+  void add_relayed(bool relayed) {
+    fbb_.AddElement<uint8_t>(token_request::VT_RELAYED, static_cast<uint8_t>(relayed), 0);
+  }
   explicit token_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3946,22 +3955,26 @@
 inline flatbuffers::Offset<token_request> Createtoken_request(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t config_version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_demand>>> demands = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::token_demand>>> demands = 0,
+    bool relayed = false) {
   token_requestBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_demands(demands);
+  builder_.add_relayed(relayed);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<token_request> Createtoken_requestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t config_version = 0,
-    const std::vector<flatbuffers::Offset<siskinrack::wire::token_demand>> *demands = nullptr) {
+    const std::vector<flatbuffers::Offset<siskinrack::wire::token_demand>> *demands = nullptr,
+    bool relayed = false) {
   auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::token_demand>>(*demands) : 0;
   return siskinrack::wire::Createtoken_request(
       _fbb,
       config_version,
-      demands__);
+      demands__,
+      relayed);
 }
 
 flatbuffers::Offset<token_request> Createtoken_request(flatbuffers::FlatBufferBuilder &_fbb, const token_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3970,6 +3983,7 @@
   typedef token_demand TableType;
   std::string tenant{};
   uint32_t wanted = 0;
+  uint16_t shard = 0;
 };
 
 struct token_demand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3977,7 +3991,8 @@
   typedef token_demandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TENANT = 4,
-    VT_WANTED = 6
+    VT_WANTED = 6,
+    VT_SHARD = 8
   };
   const flatbuffers::String *tenant() const {
     return GetPointer<const flatbuffers::String *>(VT_TENANT);
@@ -3985,11 +4000,15 @@
   uint32_t wanted() const {
     return GetField<uint32_t>(VT_WANTED, 0);
   }
+  uint16_t shard() const {
+    return GetField<uint16_t>(VT_SHARD, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TENANT) &&
            verifier.VerifyString(tenant()) &&
            VerifyField<uint32_t>(verifier, VT_WANTED, 4) &&
+           VerifyField<uint16_t>(verifier, VT_SHARD, 2) &&
            verifier.EndTable();
   }
   token_demand_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4007,6 +4026,9 @@
   void add_wanted(uint32_t wanted) {
     fbb_.AddElement<uint32_t>(token_demand::VT_WANTED, wanted, 0);
   }
+  void add_shard(uint16_t shard) {
+    fbb_.AddElement<uint16_t>(token_demand::VT_SHARD, shard, 0);
+  }
   explicit token_demandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4021,22 +4043,26 @@
 inline flatbuffers::Offset<token_demand> Createtoken_demand(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> tenant = 0,
-    uint32_t wanted = 0) {
+    uint32_t wanted = 0,
+    uint16_t shard = 0) {
   token_demandBuilder builder_(_fbb);
   builder_.add_wanted(wanted);
   builder_.add_tenant(tenant);
+  builder_.add_shard(shard);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<token_demand> Createtoken_demandDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *tenant = nullptr,
-    uint32_t wanted = 0) {
+    uint32_t wanted = 0,
+    uint16_t shard = 0) {
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   return siskinrack::wire::Createtoken_demand(
       _fbb,
       tenant__,
-      wanted);
+      wanted,
+      shard);
 }
 
 flatbuffers::Offset<token_demand> Createtoken_demand(flatbuffers::FlatBufferBuilder &_fbb, const token_demand_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4114,6 +4140,7 @@
   uint32_t valid_ms = 0;
   uint32_t refill_ms = 0;
   bool owned = false;
+  bool released = false;
 };
 
 struct token_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4123,7 +4150,8 @@
     VT_GRANTED = 4,
     VT_VALID_MS = 6,
     VT_REFILL_MS = 8,
-    VT_OWNED = 10
+    VT_OWNED = 10,
+    VT_RELEASED = 12
   };
   uint32_t granted() const {
     return GetField<uint32_t>(VT_GRANTED, 0);
@@ -4137,12 +4165,16 @@
   bool owned() const {
     return GetField<uint8_t>(VT_OWNED, 0) != 0;
   }
+  bool released() const {
+    return GetField<uint8_t>(VT_RELEASED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GRANTED, 4) &&
            VerifyField<uint32_t>(verifier, VT_VALID_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_REFILL_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_OWNED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RELEASED, 1) &&
            verifier.EndTable();
   }
   token_grant_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4166,6 +4198,9 @@
   void add_owned(bool owned) {
     fbb_.AddElement<uint8_t>(token_grant::VT_OWNED, static_cast<uint8_t>(owned), 0);
   }
+  void add_released(bool released) {
+    fbb_.AddElement<uint8_t>(token_grant::VT_RELEASED, static_cast<uint8_t>(released), 0);
+  }
   explicit token_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4182,11 +4217,13 @@
     uint32_t granted = 0,
     uint32_t valid_ms = 0,
     uint32_t refill_ms = 0,
-    bool owned = false) {
+    bool owned = false,
+    bool released = false) {
   token_grantBuilder builder_(_fbb);
   builder_.add_refill_ms(refill_ms);
   builder_.add_valid_ms(valid_ms);
   builder_.add_granted(granted);
+  builder_.add_released(released);
   builder_.add_owned(owned);
   return builder_.Finish();
 }
@@ -6116,7 +6153,8 @@
 }
 
 inline token_request_t::token_request_t(const token_request_t &o)
-      : config_version(o.config_version) {
+      : config_version(o.config_version),
+        relayed(o.relayed) {
   demands.reserve(o.demands.size());
   for (const auto &demands_ : o.demands) { demands.emplace_back((demands_) ? new siskinrack::wire::token_demand_t(*demands_) : nullptr); }
 }
@@ -6124,6 +6162,7 @@
 inline token_request_t &token_request_t::operator=(token_request_t o) FLATBUFFERS_NOEXCEPT {
   std::swap(config_version, o.config_version);
   std::swap(demands, o.demands);
+  std::swap(relayed, o.relayed);
   return *this;
 }
 
@@ -6138,6 +6177,7 @@
   (void)_resolver;
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = std::unique_ptr<siskinrack::wire::token_demand_t>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = relayed(); _o->relayed = _e; }
 }
 
 inline flatbuffers::Offset<token_request> token_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6150,10 +6190,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_request_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _config_version = _o->config_version;
   auto _demands = _o->demands.size() ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::token_demand>> (_o->demands.size(), [](size_t i, _VectorArgs *__va) { return Createtoken_demand(*__va->__fbb, __va->__o->demands[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _relayed = _o->relayed;
   return siskinrack::wire::Createtoken_request(
       _fbb,
       _config_version,
-      _demands);
+      _demands,
+      _relayed);
 }
 
 inline token_demand_t *token_demand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6167,6 +6209,7 @@
   (void)_resolver;
   { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
   { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = shard(); _o->shard = _e; }
 }
 
 inline flatbuffers::Offset<token_demand> token_demand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_demand_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6179,10 +6222,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_demand_t* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
   auto _wanted = _o->wanted;
+  auto _shard = _o->shard;
   return siskinrack::wire::Createtoken_demand(
       _fbb,
       _tenant,
-      _wanted);
+      _wanted,
+      _shard);
 }
 
 inline token_reply_t::token_reply_t(const token_reply_t &o) {
@@ -6234,6 +6279,7 @@
   { auto _e = valid_ms(); _o->valid_ms = _e; }
   { auto _e = refill_ms(); _o->refill_ms = _e; }
   { auto _e = owned(); _o->owned = _e; }
+  { auto _e = released(); _o->released = _e; }
 }
 
 inline flatbuffers::Offset<token_grant> token_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6248,12 +6294,14 @@
   auto _valid_ms = _o->valid_ms;
   auto _refill_ms = _o->refill_ms;
   auto _owned = _o->owned;
+  auto _released = _o->released;
   return siskinrack::wire::Createtoken_grant(
       _fbb,
       _granted,
       _valid_ms,
       _refill_ms,
-      _owned);
+      _owned,
+      _released);
 }
 
 inline freshness_request_t *freshness_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
