platform: tenants, open routes and their bounds are decoded

Cause: the configuration's tenants and the bounds revokeStrict, revokeS and quota... were skipped.

Findings contain no key.

--- a/include/siskinrack/routing/configuration.h
+++ b/include/siskinrack/routing/configuration.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "siskinrack/net/http.h"
+#include "siskinrack/tenancy/key_table.h"
 
 namespace siskinrack::routing {
 
@@ -37,6 +38,8 @@
   /// Maximum number of attempts that may have run one request. An attempt that has certainly not
   /// run does not count.
   std::uint32_t attempts = 1;
+  /// Callers need no API key. Matters only if the configuration has tenants.
+  bool open = false;
   std::vector<weighted_service> targets;
 
   bool operator==(const route&) const = default;
@@ -60,6 +63,8 @@
   net::http_limits limits;
   std::vector<route> routes;
   std::vector<service> services;
+  /// If it is empty, no request needs an API key, and keys are passed on like any other field.
+  std::vector<tenancy::tenant> tenants;
 
   bool operator==(const configuration&) const = default;
 };
--- a/include/siskinrack/routing/route_table.h
+++ b/include/siskinrack/routing/route_table.h
@@ -41,6 +41,10 @@
   [[nodiscard]] const route* Match(std::string_view host, std::string_view target) const;
   /// Returns the service called `name`, or null.
   [[nodiscard]] const service* FindService(std::string_view name) const;
+  /// Returns the tenant that holds the API key `key`, or null.
+  [[nodiscard]] const tenancy::tenant* FindTenant(std::string_view key) const;
+  /// Returns the tenant called `name`, or null.
+  [[nodiscard]] const tenancy::tenant* FindTenantByName(std::string_view name) const;
 
  private:
   struct text_hash {
@@ -52,6 +56,8 @@
   using prefix_map = std::unordered_map<std::string, std::size_t, text_hash, std::equal_to<>>;
 
   configuration config_;
+  tenancy::key_table keys_;
+  std::unordered_map<std::string, std::size_t, text_hash, std::equal_to<>> tenant_by_name_;
   /// Indices into the routes, by normalized host and prefix.
   std::unordered_map<std::string, prefix_map, text_hash, std::equal_to<>> hosts_;
 };
--- a/lib/routing/route_table.cpp
+++ b/lib/routing/route_table.cpp
@@ -36,11 +36,15 @@
   return best;
 }
 
-route_table::route_table(configuration config) : config_(std::move(config)) {
+route_table::route_table(configuration config)
+    : config_(std::move(config)), keys_(config_.tenants) {
   for (std::size_t i = 0; i < config_.routes.size(); ++i) {
     const route& entry = config_.routes[i];
     hosts_[NormalizeHost(entry.host)].emplace(entry.prefix, i);
   }
+  for (std::size_t i = 0; i < config_.tenants.size(); ++i) {
+    tenant_by_name_.emplace(config_.tenants[i].name, i);
+  }
 }
 
 const route* route_table::Match(std::string_view host, std::string_view target) const {
@@ -63,4 +67,14 @@
   return found == config_.services.end() ? nullptr : &*found;
 }
 
+const tenancy::tenant* route_table::FindTenant(std::string_view key) const {
+  const auto index = keys_.Find(key);
+  return index ? &config_.tenants[*index] : nullptr;
+}
+
+const tenancy::tenant* route_table::FindTenantByName(std::string_view name) const {
+  const auto found = tenant_by_name_.find(name);
+  return found == tenant_by_name_.end() ? nullptr : &config_.tenants[found->second];
+}
+
 }  // namespace siskinrack::routing
--- a/unittests/platform/platform_codec_test.cpp
+++ b/unittests/platform/platform_codec_test.cpp
@@ -36,6 +36,24 @@
   EXPECT_EQ(settings.memory_bytes, 260'000'000U);
 }
 
+// Guards against bounds of tenants that are not read: "true" is a word, not a number.
+TEST(MachineSettings, BoundsOfTenantsAreRead) {
+  std::string text(kSettings);
+  support::findings problems;
+  machine_settings settings = ParseSettings(text, problems);
+  EXPECT_EQ(settings.revocation_limit, milliseconds(0));
+  EXPECT_EQ(settings.caps, tenancy::cap_tolerance());
+  text.replace(text.find("\"someFlag=true\""), 15,
+               R"("revokeStrict=true", "revokeS=5", "quotaWindowS=4", "quotaExcess=0.1",
+                  "quotaSlack=20")");
+  settings = ParseSettings(text, problems);
+  EXPECT_TRUE(problems.empty()) << problems.ToText();
+  EXPECT_EQ(settings.revocation_limit, milliseconds(5'000));
+  EXPECT_EQ(settings.caps, (tenancy::cap_tolerance{4, 0.1, 20}));
+  text.replace(text.find("revokeStrict=true"), 17, "revokeStrict=false");
+  EXPECT_EQ(ParseSettings(text, problems).revocation_limit, milliseconds(0));
+}
+
 // Guards against a parser that reports only the first problem.
 TEST(MachineSettings, AllProblemsAreReportedTogether) {
   support::findings problems;
@@ -86,6 +104,57 @@
   EXPECT_EQ(config->routes[1].targets[1].weight, 10U);
 }
 
+// Guards against tenants that are read in part, and against routes that are open by default.
+TEST(Configuration, TenantsAreRead) {
+  boost::json::value document = boost::json::parse(kConfiguration);
+  document.as_object()["tenants"] = boost::json::parse(
+      R"([{"name": "pulo780", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 64.5,
+           "burst": 643}, {"name": "free", "apiKeys": []}])");
+  auto& rules = document.as_object()["listeners"].as_array()[0].as_object()["rules"].as_array();
+  rules[0].as_object()["public"] = true;
+  support::findings problems;
+  const auto config = ReadConfiguration(document, problems);
+  ASSERT_TRUE(config) << problems.ToText();
+  ASSERT_EQ(config->tenants.size(), 2U);
+  EXPECT_EQ(config->tenants[0].keys.size(), 2U);
+  EXPECT_EQ(config->tenants[0].keys[1], tenancy::ComputeKeyDigest("k2"));
+  EXPECT_EQ(config->tenants[0].priority, 1U);
+  EXPECT_DOUBLE_EQ(config->tenants[0].rate_per_second, 64.5);
+  EXPECT_DOUBLE_EQ(config->tenants[0].burst, 643);
+  EXPECT_FALSE(config->tenants[1].priority);
+  EXPECT_DOUBLE_EQ(config->tenants[1].rate_per_second, 0);
+  EXPECT_TRUE(config->routes[0].open);
+  EXPECT_FALSE(config->routes[1].open);
+}
+
+// Guards against a finding, which is logged, that contains a key.
+TEST(Configuration, FindingsContainNoKey) {
+  boost::json::value document = boost::json::parse(kConfiguration);
+  document.as_object()["tenants"] =
+      boost::json::parse(R"([{"name": 1, "apiKeys": ["secretkey", 7], "ratePerS": -1}])");
+  support::findings problems;
+  EXPECT_FALSE(ReadConfiguration(document, problems));
+  EXPECT_EQ(problems.size(), 3U) << problems.ToText();
+  EXPECT_EQ(problems.ToText().find("secretkey"), std::string::npos);
+}
+
+// Guards against a key, or a forged name of a tenant, that stays in the request.
+TEST(CallerRequest, KeyIsTakenOffTheRequest) {
+  const auto take = [](std::vector<net::http_field> fields) {
+    net::http_request request;
+    request.fields = std::move(fields);
+    const auto key = TakeApiKey(request);
+    EXPECT_TRUE(request.fields.empty());
+    return key;
+  };
+  EXPECT_EQ(take({{"authorization", "bearer abc"}, {"TENANT", "forged"}}), "abc");
+  EXPECT_EQ(take({{"Tenant", "forged"}}), std::nullopt);
+  // One that can't be read, or several, are unknown keys and not missing ones.
+  EXPECT_EQ(take({{"Authorization", "Basic abc"}}), "");
+  EXPECT_EQ(take({{"Authorization", "Bearer "}}), "");
+  EXPECT_EQ(take({{"Authorization", "Bearer a"}, {"Authorization", "Bearer b"}}), "");
+}
+
 // Guards against a version that is activated in part.
 TEST(Configuration, AnyProblemRejectsTheWholeVersion) {
   const auto broken = [](auto change) {
