mesh: keys that are taken away, usage caps over all nodes, silent watches

Cause: no key was checked, the key went on to the instance, and no cap was kept.

Change: - tenant_gate: 401 without a valid key; the key leaves the request before anything else sees it; the tenant's name and priority replace what was sent. Without tenants nothing changes. - freshness_keeper: with revokeStrict, two provers per failure domain watch the configuration with a wait of 1 s, the others ask them for the age of their proof; keyed requests get 503 without a proof younger than nine tenths of revokeS. - cap_service connects tenancy::cap_node; 429 carries the time of the next token, and one in 100 is logged. - Each feed is verified by itself with a stale watch of its own kind that doesn't wait; changes in it are applied. A check that fails doesn't cancel a watch that may be receiving. After a failure the configuration is read as one object, not as all its versions. - peer_result tells whether a dial was refused.

--- a/include/siskinrack/net/peer.h
+++ b/include/siskinrack/net/peer.h
@@ -40,6 +40,8 @@
   std::string error;
   /// True if the deadline passed after the link was established.
   bool timed_out = false;
+  /// True if the last dial was refused: no process listens at the address.
+  bool refused = false;
 };
 
 /// Handles a request from a peer in a new fiber. Returns the reply, or std::nullopt if the message
--- a/lib/mesh/call_answers.h
+++ b/lib/mesh/call_answers.h
@@ -9,7 +9,9 @@
 
 namespace siskinrack::mesh {
 
+inline constexpr unsigned kStatusUnauthorized = 401;
 inline constexpr unsigned kStatusNotFound = 404;
+inline constexpr unsigned kStatusTooManyRequests = 429;
 inline constexpr unsigned kFirstServerError = 500;
 inline constexpr unsigned kStatusBadGateway = 502;
 inline constexpr unsigned kStatusUnavailable = 503;
--- /dev/null
+++ b/lib/mesh/cap_service.h
@@ -0,0 +1,72 @@
+#ifndef SISKINRACK_LIB_MESH_CAP_SERVICE_H_
+#define SISKINRACK_LIB_MESH_CAP_SERVICE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "mesh_context.h"
+#include "siskinrack/tenancy/cap_node.h"
+#include "siskinrack/wire/siskinrack_generated.h"
+
+namespace siskinrack::mesh {
+
+/// Connects a cap_node to this node.
+class cap_peers {
+ public:
+  explicit cap_peers(mesh_context& context) : context_(context) {}
+
+  static net::steady_time SteadyNow() { return std::chrono::steady_clock::now(); }
+  static support::boot_clock::time_point BootNow() { return support::boot_clock::now(); }
+  [[nodiscard]] std::optional<support::boot_clock::time_point> ProvedAt() const;
+  [[nodiscard]] std::string Self() const { return context_.settings.peer_address.ToText(); }
+  std::vector<std::string> FindCandidates(const std::string& shard);
+  [[nodiscard]] std::optional<tenancy::usage_cap> FindCap(const std::string& tenant) const;
+  [[nodiscard]] tenancy::cap_tolerance Tolerance() const { return context_.settings.caps; }
+  tenancy::cap_exchange Ask(const std::string& node, const tenancy::cap_demand& demand,
+                            net::steady_time deadline);
+
+ private:
+  mesh_context& context_;
+  /// Generation of the endpoints that `candidates_` belongs to.
+  std::uint64_t generation_ = 0;
+  std::map<std::string, std::vector<std::string>> candidates_;
+  std::map<std::string, support::socket_address> addresses_;
+};
+
+/// Keeps the usage caps of tenants over all nodes. The entry nodes request tokens from the owner of
+/// a cap, one of the nodes that are first by rendezvous hash of the tenant.
+class cap_service {
+ public:
+  using node = tenancy::cap_node<cap_peers>;
+
+  explicit cap_service(mesh_context& context) : context_(context), peers_(context), node_(peers_) {}
+
+  /// Watches for suspensions of this process until it ends, in a fiber of its own.
+  void Run();
+
+  /// Takes a token for one request of the tenant, if it has a cap. May suspend the calling fiber,
+  /// at most until `deadline`.
+  node::result Acquire(const tenancy::tenant& tenant, net::steady_time deadline) {
+    return node_.Acquire(std::string(tenant.name), deadline);
+  }
+
+  /// Answers the demands of another node. May suspend the calling fiber.
+  wire::token_reply_t OnRequest(const wire::token_request_t& request);
+
+  /// Discards the state of tenants that the active configuration doesn't have.
+  void OnConfiguration();
+
+  [[nodiscard]] const std::map<std::string, node::counts>& counts_by_tenant() const {
+    return node_.counts_by_tenant();
+  }
+
+ private:
+  mesh_context& context_;
+  cap_peers peers_;
+  node node_;
+};
+
+}  // namespace siskinrack::mesh
+
+#endif  // SISKINRACK_LIB_MESH_CAP_SERVICE_H_
--- a/lib/mesh/config_consumer.cpp
+++ b/lib/mesh/config_consumer.cpp
@@ -17,10 +17,16 @@
   ApplyIfNewer(change.object);
 }
 
+void config_consumer::OnProved(support::boot_clock::time_point requested_at) {
+  if (rejected_) return;
+  context_.config_proof.OnProof(context_.version(), context_.version(), requested_at);
+}
+
 void config_consumer::ApplyIfNewer(const platform_adapter::versioned_object& object) {
   if (object.name != platform_adapter::kConfigurationName) return;
   support::findings problems;
   auto config = platform_adapter::ReadConfiguration(object.content, problems);
+  rejected_ = !config;
   if (!config) {
     context_.log.Warn("config_rejected", {{"revision", object.revision},
                                           {"kept_version", context_.version()},
--- a/lib/mesh/config_consumer.h
+++ b/lib/mesh/config_consumer.h
@@ -19,6 +19,9 @@
   void OnList(platform_adapter::object_listing listing);
   /// Applies a changed configuration. A deletion is only logged; the active version stays.
   void OnChange(platform_adapter::object_change change);
+  /// Records that the applied objects were the current ones at `requested_at`. After an object that
+  /// was not valid, the active version isn't the current one.
+  void OnProved(support::boot_clock::time_point requested_at);
 
  private:
   /// Activates the configuration in `object` if it is valid and newer than the active one.
@@ -26,6 +29,8 @@
 
   mesh_context& context_;
   std::function<void()> on_active_;
+  /// True if the newest object was not valid.
+  bool rejected_ = false;
 };
 
 }  // namespace siskinrack::mesh
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t kMaxNamedLimits = 1'024;
 /// One in this many answered requests is logged; every failure is.
 constexpr std::uint64_t kAnsweredLogInterval = 100;
+/// One in this many requests that are refused because of their tenant is logged.
+constexpr std::uint64_t kRefusedLogInterval = 100;
 /// Fraction of the remaining time within which an answer must be predicted to count as in time,
 /// because service times vary.
 constexpr double kInTimeFraction = 0.8;
@@ -125,6 +127,8 @@
   if (context_.shutdown && !context_.shutdown->Accepts(now, state.route->target_latency)) {
     return Refuse(caller.id, kStatusUnavailable, "node is shutting down");
   }
+  const tenant_gate::verdict access = tenants_.Identify(*state.routes, *state.route, request);
+  if (access.status != 0) return Refuse(caller.id, access.status, access.reason);
   state.service = ChooseService(*state.route);
   const milliseconds timeout =
       state.route->timeout.count() > 0 ? state.route->timeout : kDefaultTimeout;
@@ -136,7 +140,17 @@
   state.in_time_by = now + target - caller_waits_[state.route].EstimateWait(deadline, target);
   state.call = MakeCall(std::move(request), caller.id, *state.route, state.service,
                         context_.settings.service);
+  if (access.tenant != nullptr) {
+    state.call.tenant = access.tenant->name;
+    state.call.priority = access.tenant->priority.value_or(state.call.priority);
+  }
   if (auto refusal = crashes_.FindRefusal(state.call)) return ToHttp(state, std::move(*refusal));
+  if (access.tenant != nullptr) {
+    const tenant_gate::verdict charge = tenants_.Charge(*access.tenant, state.deadline);
+    if (charge.status != 0) {
+      return Refuse(caller.id, charge.status, charge.reason, charge.retry_after);
+    }
+  }
   wire::call_answer_t answer = SendWithRetries(state, cancel);
   // The last attempt did not run, but an earlier one may have.
   if (answer.outcome == outcome_kind::not_run && state.runs > 0) {
@@ -318,14 +332,24 @@
 }
 
 net::http_response entry_service::Refuse(const std::string& id, unsigned status,
-                                         std::string_view reason) {
-  context_.log.Info("request_refused", {{"request", id},
-                                        {"status", status},
-                                        {"reason", reason},
-                                        {"config_version", context_.version()}});
-  const bool retryable = status == kStatusUnavailable;
-  return platform_adapter::MakeLocalResponse(
-      status, id, reason, retryable ? ComputeRetryDelay(kDefaultRemainingTime) : milliseconds(0));
+                                         std::string_view reason, milliseconds retry_after) {
+  const bool of_tenant = status == kStatusUnauthorized || status == kStatusTooManyRequests;
+  // One tenant can cause any number of these.
+  const std::uint64_t interval = of_tenant ? kRefusedLogInterval : 1;
+  if (!of_tenant || refused_++ % interval == 0) {
+    context_.log.Info("request_refused", {{"request", id},
+                                          {"status", status},
+                                          {"reason", reason},
+                                          {"config_version", context_.version()},
+                                          {"one_in", interval}});
+  }
+  if (status == kStatusUnavailable && retry_after.count() == 0) {
+    retry_after = ComputeRetryDelay(kDefaultRemainingTime);
+  }
+  net::http_response response =
+      platform_adapter::MakeLocalResponse(status, id, reason, retry_after);
+  if (status == kStatusUnauthorized) response.fields.push_back({"WWW-Authenticate", "Bearer"});
+  return response;
 }
 
 net::http_response entry_service::ToHttp(const request_state& state, wire::call_answer_t answer) {
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -14,6 +14,7 @@
 #include "siskinrack/balancing/selection.h"
 #include "siskinrack/balancing/sharded_registry.h"
 #include "siskinrack/routing/caller_wait.h"
+#include "tenant_gate.h"
 
 namespace siskinrack::mesh {
 
@@ -22,12 +23,16 @@
 class entry_service {
  public:
   entry_service(mesh_context& context, serving_service& serving, endpoint_reaper& reaper,
-                crash_guard& crashes)
-      : context_(context), serving_(serving), reaper_(reaper), crashes_(crashes) {}
+                crash_guard& crashes, tenant_gate& tenants)
+      : context_(context),
+        serving_(serving),
+        reaper_(reaper),
+        crashes_(crashes),
+        tenants_(tenants) {}
 
   /// Handles one request and returns the upstream's response or one made by this node: 404 if no
-  /// route matches, 503 if the request did not run, 502 or 504 if it may have run. May suspend the
-  /// calling fiber.
+  /// route matches, 401 if the route needs an API key that the caller doesn't have, 503 if the
+  /// request did not run, 502 or 504 if it may have run. May suspend the calling fiber.
   net::http_response Handle(net::http_request request, net::cancellation& cancel);
 
   /// Discards the state of the previous configuration's routes. Must be called after each change of
@@ -85,7 +90,9 @@
   /// Converts the answer to a response; counts the request and logs it.
   net::http_response ToHttp(const request_state& state, wire::call_answer_t answer);
   /// Returns the response to a request that is refused before it has a route, and logs it.
-  net::http_response Refuse(const std::string& id, unsigned status, std::string_view reason);
+  /// A `retry_after` of zero is replaced by a suitable one if the status permits a retry.
+  net::http_response Refuse(const std::string& id, unsigned status, std::string_view reason,
+                            std::chrono::milliseconds retry_after = std::chrono::milliseconds(0));
   /// Returns the retry delay for a refused caller with the remaining time `left`.
   std::chrono::milliseconds ComputeRetryDelay(std::chrono::milliseconds left);
 
@@ -93,6 +100,7 @@
   serving_service& serving_;
   endpoint_reaper& reaper_;
   crash_guard& crashes_;
+  tenant_gate& tenants_;
   std::map<std::string, service_view> views_;
   /// Start times of the departing and departed lifetimes by instance id. Their records may stay in
   /// the store while it is unavailable, and their nodes may forget the departure in a restart.
@@ -106,6 +114,8 @@
   std::map<std::uint64_t, balancing::call_profile> profiles_;
   std::map<std::string, routing::retry_share> retries_;
   std::uint64_t answered_ = 0;
+  /// Number of requests refused because of the caller's tenant.
+  std::uint64_t refused_ = 0;
   balancing::endpoint_tracker tracker_;
   std::mt19937_64 random_{std::random_device{}()};
 };
--- a/lib/mesh/mesh_context.h
+++ b/lib/mesh/mesh_context.h
@@ -16,6 +16,7 @@
 #include "siskinrack/support/event_log.h"
 #include "siskinrack/support/hybrid_clock.h"
 #include "siskinrack/support/metrics.h"
+#include "siskinrack/tenancy/knowledge_proof.h"
 
 namespace siskinrack::mesh {
 
@@ -40,6 +41,18 @@
     return routes == nullptr ? 0 : routes->config().version;
   }
 
+  /// Returns true if API keys may be used: the bound on the age of the configuration, if there is
+  /// one, is kept.
+  [[nodiscard]] bool HasCurrentKeys() const {
+    return settings.revocation_limit.count() == 0 ||
+           config_proof.IsYounger(settings.revocation_limit * kProofAgePercent / 100,
+                                  support::boot_clock::now());
+  }
+
+  /// Age that the proof may have, as a part of the bound on removed API keys. The rest covers the
+  /// difference between the clocks of the machine and of the operator.
+  static constexpr int kProofAgePercent = 90;
+
   /// Enough for a few round trips between failure domains. A VM without power does not reply to a
   /// dial, not even with a refusal.
   static constexpr std::chrono::milliseconds kPeerDialTimeout{250};
@@ -63,6 +76,8 @@
   routing::endpoint_table endpoints;
   /// The active configuration; null before the first one.
   route_table_ptr routes;
+  /// Proves the age of `routes`.
+  tenancy::knowledge_proof config_proof;
   /// Set on SIGTERM: the node reports that it is not ready.
   std::atomic<bool> stopping = false;
   /// Set on SIGTERM.
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -3,10 +3,12 @@
 #include <thread>
 
 #include "call_answers.h"
+#include "cap_service.h"
 #include "config_consumer.h"
 #include "crash_guard.h"
 #include "endpoint_consumer.h"
 #include "entry_service.h"
+#include "freshness_keeper.h"
 #include "instance_codec.h"
 #include "mesh_context.h"
 #include "object_feed.h"
@@ -14,6 +16,7 @@
 #include "serving_service.h"
 #include "siskinrack/net/http_server.h"
 #include "store_monitor.h"
+#include "tenant_gate.h"
 
 namespace siskinrack::mesh {
 namespace {
@@ -35,6 +38,9 @@
 /// itself, one repetition of it and the activation.
 constexpr double kWatchPauseFraction = 0.4;
 
+/// Wait of the watch calls of a prover: an answer is at least that old when it arrives.
+constexpr milliseconds kProverWatchWait{1'000};
+
 milliseconds ComputeWatchPause(milliseconds limit) {
   return std::chrono::duration_cast<milliseconds>(limit * kWatchPauseFraction);
 }
@@ -54,7 +60,9 @@
         crashes_(context_),
         serving_(context_, registration_, crashes_),
         reaper_(context_),
-        entry_(context_, serving_, reaper_, crashes_),
+        caps_(context_),
+        tenants_(context_, caps_),
+        entry_(context_, serving_, reaper_, crashes_, tenants_),
         configs_(context_, [this] { OnConfiguration(); }),
         endpoints_(context_,
                    [this](const std::string& id, std::uint64_t revision) {
@@ -68,12 +76,11 @@
                        endpoints_,
                        ComputeWatchPause(std::min(context_.settings.activation_limit,
                                                   context_.settings.drain_period))),
-        monitor_(
-            context_,
-            [this] { return std::max(config_feed_.revision(), endpoint_feed_.revision()); },
-            [this] {
-              config_feed_.Interrupt();
-              endpoint_feed_.Interrupt();
+        monitor_(config_feed_, endpoint_feed_),
+        freshness_(
+            context_, [this] { config_feed_.Verify(platform_adapter::read_freshness::kCurrent); },
+            [this](bool proving) {
+              config_feed_.SetMaxWait(proving ? kProverWatchWait : kMaxWatchWait);
             }),
         caller_server_(context_.runtime, {.address = context_.settings.caller_address},
                        [this](net::http_request request, net::cancellation& cancel) {
@@ -111,6 +118,8 @@
     context_.runtime.Post(0, [this] { endpoint_feed_.Run(); });
     context_.runtime.Post(0, [this] { registration_.Run(); });
     context_.runtime.Post(0, [this] { monitor_.Run(); });
+    context_.runtime.Post(0, [this] { freshness_.Run(); });
+    context_.runtime.Post(0, [this] { caps_.Run(); });
     context_.runtime.Post(0, [this] { reaper_.Run(); });
     context_.runtime.Post(0, [this] { crashes_.Run(); });
   }
@@ -181,6 +190,7 @@
                   net::kMaxResponseBytes});
     caller_server_.SetLimits(limits);
     entry_.OnConfiguration();
+    caps_.OnConfiguration();
   }
 
   net::http_response HandleReady(const net::http_request& request) {
@@ -208,6 +218,13 @@
     page.AddMetric("siskinrack_endpoints", "gauge", "endpoints in the platform's store");
     page.AddSample("siskinrack_endpoints", {},
                    static_cast<double>(context_.endpoints.All().size()));
+    if (const auto proved_at = context_.config_proof.proved_at()) {
+      const std::chrono::duration<double> age = support::boot_clock::now() - *proved_at;
+      page.AddMetric("siskinrack_config_proof_age_seconds", "gauge",
+                     "time since the configuration was last known to be the newest");
+      page.AddSample("siskinrack_config_proof_age_seconds", {}, age.count());
+    }
+    tenants_.AddMetrics(page);
     page.AddMetric("siskinrack_log_lines_dropped_total", "counter",
                    "log lines that were not written");
     page.AddSample("siskinrack_log_lines_dropped_total", {},
@@ -224,6 +241,12 @@
       reply.reachable = true;
       return wire::MakeEnvelope(std::move(reply));
     }
+    if (message.message.Asfreshness_request() != nullptr) {
+      return wire::MakeEnvelope(freshness_.MakeReply());
+    }
+    if (const auto* tokens = message.message.Astoken_request()) {
+      return wire::MakeEnvelope(caps_.OnRequest(*tokens));
+    }
     if (const auto* evidence = message.message.Ascrash_evidence()) {
       return wire::MakeEnvelope(crashes_.OnEvidence(*evidence, message.correlation_id != 0));
     }
@@ -241,12 +264,15 @@
   crash_guard crashes_;
   serving_service serving_;
   endpoint_reaper reaper_;
+  cap_service caps_;
+  tenant_gate tenants_;
   entry_service entry_;
   config_consumer configs_;
   endpoint_consumer endpoints_;
   object_feed<config_consumer> config_feed_;
   object_feed<endpoint_consumer> endpoint_feed_;
-  store_monitor monitor_;
+  store_monitor<object_feed<config_consumer>, object_feed<endpoint_consumer>> monitor_;
+  freshness_keeper freshness_;
   net::http_server caller_server_;
   net::http_server ready_server_;
   net::http_server heartbeat_server_;
--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -1,7 +1,9 @@
 #ifndef SISKINRACK_LIB_MESH_OBJECT_FEED_H_
 #define SISKINRACK_LIB_MESH_OBJECT_FEED_H_
 
+#include <algorithm>
 #include <chrono>
+#include <optional>
 #include <string_view>
 
 #include "mesh_context.h"
@@ -19,7 +21,8 @@
 
 /// Follows the objects of one kind: lists them, then watches for changes, and lists again when the
 /// store has discarded the history since the last revision. `Consumer` has OnList(object_listing)
-/// and OnChange(object_change).
+/// and OnChange(object_change). It may have OnProved(time), which is called after an answer that is
+/// not stale, and after the changes in it, with the time at which the answer was requested.
 ///
 /// A watch call returns every version of an object since the last call. During a series of changes
 /// of a large object, its versions would saturate the link of a small VM. A feed with a polled
@@ -57,6 +60,49 @@
   /// Returns the store revision up to which the consumer has received all changes.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
+  /// Returns when the store last answered a call of this feed; the epoch before the first answer.
+  [[nodiscard]] net::steady_time last_answer() const { return last_answer_; }
+  [[nodiscard]] std::string_view kind() const { return kind_; }
+
+  /// Sets the wait of the next watch calls. A waiting one that was started with a longer wait is
+  /// interrupted. Each answer proves the age of what the consumer knows.
+  void SetMaxWait(std::chrono::milliseconds wait) {
+    const bool shorter = wait < max_wait_;
+    max_wait_ = wait;
+    if (shorter) Interrupt();
+  }
+
+  /// Reads the changes that the feed has not received, with a watch call of its own that doesn't
+  /// wait. If there are any, applies them and interrupts the waiting watch call, whose connection
+  /// may be silent. Returns the revision of the store, or std::nullopt if it doesn't answer. The
+  /// answer may be stale if `freshness` allows it. May be called from another fiber than Run.
+  std::optional<std::uint64_t> Verify(platform_adapter::read_freshness freshness) {
+    if (!listed_) return std::nullopt;
+    const auto requested_at = support::boot_clock::now();
+    const std::uint64_t since = std::max(revision_, verified_revision_);
+    auto result = context_.store.Watch(kind_, freshness, since, kRecoveryWatchWait);
+    if (const auto* error = std::get_if<platform_adapter::store_error>(&result)) {
+      context_.log.Info(
+          "store_probe_failed",
+          {{"kind", kind_}, {"error", platform::ToText(error->code)}, {"detail", error->message}});
+      // The watch call may be receiving changes over a busy link, so only a definite answer ends
+      // it.
+      if (error->code == platform_adapter::store_errc::kHistoryGone) Interrupt();
+      return std::nullopt;
+    }
+    auto& changes = std::get<platform_adapter::object_changes>(result);
+    verified_revision_ = std::max(since, changes.revision);
+    // Otherwise the feed has received changes meanwhile, which may be newer than these.
+    if (!changes.events.empty() && revision_ <= since) {
+      context_.log.Warn("watch_silent",
+                        {{"kind", kind_}, {"seen", revision_}, {"newest", changes.revision}});
+      Interrupt();
+      Apply(std::move(changes));
+    }
+    if (freshness == platform_adapter::read_freshness::kCurrent) ReportProof(requested_at);
+    return verified_revision_;
+  }
+
   /// Cancels a watch call that may never be answered; watching resumes once the store answers.
   void Interrupt() {
     if (watch_cancel_ != nullptr) watch_cancel_->Cancel();
@@ -68,26 +114,38 @@
   static constexpr int kSeriesDetectionDivisor = 4;
 
   void List() {
+    const auto requested_at = support::boot_clock::now();
     // A stale list may be older than the remaining history, so that no watch could continue from
     // it.
-    auto result = context_.store.List(
-        kind_, history_gone_ ? platform_adapter::read_freshness::kCurrent : freshness_);
+    const auto freshness = history_gone_ ? platform_adapter::read_freshness::kCurrent : freshness_;
+    auto result = context_.store.List(kind_, freshness);
     if (const auto* error = std::get_if<platform_adapter::store_error>(&result))
       return OnError(*error);
     auto& listing = std::get<platform_adapter::object_listing>(result);
     revision_ = listing.revision;
     listed_ = true;
     history_gone_ = false;
+    last_answer_ = std::chrono::steady_clock::now();
     consumer_.OnList(std::move(listing));
+    if (freshness == platform_adapter::read_freshness::kCurrent) ReportProof(requested_at);
   }
 
   void Watch() {
+    // While calls failed, versions of the polled object may have accumulated; a watch call would
+    // return all of them.
+    if (failed_ && !polled_.empty() && !Poll()) return;
+    failed_ = false;
     net::cancellation cancel;
     watch_cancel_ = &cancel;
+    const auto requested_at = support::boot_clock::now();
     auto result = context_.store.Watch(kind_, freshness_, revision_,
-                                       recovering_ ? kRecoveryWatchWait : kMaxWatchWait, &cancel);
+                                       recovering_ ? kRecoveryWatchWait : max_wait_, &cancel);
     watch_cancel_ = nullptr;
     if (const auto* error = std::get_if<platform_adapter::store_error>(&result)) {
+      if (cancel.cancelled()) {
+        recovering_ = true;
+        return;
+      }
       if (error->code != platform_adapter::store_errc::kHistoryGone) return OnError(*error);
       context_.log.Info("history_gone", {{"kind", kind_}, {"revision", revision_}});
       listed_ = false;
@@ -95,12 +153,19 @@
       return;
     }
     recovering_ = false;
+    last_answer_ = std::chrono::steady_clock::now();
     auto& changes = std::get<platform_adapter::object_changes>(result);
+    const bool changed = !changes.events.empty();
+    Apply(std::move(changes));
+    if (freshness_ == platform_adapter::read_freshness::kCurrent) ReportProof(requested_at);
+    if (changed) AwaitMoreChanges();
+  }
+
+  void Apply(platform_adapter::object_changes changes) {
     revision_ = std::max(revision_, changes.revision);
     for (std::size_t i = 0; i < changes.events.size(); ++i) {
       if (!IsSuperseded(changes.events, i)) consumer_.OnChange(std::move(changes.events[i]));
     }
-    if (!changes.events.empty()) AwaitMoreChanges();
   }
 
   /// Waits after a change, so that further ones arrive with fewer calls.
@@ -110,26 +175,36 @@
     const bool is_series = now - last_change_ < 2 * pause_;
     last_change_ = now;
     if (!is_series) return net::SleepFor(pause_ / kSeriesDetectionDivisor);
-    while (PollOnce()) {
-    }
+    std::uint64_t last = 0;
+    do {
+      last = revision_;
+      net::SleepFor(pause_);
+    } while (Poll() && revision_ > last);
   }
 
-  /// Reads the polled object after a pause; returns false if it has not changed or can't be read.
-  bool PollOnce() {
-    net::SleepFor(pause_);
+  /// Reads the polled object; returns false if it can't be read.
+  bool Poll() {
+    const auto requested_at = support::boot_clock::now();
     auto result = context_.store.Get(kind_, polled_);
     if (const auto* error = std::get_if<platform_adapter::store_error>(&result)) {
       OnError(*error);
       return false;
     }
     auto& object = std::get<platform_adapter::versioned_object>(result);
-    if (object.revision <= revision_) return false;
-    revision_ = object.revision;
-    last_change_ = std::chrono::steady_clock::now();
-    consumer_.OnChange({std::move(object), /*deleted=*/false});
+    last_answer_ = std::chrono::steady_clock::now();
+    if (object.revision > revision_) {
+      revision_ = object.revision;
+      last_change_ = last_answer_;
+      consumer_.OnChange({std::move(object), /*deleted=*/false});
+    }
+    ReportProof(requested_at);
     return true;
   }
 
+  void ReportProof(support::boot_clock::time_point requested_at) {
+    if constexpr (requires { consumer_.OnProved(requested_at); }) consumer_.OnProved(requested_at);
+  }
+
   /// Returns true if a later event of the batch is about the same object.
   static bool IsSuperseded(const std::vector<platform_adapter::object_change>& events,
                            std::size_t index) {
@@ -147,6 +222,7 @@
                                      {"revision", revision_}});
     WaitForStore(context_);
     recovering_ = true;
+    failed_ = true;
     const auto outage = std::chrono::steady_clock::now() - outage_start;
     context_.log.Info(
         "store_regained",
@@ -164,10 +240,16 @@
   net::steady_time last_change_{};
   bool listed_ = false;
   bool history_gone_ = false;
-  /// True after a failure, until a watch call has shown that its connection works.
+  /// True after a failure or an interruption, until a watch call has shown that its connection works.
   bool recovering_ = false;
+  /// True after a failure of the store, until the polled object has been read.
+  bool failed_ = false;
+  std::chrono::milliseconds max_wait_ = kMaxWatchWait;
   net::cancellation* watch_cancel_ = nullptr;
   std::uint64_t revision_ = 0;
+  /// Revision up to which the store has shown that there are no changes after `revision_`.
+  std::uint64_t verified_revision_ = 0;
+  net::steady_time last_answer_{};
 };
 
 }  // namespace siskinrack::mesh
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -203,7 +203,7 @@
                                                     net::cancellation& cancel) {
   net::http_request request{
       call.method, call.target, {}, {call.body.begin(), call.body.end()}, call.host};
-  request.fields.reserve(call.headers.size() + 3);
+  request.fields.reserve(call.headers.size() + 4);
   for (const auto& field : call.headers) request.fields.push_back({field->name, field->value});
   const auto remaining = std::chrono::floor<milliseconds>(deadline - steady_clock::now());
   if (remaining.count() <= 0)
@@ -211,7 +211,8 @@
   platform_adapter::AddUpstreamFields(
       {.remaining = remaining,
        .instance_id = registration_.instance().current()->life.instance_id,
-       .caller_service = call.caller},
+       .caller_service = call.caller,
+       .tenant = call.tenant},
       request.fields);
   const net::exchange_options options{
       .is_matching_response =
--- a/lib/mesh/store_monitor.h
+++ b/lib/mesh/store_monitor.h
@@ -2,63 +2,67 @@
 #define SISKINRACK_LIB_MESH_STORE_MONITOR_H_
 
 #include <chrono>
-#include <functional>
 
 #include "mesh_context.h"
 
 namespace siskinrack::mesh {
 
-/// Detects that the store, or a connection to it, has stopped answering while watch calls wait. A
-/// watch with a long wait costs least, but while it waits, a store that doesn't answer looks like a
-/// store without changes. A cheap read of the store's revision distinguishes them.
+/// Detects that the store, or the connection of a watch call, has stopped answering. A watch with a
+/// long wait costs least, but while it waits, a store that doesn't answer looks like one without
+/// changes. Each feed is verified by itself: an answer to one says nothing about the connection of
+/// the other. `ConfigFeed` and `EndpointFeed` are object_feed or have its members.
+template <typename ConfigFeed, typename EndpointFeed>
 class store_monitor {
  public:
-  /// `seen_revision` returns the newest revision that a feed has received; `interrupt_watches`
-  /// cancels the waiting watch calls.
-  store_monitor(mesh_context& context, std::function<std::uint64_t()> seen_revision,
-                std::function<void()> interrupt_watches)
-      : context_(context),
-        seen_revision_(std::move(seen_revision)),
-        interrupt_watches_(std::move(interrupt_watches)) {}
+  store_monitor(ConfigFeed& config_feed, EndpointFeed& endpoint_feed)
+      : config_feed_(config_feed), endpoint_feed_(endpoint_feed) {}
 
   /// Runs until the process ends, in a fiber of its own.
   void Run() {
     while (true) {
-      net::SleepFor(kInterval);
-      // A recent answer to any call shows that the store is available.
-      if (std::chrono::steady_clock::now() - context_.store.last_answer() < kInterval) continue;
-      if (CheckCaughtUp()) continue;
-      // A watch call may be about to deliver the change.
-      net::SleepFor(kRecheckDelay);
-      if (CheckCaughtUp()) continue;
-      context_.log.Warn("watch_deaf", {{"seen", seen_revision_()}});
-      interrupt_watches_();
+      net::SleepFor(answered_ ? kInterval : kRecoveryInterval);
+      CheckOnce();
     }
   }
 
+  /// Verifies the feeds that have had no answer recently. Stale reads, which cost a tenth of other
+  /// calls, are enough: a change that they don't show yet is found by the next check.
+  void CheckOnce() {
+    std::optional<std::uint64_t> current;
+    if (IsDue(config_feed_)) current = Verify(config_feed_);
+    if (!IsDue(endpoint_feed_)) return;
+    // Nothing has changed since the endpoints were verified, so that no second call is needed.
+    if (current && *current <= std::max(endpoint_feed_.revision(), endpoints_verified_)) return;
+    if (const auto verified = Verify(endpoint_feed_)) endpoints_verified_ = *verified;
+  }
+
  private:
-  /// Time without an answer of the store after which it is checked. Together with the duration of
-  /// the check, well below 3 s, after which the platform counts the store as stable again.
+  /// Time without an answer after which a feed is verified. Together with the duration of the
+  /// check, well below 3 s, after which the platform counts the store as stable again.
   static constexpr std::chrono::milliseconds kInterval{1'500};
 
-  static constexpr std::chrono::milliseconds kRecheckDelay{300};
+  /// Time until the next check if the store did not answer the last one, so that changes made while
+  /// it was down are found soon.
+  static constexpr std::chrono::milliseconds kRecoveryInterval{500};
 
-  /// Returns false if the store has changes that no feed has received. If the store can't be read,
-  /// interrupts the watch calls and returns true.
-  bool CheckCaughtUp() {
-    const auto result = context_.store.ReadRecentRevision();
-    if (const auto* error = std::get_if<platform_adapter::store_error>(&result)) {
-      context_.log.Info("store_probe_failed",
-                        {{"error", platform::ToText(error->code)}, {"detail", error->message}});
-      interrupt_watches_();
-      return true;
-    }
-    return std::get<std::uint64_t>(result) <= seen_revision_();
+  template <typename Feed>
+  static bool IsDue(const Feed& feed) {
+    return feed.listed() && std::chrono::steady_clock::now() - feed.last_answer() >= kInterval;
+  }
+
+  template <typename Feed>
+  std::optional<std::uint64_t> Verify(Feed& feed) {
+    const auto revision = feed.Verify(platform_adapter::read_freshness::kMayBeStale);
+    answered_ = revision.has_value();
+    return revision;
   }
 
-  mesh_context& context_;
-  std::function<std::uint64_t()> seen_revision_;
-  std::function<void()> interrupt_watches_;
+  ConfigFeed& config_feed_;
+  EndpointFeed& endpoint_feed_;
+  /// The store answered the last call.
+  bool answered_ = true;
+  /// Revision up to which the endpoints were last verified.
+  std::uint64_t endpoints_verified_ = 0;
 };
 
 }  // namespace siskinrack::mesh
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -43,7 +43,12 @@
   peer_result Request(const support::socket_address& address, wire::envelope_t message,
                       steady_time deadline, cancellation* cancel, cancellation* recall) {
     const auto link = Acquire(address, deadline);
-    if (link == nullptr) return {exchange_stage::kNotSent, nullptr, "peer is unreachable", false};
+    if (link == nullptr) {
+      const auto& addresses = threads_[fiber_runtime::GetCurrentThreadIndex()].addresses;
+      const auto state = addresses.find(address);
+      return {exchange_stage::kNotSent, nullptr, "peer is unreachable", false,
+              state != addresses.end() && state->second.refused};
+    }
     return link->Request(std::move(message), deadline, cancel, recall);
   }
 
@@ -76,6 +81,8 @@
   struct address_state {
     std::shared_ptr<peer_link> link;
     bool dialling = false;
+    /// The last dial was refused.
+    bool refused = false;
     unsigned failures = 0;
     steady_time retry_at{};
     steady_time last_request{};
@@ -106,7 +113,7 @@
     const auto now = std::chrono::steady_clock::now();
     if (local.stopping || now < state.retry_at) return nullptr;
     state.dialling = true;
-    state.link = Dial(address, std::min(deadline, now + options_.dial_timeout));
+    state.link = Dial(address, std::min(deadline, now + options_.dial_timeout), state.refused);
     state.dialling = false;
     state.failures = state.link == nullptr ? state.failures + 1 : 0;
     if (state.link == nullptr)
@@ -116,8 +123,10 @@
     return state.link;
   }
 
-  /// Establishes a link and starts its read loop. Returns null on failure.
-  std::shared_ptr<peer_link> Dial(const support::socket_address& address, steady_time deadline) {
+  /// Establishes a link and starts its read loop. Returns null on failure; `refused` then tells
+  /// whether the peer refused the connection.
+  std::shared_ptr<peer_link> Dial(const support::socket_address& address, steady_time deadline,
+                                  bool& refused) {
     auto socket = std::make_shared<tcp::socket>(detail::GetCurrentContext());
     boost::system::error_code error;
     const tcp::endpoint target(asio::ip::make_address(address.ip, error), address.port);
@@ -133,6 +142,7 @@
     error =
         detail::AwaitDone([&](auto handler) { socket->async_connect(target, std::move(handler)); });
     timer.cancel();
+    refused = error == asio::error::connection_refused;
     if (error || !socket->is_open()) return nullptr;
     socket->set_option(tcp::no_delay(true), error);
     detail::EnableKeepAlive(*socket);
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -100,7 +100,9 @@
   {
     const std::lock_guard lock(mutex_);
     runs_.push_back({request_id, std::string(net::FindField(request.fields, "Caller")),
-                     request.method, request.target, request.body, steady_clock::now()});
+                     std::string(net::FindField(request.fields, "Tenant")),
+                     std::string(net::FindField(request.fields, "Authorization")), request.method,
+                     request.target, request.body, steady_clock::now()});
   }
   if (request.target.ends_with("/crash")) {
     Crash();
@@ -181,9 +183,7 @@
       {"portRange", {kMetricsPort, kMetricsPort + 10}},
       {"heartbeatS", 0.5},
       {"limits", {{"memoryMb", 260}}},
-      {"bounds",
-       {"configApplyS=2", "drainS=1", "graceS=6", "budgetRatio=0.2", "budgetExtra=60",
-        "budgetWindowS=10"}},
+      {"bounds", bounds_},
       {"platform", {{"address", network_ + "251:" + std::to_string(kStorePort)}}}};
   std::ofstream(MakePath(machine, ".json")) << json::serialize(settings);
 }
@@ -195,6 +195,7 @@
       {"kind", repeatable ? "idempotent" : "non_idempotent"},
       {"targetLatencyS", 1},
       {"priority", 1},
+      {"public", !repeatable},
       {"match", {{"pathPrefix", prefix}}},
       {"action", {{"service", service}, {"timeoutS", route_timeout_.count()}, {"attempts", 2}}}};
 }
@@ -210,15 +211,25 @@
     clusters.push_back(json::object{{"name", service}, {"maxConns", 130}});
   }
   if (!extra.empty()) rules.push_back(MakeRoute("/extra/", extra, true));
-  store_->Write(std::string(kConfigKind), "main",
-                json::object{{"version", version},
-                             {"limits",
-                              {{"maxHeaderBytes", 16384},
-                               {"maxBodyBytes", 67108864},
-                               {"headerTimeoutS", 3},
-                               {"idleTimeoutS", 15}}},
-                             {"listeners", {{{"host", "shop.example"}, {"rules", rules}}}},
-                             {"clusters", clusters}});
+  json::object config{{"version", version},
+                      {"limits",
+                       {{"maxHeaderBytes", 16384},
+                        {"maxBodyBytes", 67108864},
+                        {"headerTimeoutS", 3},
+                        {"idleTimeoutS", 15}}},
+                      {"listeners", {{{"host", "shop.example"}, {"rules", rules}}}},
+                      {"clusters", clusters}};
+  if (!tenants_.empty()) config["tenants"] = tenants_;
+  store_->Write(std::string(kConfigKind), "main", std::move(config));
+}
+
+void mesh_fleet::AddBounds(const std::vector<std::string>& bounds) {
+  for (const std::string& bound : bounds) bounds_.emplace_back(bound);
+  for (std::size_t i = 0; i < services_.size(); ++i) WriteSettings(i);
+}
+
+std::string mesh_fleet::ReadMetrics(std::size_t machine) {
+  return Exchange({MakeIp(machine), kMetricsPort}, {"GET", "/metrics", {}, {}}).response.body;
 }
 
 void mesh_fleet::StartNode(std::size_t machine) {
@@ -275,11 +286,13 @@
 }
 
 net::http_result mesh_fleet::Send(std::size_t machine, const std::string& target,
-                                  const std::string& method, const std::string& body) {
+                                  const std::string& method, const std::string& body,
+                                  const std::vector<net::http_field>& fields) {
   net::http_request request{method, target, {}, body, "shop.example"};
   request.fields = {{"Request-Id", "r-" + std::to_string(++last_request_)},
                     {"Deadline-Ms", std::to_string(milliseconds(route_timeout_).count())},
                     {"Caller", "forged"}};
+  request.fields.insert(request.fields.end(), fields.begin(), fields.end());
   return Exchange({MakeIp(machine), kCallerPort}, std::move(request));
 }
 
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -21,6 +21,9 @@
   /// Request id.
   std::string id;
   std::string caller;
+  /// Values of the fields Tenant and Authorization; empty without them.
+  std::string tenant;
+  std::string authorization;
   std::string method;
   std::string target;
   std::string body;
@@ -91,6 +94,11 @@
   /// /<service>/ for repeatable requests and /once/<service>/ for at-most-once requests. Unless
   /// `extra` is empty, it also has the route /extra/ to the service `extra`.
   void Configure(std::uint64_t version, const std::string& extra = {});
+  /// Sets the tenants that the next Configure writes, in the form of the platform. The routes
+  /// /once/<service>/ are open to callers without a key.
+  void SetTenants(boost::json::array tenants) { tenants_ = std::move(tenants); }
+  /// Adds bounds, as "name=value", to the settings of the nodes that are started from now on.
+  void AddBounds(const std::vector<std::string>& bounds);
   /// Starts the node of a machine after killing the one that still runs, if any.
   void StartNode(std::size_t machine);
   /// Sends one heartbeat of a machine's upstream and returns true if it was acknowledged. `state`
@@ -106,7 +114,10 @@
   /// Sends a request to the caller port of a machine's node, with a new request id, the route's
   /// timeout as its deadline and a forged caller name. Waits 2 s longer for the answer.
   net::http_result Send(std::size_t machine, const std::string& target,
-                        const std::string& method = "GET", const std::string& body = {});
+                        const std::string& method = "GET", const std::string& body = {},
+                        const std::vector<net::http_field>& fields = {});
+  /// Returns the page of metrics of a machine's node.
+  [[nodiscard]] std::string ReadMetrics(std::size_t machine);
 
   [[nodiscard]] object_store_stand_in& store() { return *store_; }
   [[nodiscard]] instance_stand_in& instance(std::size_t machine) const {
@@ -144,6 +155,9 @@
   std::thread heartbeat_thread_;
   std::atomic<std::uint64_t> last_request_ = 0;
   std::chrono::seconds route_timeout_{3};
+  boost::json::array tenants_;
+  boost::json::array bounds_{"configApplyS=2",  "drainS=1",       "graceS=6",
+                             "budgetRatio=0.2", "budgetExtra=60", "budgetWindowS=10"};
 };
 
 }  // namespace siskinrack::test
--- a/test/mesh/object_store_stand_in.cpp
+++ b/test/mesh/object_store_stand_in.cpp
@@ -68,6 +68,11 @@
   if (silent) ++silence_count_;
 }
 
+void object_store_stand_in::SilenceWatches(const std::string& kind) {
+  const std::lock_guard lock(mutex_);
+  ++silenced_watches_[kind];
+}
+
 void object_store_stand_in::LoseWriteAnswers(int count) {
   const std::lock_guard lock(mutex_);
   unanswered_writes_ = count;
@@ -187,14 +192,16 @@
   const auto end = std::chrono::steady_clock::now() +
                    milliseconds(wait == request.query.end() ? 0 : ParseNumber(wait->second));
   std::uint64_t silence = 0;
+  std::uint64_t silenced = 0;
   {
     const std::lock_guard lock(mutex_);
     silence = silence_count_;
+    silenced = silenced_watches_[request.kind];
   }
   while (true) {
     {
       const std::lock_guard lock(mutex_);
-      if (silence == silence_count_) {
+      if (silence == silence_count_ && silenced == silenced_watches_[request.kind]) {
         if (down_) return {503, {}, {}};
         if (since < history_start_) return {410, {}, "{}"};
         json::array events;
--- a/test/mesh/object_store_stand_in.h
+++ b/test/mesh/object_store_stand_in.h
@@ -32,6 +32,8 @@
   /// Accepts calls without an answer while `silent` is true. Calls that arrive or wait in that time
   /// are never answered.
   void SetSilent(bool silent);
+  /// Never answers the watches of a kind that wait now; their connections stay open.
+  void SilenceWatches(const std::string& kind);
   /// Applies the next `count` writes without an answer.
   void LoseWriteAnswers(int count);
   /// Returns the number of calls for a kind, including refused ones, that were not stale reads. A
@@ -83,6 +85,8 @@
   /// never answered.
   std::uint64_t silence_count_ = 0;
   bool silent_ = false;
+  /// Number of calls of SilenceWatches by kind.
+  std::map<std::string, std::uint64_t> silenced_watches_;
   /// Number of next writes that are applied without an answer.
   int unanswered_writes_ = 0;
   std::map<std::string, std::size_t> non_stale_calls_;
