--- a/lib/mesh/call_answers.h
+++ b/lib/mesh/call_answers.h
@@ -10,7 +10,9 @@
 namespace siskinrack::mesh {
 
 inline constexpr unsigned kStatusBadRequest = 400;
+inline constexpr unsigned kStatusUnauthorized = 401;
 inline constexpr unsigned kStatusNotFound = 404;
+inline constexpr unsigned kStatusTooManyRequests = 429;
 inline constexpr unsigned kFirstServerError = 500;
 inline constexpr unsigned kStatusBadGateway = 502;
 inline constexpr unsigned kStatusUnavailable = 503;
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -209,7 +209,7 @@
                                                     net::cancellation& cancel) {
   net::http_request request{call.method, call.target, {}, {}, call.host};
   request.body_view = net::ViewBytes(call.body);
-  request.fields.reserve(call.headers.size() + 3);
+  request.fields.reserve(call.headers.size() + 4);
   for (const auto& field : call.headers) request.fields.push_back({field->name, field->value});
   const auto remaining = std::chrono::floor<milliseconds>(deadline - steady_clock::now());
   if (remaining.count() <= 0)
@@ -217,7 +217,8 @@
   platform_adapter::AddUpstreamFields(
       {.remaining = remaining,
        .instance_id = registration_.instance().current()->life.instance_id,
-       .caller_service = call.caller},
+       .caller_service = call.caller,
+       .tenant = call.tenant},
       request.fields);
   net::exchange_options options = platform_adapter::MakeExchangeOptions(call.request_id);
   options.max_idle = call.at_most_once ? kMaxIdleAtMostOnce : kMaxIdleRepeatable;
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -45,7 +45,12 @@
                       steady_time deadline, cancellation* cancel, cancellation* recall,
                       silence_policy silence) {
     const auto link = Acquire(address, deadline);
-    if (link == nullptr) return {exchange_stage::kNotSent, nullptr, "peer is unreachable", false};
+    if (link == nullptr) {
+      const auto& addresses = threads_[fiber_runtime::GetCurrentThreadIndex()].addresses;
+      const auto state = addresses.find(address);
+      return {exchange_stage::kNotSent, nullptr, "peer is unreachable", false,
+              state != addresses.end() && state->second.refused};
+    }
     return link->Request(std::move(message), deadline, cancel, recall, silence);
   }
 
@@ -78,6 +83,8 @@
   struct address_state {
     std::shared_ptr<peer_link> link;
     bool dialling = false;
+    /// The last dial was refused.
+    bool refused = false;
     unsigned failures = 0;
     steady_time retry_at{};
     steady_time last_request{};
@@ -113,7 +120,7 @@
         state.dialling = false;
         state.dialled.notify_all();
       });
-      state.link = Dial(address, std::min(deadline, now + options_.dial_timeout));
+      state.link = Dial(address, std::min(deadline, now + options_.dial_timeout), state.refused);
     }
     state.failures = state.link == nullptr ? state.failures + 1 : 0;
     if (state.link == nullptr)
@@ -122,8 +129,10 @@
     return state.link;
   }
 
-  /// Establishes a link and starts its read loop. Returns null on failure.
-  std::shared_ptr<peer_link> Dial(const support::socket_address& address, steady_time deadline) {
+  /// Establishes a link and starts its read loop. Returns null on failure; `refused` then tells
+  /// whether the peer refused the connection.
+  std::shared_ptr<peer_link> Dial(const support::socket_address& address, steady_time deadline,
+                                  bool& refused) {
     auto socket = std::make_shared<tcp::socket>(detail::GetCurrentContext());
     boost::system::error_code error;
     const tcp::endpoint target(asio::ip::make_address(address.ip, error), address.port);
@@ -139,6 +148,7 @@
     error =
         detail::AwaitDone([&](auto handler) { socket->async_connect(target, std::move(handler)); });
     timer.cancel();
+    refused = error == asio::error::connection_refused;
     if (error || !socket->is_open()) return nullptr;
     socket->set_option(tcp::no_delay(true), error);
     detail::EnableKeepAlive(*socket);
