--- a/unittests/platform/platform_codec_test.cpp
+++ b/unittests/platform/platform_codec_test.cpp
@@ -86,6 +86,19 @@
   EXPECT_EQ(config->routes[1].targets[1].weight, 10U);
 }
 
+// Guards against large answers that are lost with their upstream although the platform lets the
+// request run again: a download was sent at most once.
+TEST(Configuration, DownloadsMayBeRepeated) {
+  const auto read = [](std::string_view kind) {
+    boost::json::value document = boost::json::parse(kConfiguration);
+    document.at("listeners").at(0).at("rules").at(0).as_object()["kind"] = kind;
+    support::findings problems;
+    return ReadConfiguration(document, problems).value().routes[0].repeats;
+  };
+  EXPECT_EQ(read("download"), routing::repeatability::kRepeatable);
+  EXPECT_EQ(read("a kind of a later version"), routing::repeatability::kAtMostOnce);
+}
+
 // Guards against a version that is activated in part.
 TEST(Configuration, AnyProblemRejectsTheWholeVersion) {
   const auto broken = [](auto change) {
