placement: calls that would wait go elsewhere; refused callers come back when there is room

Cause: load reports are older than the calls that they describe. Refused callers were told to wait for a third of their remaining time whatever the reason, so that upstreams that refuse half of their calls at once made most answers late.

--- a/include/siskinrack/admission/controller.h
+++ b/include/siskinrack/admission/controller.h
@@ -28,7 +28,7 @@
   kQueueFull,
   /// The upstream requested a pause (Retry-After) after which the call can't end in time.
   kUpstreamPause,
-  /// The answer would be late here, and another upstream is expected to answer in time.
+  /// The call would wait or be late here, and another upstream is expected to answer in time.
   kRedirected,
 };
 
--- a/include/siskinrack/admission/deadline_controller.h
+++ b/include/siskinrack/admission/deadline_controller.h
@@ -24,8 +24,8 @@
   time_point target_time;
   /// Time after which the caller no longer waits for the answer.
   time_point deadline;
-  /// Another upstream is expected to answer in time, so the call is refused if it would be late
-  /// here.
+  /// Another upstream is expected to answer in time, so the call is refused if it would wait or be
+  /// late here.
   bool redirectable = false;
 };
 
@@ -61,6 +61,9 @@
 /// Load patterns:
 /// - An entry node with an old load report sends a call to an upstream that has become busy: the
 ///   call is refused at once if it would be late and another upstream may be in time.
+/// - Load reports are older than the calls that they describe, so that calls queue at one upstream
+///   while another has a free slot: a call that would have to wait is refused at once as long as
+///   its entry node may try another upstream.
 /// - A burst of urgent calls overtakes calls that were accepted before: after each change of the
 ///   queue, calls that can't meet their deadlines behind those before them are refused at once
 ///   instead of shortly before their deadlines.
--- a/lib/admission/deadline_controller.cpp
+++ b/lib/admission/deadline_controller.cpp
@@ -21,6 +21,9 @@
 /// Factor on the mean service time when a deadline is checked. Service times vary by about their
 /// mean; most calls end within this multiple of it.
 constexpr double kServiceTimeMarginFactor = 1.3;
+/// Longest expected wait of a redirectable call: several times the delay of a redirect to another
+/// failure domain.
+constexpr nanoseconds kMaxRedirectableWait = milliseconds(25);
 /// A call whose slack exceeds this many service times can be deferred without becoming late.
 constexpr double kDeferrableSlack = 2;
 /// Factor on the expected wait of a late call. Accounts for calls that arrive during the wait and
@@ -128,7 +131,8 @@
   const nanoseconds wait = EstimateWait(call, now);
   if (!CanMeetDeadline(call, wait, now)) return {{call.ticket, false, refusal::kDeadline, wait}};
   if (call.redirectable &&
-      now + wait + EstimateServiceTime(call.work_class, now) > call.target_time) {
+      (wait > kMaxRedirectableWait ||
+       now + wait + EstimateServiceTime(call.work_class, now) > call.target_time)) {
     return {{call.ticket, false, refusal::kRedirected, wait}};
   }
   waiting_.push_back(call);
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -20,16 +20,6 @@
 constexpr milliseconds kAnswerMargin{150};
 /// A request with less time left isn't sent to another endpoint: the answer would arrive too late.
 constexpr milliseconds kMinTimeForRetry{20};
-/// Number of serving nodes without capacity that one request tries: the best two by prediction.
-/// More would add load during an overload without finding a free slot.
-constexpr std::uint32_t kMaxRefusals = 2;
-/// Retry delay as a fraction of the caller's remaining time. Callers honour a delay of up to a
-/// third of it; a delay close to that lets an overload subside and leaves time for two more
-/// attempts.
-constexpr double kRetryDelayFraction = 0.32;
-/// Largest fraction by which a retry delay is randomly shortened.
-constexpr double kRetryDelayJitter = 0.4;
-constexpr milliseconds kMinRetryDelay{50};
 /// Remaining time assumed for a request that is refused before its deadline is evaluated.
 constexpr milliseconds kDefaultRemainingTime{1'000};
 /// Timeout of routes that set none. The timeout of the route is also the deadline of callers that
@@ -40,10 +30,6 @@
 constexpr std::size_t kMaxNamedLimits = 1'024;
 /// One in this many answered requests is logged; every failure is.
 constexpr std::uint64_t kAnsweredLogInterval = 100;
-/// Fraction of the remaining time within which an answer must be predicted to count as in time,
-/// because service times vary.
-constexpr double kInTimeFraction = 0.8;
-
 call_outcome ToCallOutcome(const wire::call_answer_t& answer, bool cancelled) {
   if (cancelled) return call_outcome::kAbandoned;
   switch (answer.cause) {
@@ -193,18 +179,14 @@
     untried.push_back(view.candidates[i]);
   }
   const auto now = steady_clock::now();
-  const auto left = std::chrono::duration<double, std::milli>(state.in_time_by - now);
-  const balancing::call_profile& profile = profiles_[state.call.work_class];
-  const auto target = static_cast<double>(state.route->target_latency.count());
-  const balancing::completion_goal goal{.in_time_ms = left.count() * kInTimeFraction,
-                                        .min_remote_gain_ms = target,
-                                        .use_ejected = state.refusals == 0,
-                                        .expected_service = profile.service(),
-                                        .refusal_cost_ms = target,
-                                        .kilobytes = profile.kilobytes()};
+  const balancing::completion_goal goal =
+      balancing::MakeCompletionGoal({.in_time = state.in_time_by - now,
+                                     .target = state.route->target_latency,
+                                     .refusals = state.refusals},
+                                    profiles_[state.call.work_class]);
   const auto choice = balancing::ChooseByCompletion(untried, goal, now, random_());
   if (!choice.index) return std::nullopt;
-  state.call.redirectable = choice.in_time_candidates > 1 && state.refusals + 1 < kMaxRefusals;
+  state.call.redirectable = balancing::MayRedirect(state.refusals, choice.in_time_candidates);
   return indices[*choice.index];
 }
 
@@ -267,7 +249,9 @@
 bool entry_service::AllowRetry(request_state& state, const wire::call_answer_t& answer) {
   if (answer.outcome == outcome_kind::answered) return false;
   if (answer.cause == answer_cause::quarantined) return false;
-  if (answer.cause == answer_cause::no_capacity && ++state.refusals >= kMaxRefusals) return false;
+  if (answer.cause == answer_cause::no_capacity && !balancing::MayTryAnother(++state.refusals)) {
+    return false;
+  }
   const auto now = steady_clock::now();
   if (state.deadline - now < kMinTimeForRetry || context_.recall.cancelled()) return false;
   if (answer.outcome == outcome_kind::unknown) {
@@ -317,10 +301,23 @@
   return std::move(*answer);
 }
 
-milliseconds entry_service::ComputeRetryDelay(milliseconds left) {
-  const double random = std::uniform_real_distribution<double>(1 - kRetryDelayJitter, 1)(random_);
-  const auto delay = static_cast<double>(left.count()) * kRetryDelayFraction * random;
-  return std::max(kMinRetryDelay, milliseconds(std::llround(delay)));
+milliseconds entry_service::ComputeRetryDelay(const routing::refused_request& refused) {
+  return routing::ComputeRetryDelay(refused, std::uniform_real_distribution<double>(0, 1)(random_));
+}
+
+routing::refused_request entry_service::MakeRefusedRequest(const request_state& state,
+                                                           const wire::call_answer_t& answer) {
+  using std::chrono::floor;
+  const auto now = steady_clock::now();
+  routing::refused_request refused{
+      floor<milliseconds>(state.caller_deadline - now),
+      floor<milliseconds>(state.in_time_by - now - profiles_[state.call.work_class].service())};
+  const milliseconds told(answer.retry_after_ms);
+  if (answer.cause == answer_cause::refused_by_upstream ||
+      (answer.cause == answer_cause::no_capacity && told.count() > 0)) {
+    refused.room_in = told;
+  }
+  return refused;
 }
 
 net::http_response entry_service::Refuse(const std::string& id, unsigned status,
@@ -331,7 +328,7 @@
                                         {"config_version", context_.version()}});
   const bool retryable = status == kStatusUnavailable;
   return platform_adapter::MakeLocalResponse(
-      status, id, reason, retryable ? ComputeRetryDelay(kDefaultRemainingTime) : milliseconds(0));
+      status, id, reason, retryable ? ComputeRetryDelay({kDefaultRemainingTime}) : milliseconds(0));
 }
 
 net::http_response entry_service::ToHttp(const request_state& state, wire::call_answer_t answer) {
@@ -350,10 +347,9 @@
                                          {"took_ms", took.count()},
                                          {"config_version", state.call.config_version}});
     const bool retryable = answer.outcome == outcome_kind::not_run;
-    const auto left = std::chrono::floor<milliseconds>(state.caller_deadline - steady_clock::now());
     return platform_adapter::MakeLocalResponse(
         answer.status, state.call.request_id, answer.reason,
-        retryable ? ComputeRetryDelay(left) : milliseconds(0));
+        retryable ? ComputeRetryDelay(MakeRefusedRequest(state, answer)) : milliseconds(0));
   }
   if (answered_++ % kAnsweredLogInterval == 0) {
     context_.log.Info("request_answered", {{"request", state.call.request_id},
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -10,10 +10,12 @@
 #include "endpoint_reaper.h"
 #include "mesh_context.h"
 #include "serving_service.h"
+#include "siskinrack/balancing/call_placement.h"
 #include "siskinrack/balancing/call_profile.h"
 #include "siskinrack/balancing/selection.h"
 #include "siskinrack/balancing/sharded_registry.h"
 #include "siskinrack/routing/caller_wait.h"
+#include "siskinrack/routing/retry_delay.h"
 
 namespace siskinrack::mesh {
 
@@ -90,8 +92,11 @@
   net::http_response ToHttp(const request_state& state, wire::call_answer_t answer);
   /// Returns the response to a request that is refused before it has a route, and logs it.
   net::http_response Refuse(const std::string& id, unsigned status, std::string_view reason);
-  /// Returns the retry delay for a refused caller with the remaining time `left`.
-  std::chrono::milliseconds ComputeRetryDelay(std::chrono::milliseconds left);
+  /// Returns the retry delay for a refused caller.
+  std::chrono::milliseconds ComputeRetryDelay(const routing::refused_request& refused);
+  /// Describes a request that was refused with `answer` for the choice of its retry delay.
+  routing::refused_request MakeRefusedRequest(const request_state& state,
+                                              const wire::call_answer_t& answer);
 
   mesh_context& context_;
   serving_service& serving_;
--- a/unittests/routing/routing_test.cpp
+++ b/unittests/routing/routing_test.cpp
@@ -7,6 +7,7 @@
 #include "siskinrack/routing/endpoint_record.h"
 #include "siskinrack/routing/endpoint_table.h"
 #include "siskinrack/routing/instance.h"
+#include "siskinrack/routing/retry_delay.h"
 #include "siskinrack/routing/retry_share.h"
 #include "siskinrack/routing/route_table.h"
 
@@ -171,6 +172,34 @@
   return {{std::move(id), born}, std::move(service), "z", {"127.0.0.1", port}, 6, state};
 }
 
+// Guards against answers that are late only because of the retry delay: upstreams that refuse a
+// part of their calls at once had their callers wait for a third of their time.
+TEST(RetryDelay, CallerComesBackInTimeIfTheRefusalIsNotDueToLoad) {
+  const refused_request refused{milliseconds(4'000), milliseconds(300), milliseconds(0)};
+  EXPECT_EQ(ComputeRetryDelay(refused, 0), milliseconds(20));
+  EXPECT_EQ(ComputeRetryDelay(refused, 1), milliseconds(100));
+}
+
+// Guards against callers that come back before there is room and are refused again.
+TEST(RetryDelay, CallerComesBackWhenRoomIsExpected) {
+  const refused_request refused{milliseconds(4'000), milliseconds(600), milliseconds(300)};
+  EXPECT_EQ(ComputeRetryDelay(refused, 0), milliseconds(300));
+  EXPECT_EQ(ComputeRetryDelay(refused, 1), milliseconds(400));
+}
+
+// Guards against early returns during an overload, which end refused again, and against a delay
+// that callers don't honour.
+TEST(RetryDelay, LateCallerWaitsForMostOfAThirdOfItsTime) {
+  for (const auto room : {std::optional<milliseconds>(), std::optional(milliseconds(500)),
+                          std::optional(milliseconds(9'000))}) {
+    const refused_request refused{milliseconds(3'000), milliseconds(-100), room};
+    EXPECT_GE(ComputeRetryDelay(refused, 0), milliseconds(576));
+    EXPECT_LE(ComputeRetryDelay(refused, 1), milliseconds(960));
+  }
+  // Nothing is known about the room.
+  EXPECT_GE(ComputeRetryDelay({milliseconds(3'000), milliseconds(400)}, 0), milliseconds(576));
+}
+
 // Guards against treating first attempts as repeats: the deadlines of callers differ by up to the
 // target latency, and two thirds of the calls were served as if they had waited.
 TEST(CallerWait, DeadlinesOfFirstAttemptsDiffer) {
