--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -12,6 +12,7 @@
 #include "object_feed.h"
 #include "registration.h"
 #include "serving_service.h"
+#include "siskinrack/net/head_responses.h"
 #include "siskinrack/net/http_server.h"
 #include "store_monitor.h"
 
@@ -56,10 +57,16 @@
         reaper_(context_),
         entry_(context_, serving_, reaper_, crashes_),
         configs_(context_, [this] { OnConfiguration(); }),
-        endpoints_(context_,
-                   [this](const std::string& id, std::uint64_t revision) {
-                     registration_.OnOwnRecord(id, revision);
-                   }),
+        endpoints_(
+            context_,
+            [this](const std::string& id, std::uint64_t revision) {
+              registration_.OnOwnRecord(id, revision);
+            },
+            [this](const routing::endpoint& departed, std::uint64_t revision) {
+              registration_.OnDepartureRecord(departed, revision);
+              reaper_.OnDeparture(departed, revision);
+            },
+            [this](const std::string& id) { reaper_.OnNoDeparture(id); }),
         config_feed_(context_, platform_adapter::kConfigurationKind,
                      platform_adapter::read_freshness::kCurrent, configs_,
                      ComputeWatchPause(context_.settings.activation_limit),
@@ -80,9 +87,9 @@
             {.address = context_.settings.caller_address,
              .may_overlap =
                  [this](const net::http_request& request) { return entry_.MayOverlap(request); }},
-            [this](net::http_request request, net::cancellation& cancel) {
+            net::OmitHeadBodies([this](net::http_request request, net::cancellation& cancel) {
               return entry_.Handle(std::move(request), cancel);
-            }),
+            })),
         ready_server_(context_.runtime, {.address = context_.settings.ready_address},
                       [this](const net::http_request& request, net::cancellation&) {
                         return HandleReady(request);
@@ -130,15 +137,17 @@
   }
 
   void Drain() {
-    const admission::shutdown_schedule schedule(steady_clock::now(),
-                                                context_.settings.grace_period);
+    std::optional<milliseconds> check_interval;
+    context_.runtime.Run(0, [&] { check_interval = check_interval_; });
+    const admission::shutdown_schedule schedule(steady_clock::now(), context_.settings.grace_period,
+                                                context_.settings.drain_period, check_interval);
     context_.stopping = true;
     context_.runtime.Run(0, [&] { context_.shutdown = schedule; });
     context_.log.Info("drain_started", {{"in_flight", CountOpenRequests()}});
     caller_server_.Drain();
     std::this_thread::sleep_until(schedule.peer_refusal());
     serving_.StopServing();
-    std::this_thread::sleep_until(schedule.caller_refusal());
+    AwaitCallerRefusal();
     caller_server_.CloseIdle();
     AwaitOpenRequests(schedule.recall());
     if (CountOpenRequests() > 0) {
@@ -160,6 +169,15 @@
     return caller_server_.in_flight() + serving_.in_flight() + context_.peer.unwritten_answers;
   }
 
+  /// Blocks until callers are refused, which depends on the platform's checks.
+  void AwaitCallerRefusal() {
+    auto refusal = net::steady_time::max();
+    while (steady_clock::now() < refusal) {
+      context_.runtime.Run(0, [&] { refusal = context_.shutdown->caller_refusal(); });
+      std::this_thread::sleep_until(std::min(refusal, steady_clock::now() + kDrainPollInterval));
+    }
+  }
+
   /// Blocks until no request is open, but not longer than until `end`.
   void AwaitOpenRequests(net::steady_time end) const {
     while (CountOpenRequests() > 0 && steady_clock::now() < end) {
@@ -189,6 +207,10 @@
 
   net::http_response HandleReady(const net::http_request& request) {
     if (!platform_adapter::IsReadinessCheck(request)) return {kStatusNotFound, {}, {}};
+    const auto now = steady_clock::now();
+    if (context_.shutdown) context_.shutdown->OnNotReady(now);
+    if (last_check_) check_interval_ = std::chrono::duration_cast<milliseconds>(now - *last_check_);
+    last_check_ = now;
     const bool ready = !context_.stopping && context_.routes != nullptr && endpoint_feed_.listed();
     return {ready ? kStatusOk : kStatusUnavailable, {}, {}};
   }
@@ -212,6 +234,7 @@
     page.AddMetric("siskinrack_endpoints", "gauge", "endpoints in the platform's store");
     page.AddSample("siskinrack_endpoints", {},
                    static_cast<double>(context_.endpoints.All().size()));
+    context_.unreadable.AppendMetrics(page);
     page.AddMetric("siskinrack_log_lines_dropped_total", "counter",
                    "log lines that were not written");
     page.AddSample("siskinrack_log_lines_dropped_total", {},
@@ -240,6 +263,9 @@
   }
 
   std::string path_;
+  /// Time of the platform's last readiness check, and its distance from the one before.
+  std::optional<net::steady_time> last_check_;
+  std::optional<milliseconds> check_interval_;
   mesh_context context_;
   registration registration_;
   crash_guard crashes_;
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -9,6 +9,7 @@
 #include "listener.h"
 #include "peer_link.h"
 #include "siskinrack/net/peer.h"
+#include "siskinrack/support/scope_exit.h"
 
 namespace siskinrack::net {
 namespace {
@@ -41,10 +42,11 @@
       : runtime_(runtime), context_(context), options_(options), threads_(runtime.thread_count()) {}
 
   peer_result Request(const support::socket_address& address, wire::envelope_t message,
-                      steady_time deadline, cancellation* cancel, cancellation* recall) {
+                      steady_time deadline, cancellation* cancel, cancellation* recall,
+                      silence_policy silence) {
     const auto link = Acquire(address, deadline);
     if (link == nullptr) return {exchange_stage::kNotSent, nullptr, "peer is unreachable", false};
-    return link->Request(std::move(message), deadline, cancel, recall);
+    return link->Request(std::move(message), deadline, cancel, recall, silence);
   }
 
   void Send(const support::socket_address& address, wire::envelope_t message) {
@@ -102,17 +104,21 @@
         return nullptr;
       }
     }
-    if (state.link != nullptr && !state.link->closed()) return state.link;
+    if (state.link != nullptr && state.link->usable()) return state.link;
     const auto now = std::chrono::steady_clock::now();
     if (local.stopping || now < state.retry_at) return nullptr;
-    state.dialling = true;
-    state.link = Dial(address, std::min(deadline, now + options_.dial_timeout));
-    state.dialling = false;
+    {
+      state.dialling = true;
+      const support::scope_exit end([&state] {
+        state.dialling = false;
+        state.dialled.notify_all();
+      });
+      state.link = Dial(address, std::min(deadline, now + options_.dial_timeout));
+    }
     state.failures = state.link == nullptr ? state.failures + 1 : 0;
     if (state.link == nullptr)
       state.retry_at = now + ComputeBackoff(state.failures, options_.backoff_max);
     if (local.stopping && state.link != nullptr) state.link->Close();
-    state.dialled.notify_all();
     return state.link;
   }
 
@@ -176,8 +182,9 @@
 peer_pool::~peer_pool() = default;
 
 peer_result peer_pool::Request(const support::socket_address& address, wire::envelope_t message,
-                               steady_time deadline, cancellation* cancel, cancellation* recall) {
-  return impl_->Request(address, std::move(message), deadline, cancel, recall);
+                               steady_time deadline, cancellation* cancel, cancellation* recall,
+                               silence_policy silence) {
+  return impl_->Request(address, std::move(message), deadline, cancel, recall, silence);
 }
 
 void peer_pool::OnLinkBroken(std::function<void(const support::socket_address&)> callback) {
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -1,11 +1,17 @@
 #include "mesh_fleet.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <fstream>
 #include <iostream>
 #include <random>
 #include <sstream>
 #include <thread>
 
+#include "siskinrack/net/head_responses.h"
+
 namespace siskinrack::test {
 namespace {
 
@@ -56,9 +62,9 @@
   options.limits.body_bytes = kMaxBodyBytes;
   server_ = std::make_unique<net::http_server>(
       runtime_, std::move(options),
-      [this](const net::http_request& request, net::cancellation& cancel) {
+      net::OmitHeadBodies([this](const net::http_request& request, net::cancellation& cancel) {
         return Handle(request, cancel);
-      });
+      }));
   const std::string error = server_->Start();
   if (!error.empty()) std::cerr << "upstream stand-in " << id_ << ": " << error << '\n';
 }
@@ -127,7 +133,9 @@
     : services_(services),
       network_(PickNetwork()),
       sequences_(services.size()),
-      states_(services.size(), "ready") {
+      states_(services.size(), "ready"),
+      lifetimes_(services.size()),
+      departed_(services.size()) {
   std::string path = (std::filesystem::temp_directory_path() / "siskinrack-mesh-XXXXXX").string();
   if (mkdtemp(path.data()) == nullptr) throw std::runtime_error("cannot create directory " + path);
   work_dir_ = path;
@@ -141,7 +149,9 @@
   }
   heartbeat_thread_ = std::thread([this] {
     while (!stopped_) {
-      for (std::size_t i = 0; i < services_.size(); ++i) SendHeartbeat(i, {});
+      for (std::size_t i = 0; i < services_.size(); ++i) {
+        if (!departed_[i]) SendHeartbeat(i, {});
+      }
       std::this_thread::sleep_for(kHeartbeatInterval);
     }
   });
@@ -246,7 +256,7 @@
   if (!state.empty()) states_[machine] = state;
   const json::object body{
       {"address", MakeIp(machine) + ':' + std::to_string(kUpstreamPort)},
-      {"born", kBornMs},
+      {"born", kBornMs + lifetimes_[machine]},
       {"info",
        {{"service", services_[machine]}, {"version", "v1"}, {"zone", "zone-a"}, {"slots", 4}}},
       {"status", {{"state", states_[machine]}, {"seq", ++sequences_[machine]}, {"coldLeftS", 0}}}};
@@ -256,6 +266,14 @@
   return result.stage == net::exchange_stage::kAnswered && result.response.status == 200;
 }
 
+bool mesh_fleet::SendDeparture(std::size_t machine) {
+  departed_[machine] = true;
+  const std::lock_guard lock(heartbeat_mutex_);
+  const auto result = Exchange({MakeIp(machine), kHeartbeatPort},
+                               {"DELETE", "/api/instances/" + instances_[machine]->id(), {}, {}});
+  return result.stage == net::exchange_stage::kAnswered && result.response.status == 200;
+}
+
 bool mesh_fleet::AwaitReady() {
   const auto end = steady_clock::now() + kReadyTimeout;
   while (steady_clock::now() < end) {
@@ -283,6 +301,26 @@
   return Exchange({MakeIp(machine), kCallerPort}, std::move(request));
 }
 
+std::string mesh_fleet::SendBytes(std::size_t machine, const std::string& bytes) const {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kCallerPort);
+  inet_pton(AF_INET, MakeIp(machine).c_str(), &address.sin_addr);
+  const timeval silence{.tv_sec = 1, .tv_usec = 0};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &silence, sizeof silence);
+  std::string received;
+  if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
+      send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())) {
+    char chunk[4096];
+    for (ssize_t size = 0; (size = recv(fd, chunk, sizeof chunk, 0)) > 0;) {
+      received.append(chunk, static_cast<std::size_t>(size));
+    }
+  }
+  close(fd);
+  return received;
+}
+
 std::string mesh_fleet::ReadLog(std::size_t machine) const {
   std::ifstream in(MakePath(machine, ".out"));
   std::ostringstream text;
--- a/test/mesh/mesh_test.cpp
+++ b/test/mesh/mesh_test.cpp
@@ -104,6 +104,91 @@
   EXPECT_EQ(fleet_.Send(0, "/nowhere/").response.status, 404U);
 }
 
+// Guards against a request that ends a link between two nodes or keeps a slot of its upstream: 36
+// TRACE requests with a body stopped a service for good. Sends every method with and without a
+// body, and each kind of odd framing, more often than the two upstreams have slots.
+TEST_F(mesh_test, OddRequestsEndOnlyThemselves) {
+  std::vector<std::string> requests;
+  const auto add = [&](const std::string& start, const std::string& rest) {
+    const std::string head = start + " HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n" +
+                             "Request-Id: odd-" + std::to_string(requests.size()) + "\r\n";
+    requests.push_back(head + rest);
+  };
+  constexpr std::string_view kNoBody = "\r\n";
+  constexpr std::string_view kLength = "Content-Length: 3\r\n\r\nabc";
+  constexpr std::string_view kChunks = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (const char* method : {"GET", "HEAD", "POST", "PUT", "DELETE", "CONNECT", "OPTIONS", "TRACE",
+                             "PATCH", "PROPFIND", "M-SEARCH", "OTHER", "get"}) {
+    for (const std::string_view rest : {kNoBody, kLength, kChunks}) {
+      add(std::string(method) + " /dock/odd", std::string(rest));
+    }
+  }
+  for (const char* rest : {"Content-Length: 0\r\n\r\n",
+                           "Content-Length: -1\r\n\r\n",
+                           "Content-Length: 3x\r\n\r\nabc",
+                           "Content-Length: 99999999999999999999\r\n\r\n",
+                           "Content-Length: 3\r\n\r\nabcdef",
+                           "Content-Length: 9\r\n\r\nabc",
+                           "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+                           "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                           "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+                           "Transfer-Encoding: identity\r\n\r\n",
+                           "Transfer-Encoding: chunked\r\n\r\nx\r\n",
+                           "Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nT: 1\r\n\r\n",
+                           "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n",
+                           "Expect: 100-continue\r\nContent-Length: 3\r\n\r\nabc",
+                           "Expect: other\r\n\r\n",
+                           "Upgrade: websocket\r\nConnection: upgrade\r\n\r\n",
+                           "Connection: Host, Content-Length\r\nContent-Length: 3\r\n\r\nabc",
+                           "No-Colon\r\n\r\n",
+                           ": empty\r\n\r\n",
+                           "Folded: a\r\n b\r\n\r\n",
+                           "Bare: a\nb: c\r\n\r\n",
+                           "Deadline-Ms: -1\r\n\r\n",
+                           "Deadline-Ms: nan\r\n\r\n",
+                           "Deadline-Ms: 1e300\r\n\r\n",
+                           "Host: other\r\n\r\n"}) {
+    add("POST /dock/odd", rest);
+  }
+  requests.push_back("\r\n\r\n");
+  requests.push_back("GET\r\n\r\n");
+  requests.push_back("GET /dock/odd HTTP/3.0\r\n\r\n");
+  requests.push_back("GET /dock/odd HTTP/1.0\r\n\r\n");
+  requests.push_back("GET  HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+  add("GET /dock/" + std::string(12'000, 'x'), std::string(kNoBody));
+
+  constexpr std::size_t kSenders = 8;
+  // More than the two upstreams have slots, so that a slot that is not freed shows.
+  constexpr std::size_t kRepetitions = 10;
+  std::atomic<std::size_t> next = 0;
+  std::atomic<bool> sending = true;
+  // Runs on the same links all the time.
+  std::thread steady([&] {
+    while (sending) {
+      const auto result = fleet_.Send(0, "/once/dock/slow", "POST", "order");
+      EXPECT_NE(result.response.status, 502U) << result.response.body;
+    }
+  });
+  std::vector<std::thread> senders;
+  for (std::size_t i = 0; i < kSenders; ++i) {
+    senders.emplace_back([&] {
+      for (std::size_t k = next++; k < requests.size() * kRepetitions; k = next++) {
+        const std::string& request = requests[k % requests.size()];
+        const std::string answer = fleet_.SendBytes(0, request);
+        EXPECT_FALSE(answer.starts_with("HTTP/1.1 500")) << request.substr(0, 200) << answer;
+        EXPECT_FALSE(answer.starts_with("HTTP/1.1 502")) << request.substr(0, 200) << answer;
+      }
+    });
+  }
+  for (std::thread& sender : senders) sender.join();
+  sending = false;
+  steady.join();
+  for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(CountLines(i, "event=handler_failed"), 0U);
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_EQ(fleet_.Send(0, "/once/dock/after", "POST", "order").response.status, 200U);
+  }
+}
+
 // Guards against an at-most-once request that is sent again, or reported as not run, after its
 // connection broke.
 TEST_F(mesh_test, BrokenExchangeOfAnAtMostOnceRequestIsUnknown) {
@@ -206,6 +291,35 @@
                          [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
 }
 
+// Guards against an object of another writer that can't be decoded and keeps all nodes from
+// starting: they listed the endpoints as a whole.
+TEST_F(mesh_test, UnreadableRecordOfAnotherWriterDoesNotHideTheOthers) {
+  boost::json::value nested = 1;
+  for (int i = 0; i < 40; ++i) nested = boost::json::array{nested};
+  fleet_.store().Write("siskinrack-endpoints", "another", {{"instance", nested}});
+  EXPECT_TRUE(Eventually(milliseconds(5'000), [&] {
+    return CountLines(0, "event=object_unreadable kind=siskinrack-endpoints name=another") == 1;
+  }));
+  for (std::size_t i = 0; i < 3; ++i) fleet_.StartNode(i);
+  EXPECT_TRUE(Eventually(milliseconds(10'000),
+                         [&] { return fleet_.Send(0, "/dock/x").response.status == 200; }));
+}
+
+// Guards against losing the active configuration to one that can't be decoded, and against not
+// applying the next one.
+TEST_F(mesh_test, UnreadableConfigurationKeepsTheLastVersion) {
+  boost::json::value nested = 1;
+  for (int i = 0; i < 40; ++i) nested = boost::json::array{nested};
+  fleet_.store().Write("config", "main", {{"version", 2}, {"listeners", nested}});
+  EXPECT_TRUE(Eventually(milliseconds(5'000), [&] {
+    return CountLines(0, "event=config_rejected") == 1 && CountLines(0, "kept_version=1") == 1;
+  }));
+  EXPECT_EQ(fleet_.Send(0, "/dock/x").response.status, 200U);
+  fleet_.Configure(3, "dock");
+  EXPECT_TRUE(Eventually(milliseconds(5'000),
+                         [&] { return fleet_.Send(0, "/extra/1").response.status == 200; }));
+}
+
 // Guards against requests that are cut off by a shutdown: one is running, others keep arriving.
 TEST_F(mesh_test, ShutdownAnswersEveryRequest) {
   std::atomic<int> slow_status = 0;
@@ -317,6 +431,42 @@
   EXPECT_EQ(fleet_.Send(0, "/dock/x").response.status, 200U);
 }
 
+// Guards against a heartbeat that arrives late at the next process of a node: the process before
+// was killed after it had acknowledged the departure, and the upstream got requests again.
+TEST_F(mesh_test, AcknowledgedDepartureBindsTheNextProcess) {
+  ASSERT_TRUE(fleet_.SendDeparture(1));
+  fleet_.node(1).Signal(SIGKILL);
+  fleet_.node(1).Wait();
+  fleet_.StartNode(1);
+  ASSERT_TRUE(Eventually(milliseconds(10'000), [&] { return fleet_.SendHeartbeat(1, "ready"); }));
+  const std::size_t before = fleet_.instance(1).runs().size();
+  for (int i = 0; i < 50; ++i) {
+    EXPECT_EQ(fleet_.Send(0, "/dock/x").response.status, 200U);
+    fleet_.SendHeartbeat(1, "ready");
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  EXPECT_EQ(fleet_.instance(1).runs().size(), before);
+  const auto record = fleet_.store().Read("siskinrack-endpoints", "i-1");
+  ASSERT_TRUE(record.is_object());
+  EXPECT_EQ(record.at("state"), "departed");
+}
+
+// Guards against an upstream that restarts with the id that it had and is never used again because
+// its earlier lifetime departed.
+TEST_F(mesh_test, UpstreamThatReturnsAfterItsDepartureIsUsed) {
+  ASSERT_TRUE(fleet_.SendDeparture(1));
+  ASSERT_TRUE(Eventually(milliseconds(5'000), [&] {
+    const auto record = fleet_.store().Read("siskinrack-endpoints", "i-1");
+    return record.is_object() && record.at("state") == "departed";
+  }));
+  fleet_.RestartInstance(1);
+  const std::size_t before = fleet_.instance(1).runs().size();
+  EXPECT_TRUE(Eventually(milliseconds(10'000), [&] {
+    fleet_.Send(0, "/dock/x");
+    return fleet_.instance(1).runs().size() > before;
+  }));
+}
+
 // Guards against a record that stays wrong because the answer to its write was lost.
 TEST_F(mesh_test, RecordIsCorrectedAfterALostWriteAnswer) {
   fleet_.store().LoseWriteAnswers(1);
