--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -10,10 +10,12 @@
 #include "endpoint_reaper.h"
 #include "mesh_context.h"
 #include "serving_service.h"
+#include "siskinrack/balancing/call_placement.h"
 #include "siskinrack/balancing/call_profile.h"
 #include "siskinrack/balancing/selection.h"
 #include "siskinrack/balancing/sharded_registry.h"
 #include "siskinrack/routing/caller_wait.h"
+#include "siskinrack/routing/retry_delay.h"
 #include "tenant_gate.h"
 
 namespace siskinrack::mesh {
@@ -97,8 +99,11 @@
   /// A `retry_after` of zero is replaced by a suitable one if the status permits a retry.
   net::http_response Refuse(const std::string& id, unsigned status, std::string_view reason,
                             std::chrono::milliseconds retry_after = std::chrono::milliseconds(0));
-  /// Returns the retry delay for a refused caller with the remaining time `left`.
-  std::chrono::milliseconds ComputeRetryDelay(std::chrono::milliseconds left);
+  /// Returns the retry delay for a refused caller.
+  std::chrono::milliseconds ComputeRetryDelay(const routing::refused_request& refused);
+  /// Describes a request that was refused with `answer` for the choice of its retry delay.
+  routing::refused_request MakeRefusedRequest(const request_state& state,
+                                              const wire::call_answer_t& answer);
 
   mesh_context& context_;
   serving_service& serving_;
