--- a/include/siskinrack/net/peer.h
+++ b/include/siskinrack/net/peer.h
@@ -30,10 +30,10 @@
   traffic_counters* traffic = nullptr;
   /// Source IP address of outgoing links; if empty, the kernel selects one.
   std::string source_ip;
-  /// Paces large frames; null if they are sent at once.
-  link_pacer* pacer = nullptr;
   /// Budget for the frames that are received and sent; may be null.
   memory_budget* memory = nullptr;
+  /// Paces large frames; null if they are sent at once.
+  link_pacer* pacer = nullptr;
   /// Number of call answers that are queued or being written. A shutdown waits until it is 0.
   std::atomic<std::size_t> unwritten_answers = 0;
 };
