--- a/include/siskinrack/routing/instance.h
+++ b/include/siskinrack/routing/instance.h
@@ -36,6 +36,8 @@
   instance_state state = instance_state::kReady;
   /// Remaining warm-up time, during which the upstream is slow.
   std::chrono::milliseconds cold_left{0};
+  /// Version of the upstream's software; empty if it names none.
+  std::string software_version{};
 };
 
 /// Represents an upstream as registered for the other nodes.
@@ -47,6 +49,8 @@
   support::socket_address node_address;
   std::uint32_t slots = 1;
   instance_state state = instance_state::kReady;
+  /// Version of the upstream's software; empty if it names none.
+  std::string software_version{};
 
   bool operator==(const endpoint&) const = default;
 };
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -4313,6 +4313,9 @@
   std::string node_id{};
   std::string software_version{};
   std::vector<std::unique_ptr<siskinrack::wire::rollout_count_t>> routes{};
+  uint32_t known_for_ms = 0;
+  uint32_t open_calls = 0;
+  bool knows_cut_over = false;
   rollout_report_t() = default;
   rollout_report_t(const rollout_report_t &o);
   rollout_report_t(rollout_report_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4327,7 +4330,10 @@
     VT_ORDER_REVISION = 6,
     VT_NODE_ID = 8,
     VT_SOFTWARE_VERSION = 10,
-    VT_ROUTES = 12
+    VT_ROUTES = 12,
+    VT_KNOWN_FOR_MS = 14,
+    VT_OPEN_CALLS = 16,
+    VT_KNOWS_CUT_OVER = 18
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -4344,6 +4350,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::rollout_count>> *routes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::rollout_count>> *>(VT_ROUTES);
   }
+  uint32_t known_for_ms() const {
+    return GetField<uint32_t>(VT_KNOWN_FOR_MS, 0);
+  }
+  uint32_t open_calls() const {
+    return GetField<uint32_t>(VT_OPEN_CALLS, 0);
+  }
+  bool knows_cut_over() const {
+    return GetField<uint8_t>(VT_KNOWS_CUT_OVER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -4356,6 +4371,9 @@
            VerifyOffset(verifier, VT_ROUTES) &&
            verifier.VerifyVector(routes()) &&
            verifier.VerifyVectorOfTables(routes()) &&
+           VerifyField<uint32_t>(verifier, VT_KNOWN_FOR_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_OPEN_CALLS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_KNOWS_CUT_OVER, 1) &&
            verifier.EndTable();
   }
   rollout_report_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4382,6 +4400,15 @@
   void add_routes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::rollout_count>>> routes) {
     fbb_.AddOffset(rollout_report::VT_ROUTES, routes);
   }
+  void add_known_for_ms(uint32_t known_for_ms) {
+    fbb_.AddElement<uint32_t>(rollout_report::VT_KNOWN_FOR_MS, known_for_ms, 0);
+  }
+  void add_open_calls(uint32_t open_calls) {
+    fbb_.AddElement<uint32_t>(rollout_report::VT_OPEN_CALLS, open_calls, 0);
+  }
+  void add_knows_cut_over(bool knows_cut_over) {
+    fbb_.AddElement<uint8_t>(rollout_report::VT_KNOWS_CUT_OVER, static_cast<uint8_t>(knows_cut_over), 0);
+  }
   explicit rollout_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4399,13 +4426,19 @@
     uint64_t order_revision = 0,
     flatbuffers::Offset<flatbuffers::String> node_id = 0,
     flatbuffers::Offset<flatbuffers::String> software_version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::rollout_count>>> routes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<siskinrack::wire::rollout_count>>> routes = 0,
+    uint32_t known_for_ms = 0,
+    uint32_t open_calls = 0,
+    bool knows_cut_over = false) {
   rollout_reportBuilder builder_(_fbb);
   builder_.add_order_revision(order_revision);
+  builder_.add_open_calls(open_calls);
+  builder_.add_known_for_ms(known_for_ms);
   builder_.add_routes(routes);
   builder_.add_software_version(software_version);
   builder_.add_node_id(node_id);
   builder_.add_service(service);
+  builder_.add_knows_cut_over(knows_cut_over);
   return builder_.Finish();
 }
 
@@ -4415,7 +4448,10 @@
     uint64_t order_revision = 0,
     const char *node_id = nullptr,
     const char *software_version = nullptr,
-    const std::vector<flatbuffers::Offset<siskinrack::wire::rollout_count>> *routes = nullptr) {
+    const std::vector<flatbuffers::Offset<siskinrack::wire::rollout_count>> *routes = nullptr,
+    uint32_t known_for_ms = 0,
+    uint32_t open_calls = 0,
+    bool knows_cut_over = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto node_id__ = node_id ? _fbb.CreateString(node_id) : 0;
   auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
@@ -4426,7 +4462,10 @@
       order_revision,
       node_id__,
       software_version__,
-      routes__);
+      routes__,
+      known_for_ms,
+      open_calls,
+      knows_cut_over);
 }
 
 flatbuffers::Offset<rollout_report> Createrollout_report(flatbuffers::FlatBufferBuilder &_fbb, const rollout_report_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6315,7 +6354,10 @@
       : service(o.service),
         order_revision(o.order_revision),
         node_id(o.node_id),
-        software_version(o.software_version) {
+        software_version(o.software_version),
+        known_for_ms(o.known_for_ms),
+        open_calls(o.open_calls),
+        knows_cut_over(o.knows_cut_over) {
   routes.reserve(o.routes.size());
   for (const auto &routes_ : o.routes) { routes.emplace_back((routes_) ? new siskinrack::wire::rollout_count_t(*routes_) : nullptr); }
 }
@@ -6326,6 +6368,9 @@
   std::swap(node_id, o.node_id);
   std::swap(software_version, o.software_version);
   std::swap(routes, o.routes);
+  std::swap(known_for_ms, o.known_for_ms);
+  std::swap(open_calls, o.open_calls);
+  std::swap(knows_cut_over, o.knows_cut_over);
   return *this;
 }
 
@@ -6343,6 +6388,9 @@
   { auto _e = node_id(); if (_e) _o->node_id = _e->str(); }
   { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
   { auto _e = routes(); if (_e) { _o->routes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->routes[_i] = std::unique_ptr<siskinrack::wire::rollout_count_t>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = known_for_ms(); _o->known_for_ms = _e; }
+  { auto _e = open_calls(); _o->open_calls = _e; }
+  { auto _e = knows_cut_over(); _o->knows_cut_over = _e; }
 }
 
 inline flatbuffers::Offset<rollout_report> rollout_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_report_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6358,13 +6406,19 @@
   auto _node_id = _o->node_id.empty() ? 0 : _fbb.CreateString(_o->node_id);
   auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
   auto _routes = _o->routes.size() ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::rollout_count>> (_o->routes.size(), [](size_t i, _VectorArgs *__va) { return Createrollout_count(*__va->__fbb, __va->__o->routes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _known_for_ms = _o->known_for_ms;
+  auto _open_calls = _o->open_calls;
+  auto _knows_cut_over = _o->knows_cut_over;
   return siskinrack::wire::Createrollout_report(
       _fbb,
       _service,
       _order_revision,
       _node_id,
       _software_version,
-      _routes);
+      _routes,
+      _known_for_ms,
+      _open_calls,
+      _knows_cut_over);
 }
 
 inline rollout_count_t *rollout_count::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/lib/routing/endpoint_record.cpp
+++ b/lib/routing/endpoint_record.cpp
@@ -34,7 +34,7 @@
 }  // namespace
 
 json::value ToRecord(const endpoint& entry) {
-  return json::object{
+  json::object record{
       {"instance", entry.life.instance_id},
       {"born_ms", entry.life.born_ms},
       {"service", entry.service},
@@ -43,6 +43,8 @@
       {"slots", static_cast<std::int64_t>(entry.slots)},
       {"state", entry.state == instance_state::kReady ? kReady : kDraining},
   };
+  if (!entry.software_version.empty()) record["software_version"] = entry.software_version;
+  return record;
 }
 
 std::optional<endpoint> FromRecord(const json::value& record, support::findings& problems) {
@@ -58,6 +60,10 @@
   const auto node = ReadString(members, "node", problems);
   const auto slots = ReadInteger(members, "slots", problems);
   const auto state = ReadString(members, "state", problems);
+  // Records of nodes that don't know software versions have none.
+  const auto version = members.contains("software_version")
+                           ? ReadString(members, "software_version", problems)
+                           : std::string();
   const auto address = node ? support::ParseSocketAddress(*node) : std::nullopt;
   if (node && !address) problems.Add("node", "expected an IPv4 address and port");
   if (state && *state != kReady && *state != kDraining)
@@ -69,7 +75,8 @@
                   *zone,
                   *address,
                   static_cast<std::uint32_t>(*slots),
-                  *state == kReady ? instance_state::kReady : instance_state::kDraining};
+                  *state == kReady ? instance_state::kReady : instance_state::kDraining,
+                  *version};
 }
 
 }  // namespace siskinrack::routing
--- a/unittests/platform/platform_codec_test.cpp
+++ b/unittests/platform/platform_codec_test.cpp
@@ -5,6 +5,7 @@
 #include "configuration_codec.h"
 #include "instance_codec.h"
 #include "request_codec.h"
+#include "rollout_codec.h"
 #include "settings_file.h"
 
 namespace siskinrack::platform_adapter {
@@ -122,6 +123,7 @@
   EXPECT_EQ(report->life.born_ms, 1700000000000);
   EXPECT_EQ(report->state, routing::instance_state::kDraining);
   EXPECT_EQ(report->cold_left, milliseconds(1500));
+  EXPECT_EQ(report->software_version, "v1");
 }
 
 // Guards against an upstream that is created from an invalid heartbeat.
@@ -194,5 +196,69 @@
   EXPECT_EQ(net::FindField(answer.fields, "Request-Id"), "r");
 }
 
+// Guards against roll-outs on a deployment that doesn't call for them, and against other bounds
+// than the deployment's.
+TEST(MachineSettings, RolloutBoundsAreReadOnlyWithTheirContract) {
+  support::findings problems;
+  EXPECT_FALSE(ParseSettings(kSettings, problems).rollouts);
+  std::string text(kSettings);
+  text.insert(text.rfind('}'), R"(, "contracts": ["base", "rollout"])");
+  const auto defaults = ParseSettings(text, problems).rollouts;
+  ASSERT_TRUE(defaults);
+  EXPECT_DOUBLE_EQ(defaults->share, 0.1);
+  text.replace(text.find("someFlag=true"), 13,
+               "canaryShare=0.2\", \"canarySlack=7\", \"rollbackS=3");
+  const auto bounds = ParseSettings(text, problems).rollouts;
+  ASSERT_TRUE(bounds);
+  EXPECT_DOUBLE_EQ(bounds->share, 0.2);
+  EXPECT_DOUBLE_EQ(bounds->slack, 7);
+  EXPECT_EQ(bounds->rollback_limit, milliseconds(3'000));
+  EXPECT_TRUE(problems.empty()) << problems.ToText();
+}
+
+versioned_object MakeRollout(std::string_view spec, std::string_view status) {
+  return {"huvo11a", 7, boost::json::parse(spec), boost::json::parse(status)};
+}
+
+// Guards against an order that is not recognised, and against the result of an earlier order that
+// is taken for that of the current one.
+TEST(RolloutCodec, OrderAndItsStateAreRead) {
+  constexpr std::string_view kSpec =
+      R"({"service":"huvo11a","targetVersion":"v2","durationS":12.5,"new":1})";
+  support::findings problems;
+  const auto running = ReadRolloutOrder(MakeRollout(kSpec, "null"), problems);
+  ASSERT_TRUE(running) << problems.ToText();
+  EXPECT_EQ(running->service, "huvo11a");
+  EXPECT_EQ(running->target_version, "v2");
+  EXPECT_EQ(running->duration, milliseconds(12'500));
+  EXPECT_EQ(running->revision, 7U);
+  EXPECT_EQ(running->state, rollout::order_state::kRunning);
+  for (const auto state : {rollout::order_state::kDone, rollout::order_state::kRolledBack}) {
+    versioned_object object = MakeRollout(kSpec, "null");
+    object.status = MakeRolloutStatus(*running, state);
+    EXPECT_EQ(ReadRolloutOrder(object, problems)->state, state);
+    object.status.as_object()["targetVersion"] = "v1";
+    EXPECT_EQ(ReadRolloutOrder(object, problems)->state, rollout::order_state::kRunning);
+  }
+  EXPECT_EQ(boost::json::serialize(MakeRolloutStatus(*running, rollout::order_state::kRolledBack)),
+            R"({"state":"rolled_back","targetVersion":"v2"})");
+}
+
+// Guards against the use of an order by another writer with missing or mistyped fields.
+TEST(RolloutCodec, UnreadableOrdersAreFindings) {
+  for (const char* spec : {"null", "{}", R"({"service":"a","targetVersion":3,"durationS":1})",
+                           R"({"service":"a","targetVersion":"v2","durationS":"soon"})"}) {
+    support::findings problems;
+    EXPECT_FALSE(ReadRolloutOrder(MakeRollout(spec, "null"), problems)) << spec;
+    EXPECT_FALSE(problems.empty()) << spec;
+  }
+  support::findings problems;
+  const auto order = ReadRolloutOrder(
+      MakeRollout(R"({"targetVersion":"v2","durationS":1})", R"({"state":["done"]})"), problems);
+  ASSERT_TRUE(order) << problems.ToText();
+  EXPECT_EQ(order->service, "huvo11a");
+  EXPECT_EQ(order->state, rollout::order_state::kRunning);
+}
+
 }  // namespace
 }  // namespace siskinrack::platform_adapter
--- a/unittests/routing/routing_test.cpp
+++ b/unittests/routing/routing_test.cpp
@@ -217,6 +217,19 @@
   }
 }
 
+// Guards against records without a software version that are no longer read, and against a new
+// member in the records of deployments without roll-outs.
+TEST(EndpointRecord, SoftwareVersionIsOptional) {
+  endpoint item = Endpoint("a", 12345, "tray", 7);
+  EXPECT_FALSE(ToRecord(item).as_object().contains("software_version"));
+  item.software_version = "v2";
+  support::findings problems;
+  EXPECT_EQ(FromRecord(ToRecord(item), problems), item);
+  boost::json::value record = ToRecord(item);
+  record.as_object()["software_version"] = 2;
+  EXPECT_FALSE(FromRecord(record, problems));
+}
+
 // Guards against exceeding the retry bound over all nodes: every node retries as often as its share
 // allows.
 TEST(RetryShare, AllNodesTogetherKeepTheBoundInEveryWindow) {
