mesh: serve roll-out orders

Cause: without it, a bad version took half of a service's requests and no order was ever done or rolled back.

Change: where the settings list the contract, a feed follows the orders; serving nodes count the answers of their upstream and report them to the two judges of an order; judges announce verdicts to all nodes and record the result. Entry nodes choose endpoints by the track of a request. A serving node refuses calls for a version that was rolled back, and pauses its own upstream if it fails too often during the trial. A node is not ready until it has read the orders. Without the contract no feed runs and records are as before.

--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -105,6 +105,12 @@
   return call;
 }
 
+/// Returns true if the request reached an upstream, even if that refused it.
+bool HasArrived(const wire::call_answer_t& answer) {
+  return answer.outcome != outcome_kind::not_run ||
+         answer.cause == answer_cause::refused_by_upstream;
+}
+
 std::string MakeTrackerKey(const routing::lifetime& life) {
   return life.instance_id + '@' + std::to_string(life.born_ms);
 }
@@ -120,6 +126,9 @@
   if (state.routes == nullptr) {
     return Refuse(caller.id, kStatusUnavailable, "no configuration is active yet");
   }
+  if (!rollouts_.IsReady()) {
+    return Refuse(caller.id, kStatusUnavailable, "roll-out orders are not known yet");
+  }
   state.route = state.routes->Match(request.host, request.target);
   if (state.route == nullptr) return Refuse(caller.id, kStatusNotFound, "no route matches");
   if (context_.shutdown && !context_.shutdown->Accepts(now, state.route->target_latency)) {
@@ -189,6 +198,7 @@
     if (state.tried.contains(life.instance_id)) continue;
     const auto departed = departed_.find(life.instance_id);
     if (departed != departed_.end() && departed->second == life.born_ms) continue;
+    if (!rollouts_.Allows(state.rollout, (*view.endpoints)[i])) continue;
     indices.push_back(i);
     untried.push_back(view.candidates[i]);
   }
@@ -232,9 +242,14 @@
   retries.AddRequest(context_.endpoints.CountNodes(), steady_clock::now());
   wire::call_answer_t last =
       MakeNotRunAnswer(answer_cause::unreachable, "no endpoint is available");
+  state.rollout = rollouts_.Assign(state.service, *GetServiceView(state.service).endpoints,
+                                   state.call.work_class);
   while (true) {
     const service_view view = GetServiceView(state.service);
-    const auto index = ChooseEndpoint(view, state);
+    auto index = ChooseEndpoint(view, state);
+    while (!index && rollouts_.Redirect(state.service, state.rollout)) {
+      index = ChooseEndpoint(view, state);
+    }
     if (!index) return last;
     const routing::endpoint& target = (*view.endpoints)[*index];
     state.tried.insert(target.life.instance_id);
@@ -244,6 +259,7 @@
     last = SendTo(target, state, cancel);
     const auto now = steady_clock::now();
     OnAnswer(target, last);
+    rollouts_.OnAttempt(state.service, state.rollout, HasArrived(last));
     balancing::call_report report = MakeCallReport(last, cancel.cancelled(), now - sent_at);
     RecordProfile(state, last, report);
     endpoint_state->Finish(report, now);
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -9,6 +9,7 @@
 #include "crash_guard.h"
 #include "endpoint_reaper.h"
 #include "mesh_context.h"
+#include "rollout_service.h"
 #include "serving_service.h"
 #include "siskinrack/balancing/call_profile.h"
 #include "siskinrack/balancing/selection.h"
@@ -22,8 +23,12 @@
 class entry_service {
  public:
   entry_service(mesh_context& context, serving_service& serving, endpoint_reaper& reaper,
-                crash_guard& crashes)
-      : context_(context), serving_(serving), reaper_(reaper), crashes_(crashes) {}
+                crash_guard& crashes, rollout_service& rollouts)
+      : context_(context),
+        serving_(serving),
+        reaper_(reaper),
+        crashes_(crashes),
+        rollouts_(rollouts) {}
 
   /// Handles one request and returns the upstream's response or one made by this node: 404 if no
   /// route matches, 503 if the request did not run, 502 or 504 if it may have run. May suspend the
@@ -60,6 +65,8 @@
     std::uint32_t arrivals = 0;
     /// Ids of the instances to which the request was sent.
     std::set<std::string> tried;
+    /// Upstreams that the roll-out of the service allows.
+    rollout::assignment rollout;
   };
 
   /// Endpoints of one service with their balancing state; rebuilt when the endpoint table changes.
@@ -97,6 +104,7 @@
   serving_service& serving_;
   endpoint_reaper& reaper_;
   crash_guard& crashes_;
+  rollout_service& rollouts_;
   std::map<std::string, service_view> views_;
   /// Start times of the departing and departed lifetimes by instance id. Their records may stay in
   /// the store while it is unavailable, and their nodes may forget the departure in a restart.
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -11,6 +11,8 @@
 #include "mesh_context.h"
 #include "object_feed.h"
 #include "registration.h"
+#include "rollout_codec.h"
+#include "rollout_service.h"
 #include "serving_service.h"
 #include "siskinrack/net/http_server.h"
 #include "store_monitor.h"
@@ -52,9 +54,10 @@
         context_(std::move(settings)),
         registration_(context_),
         crashes_(context_),
-        serving_(context_, registration_, crashes_),
+        rollouts_(context_, registration_, [this] { return serving_.in_flight(); }),
+        serving_(context_, registration_, crashes_, rollouts_.counter()),
         reaper_(context_),
-        entry_(context_, serving_, reaper_, crashes_),
+        entry_(context_, serving_, reaper_, crashes_, rollouts_),
         configs_(context_, [this] { OnConfiguration(); }),
         endpoints_(context_,
                    [this](const std::string& id, std::uint64_t revision) {
@@ -68,12 +71,19 @@
                        endpoints_,
                        ComputeWatchPause(std::min(context_.settings.activation_limit,
                                                   context_.settings.drain_period))),
+        rollout_feed_(context_, platform_adapter::kRolloutKind,
+                      platform_adapter::read_freshness::kCurrent, rollouts_.consumer(),
+                      milliseconds(0)),
         monitor_(
             context_,
-            [this] { return std::max(config_feed_.revision(), endpoint_feed_.revision()); },
+            [this] {
+              return std::max(
+                  {config_feed_.revision(), endpoint_feed_.revision(), rollout_feed_.revision()});
+            },
             [this] {
               config_feed_.Interrupt();
               endpoint_feed_.Interrupt();
+              rollout_feed_.Interrupt();
             }),
         caller_server_(
             context_.runtime,
@@ -113,6 +123,10 @@
                                   {"store", context_.settings.store_address.ToText()}});
     context_.runtime.Post(0, [this] { config_feed_.Run(); });
     context_.runtime.Post(0, [this] { endpoint_feed_.Run(); });
+    if (context_.settings.rollouts) {
+      context_.runtime.Post(0, [this] { rollout_feed_.Run(); });
+      context_.runtime.Post(0, [this] { rollouts_.judging().Run(); });
+    }
     context_.runtime.Post(0, [this] { registration_.Run(); });
     context_.runtime.Post(0, [this] { monitor_.Run(); });
     context_.runtime.Post(0, [this] { reaper_.Run(); });
@@ -189,7 +203,8 @@
 
   net::http_response HandleReady(const net::http_request& request) {
     if (!platform_adapter::IsReadinessCheck(request)) return {kStatusNotFound, {}, {}};
-    const bool ready = !context_.stopping && context_.routes != nullptr && endpoint_feed_.listed();
+    const bool ready = !context_.stopping && context_.routes != nullptr &&
+                       endpoint_feed_.listed() && rollouts_.IsReady();
     return {ready ? kStatusOk : kStatusUnavailable, {}, {}};
   }
 
@@ -216,6 +231,13 @@
                    "log lines that were not written");
     page.AddSample("siskinrack_log_lines_dropped_total", {},
                    static_cast<double>(context_.log.dropped()));
+    page.AddMetric("siskinrack_rollout_phase", "gauge",
+                   "phase of a roll-out: 0 trial, 1 cut-over, 2 done, 3 rolled back");
+    for (const auto& [service, entry] : rollouts_.book().entries()) {
+      page.AddSample("siskinrack_rollout_phase",
+                     {{"service", service}, {"version", entry.ordered.target_version}},
+                     static_cast<double>(entry.current));
+    }
     page.AddMetric("siskinrack_resident_bytes", "gauge", "resident memory");
     page.AddSample("siskinrack_resident_bytes", {}, support::GetProcessResidentBytes());
     return {kStatusOk, {{"Content-Type", "text/plain"}}, page.text()};
@@ -234,6 +256,13 @@
     if (message.message.Ascrash_history_request() != nullptr) {
       return wire::MakeEnvelope(crashes_.MakeHistory());
     }
+    if (const auto* report = message.message.Asrollout_report()) {
+      return wire::MakeEnvelope(rollouts_.judging().OnReport(*report));
+    }
+    if (const auto* verdict = message.message.Asrollout_verdict()) {
+      rollouts_.judging().OnVerdict(*verdict);
+      return std::nullopt;
+    }
     const auto* call = message.message.Ascall_request();
     if (call == nullptr) return std::nullopt;
     return wire::MakeEnvelope(serving_.Serve(*call, cancel));
@@ -243,6 +272,7 @@
   mesh_context context_;
   registration registration_;
   crash_guard crashes_;
+  rollout_service rollouts_;
   serving_service serving_;
   endpoint_reaper reaper_;
   entry_service entry_;
@@ -250,6 +280,7 @@
   endpoint_consumer endpoints_;
   object_feed<config_consumer> config_feed_;
   object_feed<endpoint_consumer> endpoint_feed_;
+  object_feed<rollout_consumer> rollout_feed_;
   store_monitor monitor_;
   net::http_server caller_server_;
   net::http_server ready_server_;
--- a/lib/mesh/registration.cpp
+++ b/lib/mesh/registration.cpp
@@ -90,7 +90,8 @@
       context_.settings.zone,
       context_.settings.peer_address,
       report.slots,
-      leaving ? routing::instance_state::kDraining : routing::instance_state::kReady};
+      leaving ? routing::instance_state::kDraining : routing::instance_state::kReady,
+      context_.settings.rollouts ? report.software_version : std::string()};
 }
 
 bool registration::IsUpToDate() const {
--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -69,10 +69,11 @@
 }  // namespace
 
 serving_service::serving_service(mesh_context& context, registration& instance,
-                                 crash_guard& crashes)
+                                 crash_guard& crashes, rollout_counter& rollouts)
     : context_(context),
       registration_(instance),
       crashes_(crashes),
+      rollouts_(rollouts),
       gate_(std::make_shared<gate>(admission::deadline_controller(slots_))) {}
 
 void serving_service::UpdateSlots() {
@@ -136,6 +137,7 @@
       steady_clock::now() >= *leaving + context_.settings.drain_period / kDrainServingDivisor) {
     return MakeNotRunAnswer(answer_cause::departed, "upstream is draining");
   }
+  if (auto refusal = rollouts_.FindRefusal()) return refusal;
   return crashes_.FindRefusal(call);
 }
 
@@ -189,8 +191,9 @@
   wire::call_answer_t answer =
       refusal ? std::move(*refusal) : SendToUpstream(call, deadline, cancel);
   const admission::call_result result = ToCallResult(answer);
+  const auto took = std::chrono::ceil<milliseconds>(steady_clock::now() - sent_at);
+  if (!refusal) rollouts_.Record(call, answer, took);
   if (result == admission::call_result::kAnswered) {
-    const auto took = std::chrono::ceil<milliseconds>(steady_clock::now() - sent_at);
     answer.service_ms =
         static_cast<std::uint16_t>(std::min<std::int64_t>(took.count(), kMaxServiceMs));
   }
--- a/lib/mesh/serving_service.h
+++ b/lib/mesh/serving_service.h
@@ -8,6 +8,7 @@
 #include "crash_guard.h"
 #include "mesh_context.h"
 #include "registration.h"
+#include "rollout_counter.h"
 #include "siskinrack/admission/deadline_controller.h"
 #include "siskinrack/admission/slot_gate.h"
 
@@ -17,7 +18,8 @@
 /// made here about departure, capacity and lifetimes hold for the whole mesh.
 class serving_service {
  public:
-  serving_service(mesh_context& context, registration& instance, crash_guard& crashes);
+  serving_service(mesh_context& context, registration& instance, crash_guard& crashes,
+                  rollout_counter& rollouts);
 
   /// Serves one call and returns its answer with the load of the upstream. The outcome of the
   /// answer shows whether the call ran. May suspend the calling fiber.
@@ -52,6 +54,7 @@
   mesh_context& context_;
   registration& registration_;
   crash_guard& crashes_;
+  rollout_counter& rollouts_;
   using gate = admission::slot_gate<admission::deadline_controller>;
   std::uint32_t slots_ = 1;
   std::optional<double> limit_;
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -123,8 +123,11 @@
   return response;
 }
 
-mesh_fleet::mesh_fleet(const std::vector<std::string>& services)
+mesh_fleet::mesh_fleet(const std::vector<std::string>& services) : mesh_fleet(services, {}) {}
+
+mesh_fleet::mesh_fleet(const std::vector<std::string>& services, std::vector<std::string> versions)
     : services_(services),
+      versions_(std::move(versions)),
       network_(PickNetwork()),
       sequences_(services.size()),
       states_(services.size(), "ready") {
@@ -167,7 +170,7 @@
 void mesh_fleet::WriteSettings(std::size_t machine) {
   const std::string ip = MakeIp(machine);
   const auto at = [&ip](std::uint16_t port) { return ip + ':' + std::to_string(port); };
-  const json::object settings{
+  json::object settings{
       {"node", "node-" + std::to_string(machine)},
       {"zone", "zone-a"},
       {"ip", ip},
@@ -185,6 +188,12 @@
        {"configApplyS=2", "drainS=1", "graceS=6", "budgetRatio=0.2", "budgetExtra=60",
         "budgetWindowS=10"}},
       {"platform", {{"address", network_ + "251:" + std::to_string(kStorePort)}}}};
+  if (!versions_.empty()) {
+    settings["contracts"] = {"base", "rollout"};
+    json::array& bounds = settings["bounds"].as_array();
+    for (const char* bound : {"canaryShare=0.1", "canarySlack=50", "rollbackS=5"})
+      bounds.emplace_back(bound);
+  }
   std::ofstream(MakePath(machine, ".json")) << json::serialize(settings);
 }
 
@@ -248,7 +257,10 @@
       {"address", MakeIp(machine) + ':' + std::to_string(kUpstreamPort)},
       {"born", kBornMs},
       {"info",
-       {{"service", services_[machine]}, {"version", "v1"}, {"zone", "zone-a"}, {"slots", 4}}},
+       {{"service", services_[machine]},
+        {"version", versions_.empty() ? "v1" : versions_[machine]},
+        {"zone", "zone-a"},
+        {"slots", 4}}},
       {"status", {{"state", states_[machine]}, {"seq", ++sequences_[machine]}, {"coldLeftS", 0}}}};
   const auto result =
       Exchange({MakeIp(machine), kHeartbeatPort},
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -85,6 +85,9 @@
   /// Starts the store and one upstream for each element of `services`, but no nodes. Throws
   /// std::runtime_error if the working directory can't be created.
   explicit mesh_fleet(const std::vector<std::string>& services);
+  /// Starts a mesh in whose deployment roll-outs are in force. The upstreams have the software
+  /// versions `versions`, in the order of `services`.
+  mesh_fleet(const std::vector<std::string>& services, std::vector<std::string> versions);
   ~mesh_fleet();
 
   /// Writes version `version` of the configuration to the store. It has two routes to each service:
@@ -128,6 +131,8 @@
                                                const std::string& suffix) const;
 
   std::vector<std::string> services_;
+  /// Software versions of the upstreams; empty if roll-outs are not in force.
+  std::vector<std::string> versions_;
   std::string network_;
   std::filesystem::path work_dir_;
   net::fiber_runtime runtime_{2};
--- a/test/mesh/object_store_stand_in.cpp
+++ b/test/mesh/object_store_stand_in.cpp
@@ -8,6 +8,8 @@
 namespace json = boost::json;
 using std::chrono::milliseconds;
 
+/// End of the path of a call for the status of an object.
+constexpr std::string_view kStatusPath = "/status";
 constexpr std::string_view kPath = "/api/objects/";
 /// Objects per page; small, so that lists are read in several pages.
 constexpr std::size_t kPageSize = 2;
@@ -123,7 +125,7 @@
             {"finalizers", json::array()},
             {"deleting", false}}},
           {"spec", stored.spec},
-          {"status", nullptr}};
+          {"status", stored.status}};
 }
 
 net::http_response object_store_stand_in::Handle(const net::http_request& request,
@@ -221,6 +223,8 @@
   const json::value body = json::parse(request.body, error);
   const bool create = request.method == "POST";
   if (create) target.name = json::value_to<std::string>(body.at("metadata").at("name"));
+  const bool is_status = target.name.ends_with(kStatusPath);
+  if (is_status) target.name.resize(target.name.size() - kStatusPath.size());
   auto& objects = kinds_[target.kind];
   const auto found = objects.find(target.name);
   if (create && found != objects.end()) return MakeAnswer(409, ToJson(target.name, found->second));
@@ -236,7 +240,11 @@
     Erase(target.kind, target.name);
     return {200, {}, "{}"};
   }
-  Store(target.kind, target.name, body.at("spec"));
+  if (is_status) {
+    StoreStatus(target.kind, target.name, body.at("status"));
+  } else {
+    Store(target.kind, target.name, body.at("spec"));
+  }
   return MakeAnswer(200, ToJson(target.name, objects.at(target.name)));
 }
 
@@ -244,11 +252,30 @@
                                            json::value spec) {
   object& stored = kinds_[kind][name];
   if (stored.revision != 0 && stored.spec == spec) return stored.revision;
-  stored = {++revision_, std::move(spec)};
+  stored.revision = ++revision_;
+  stored.spec = std::move(spec);
   history_.push_back({revision_, kind, name, false, stored});
   return revision_;
 }
 
+void object_store_stand_in::StoreStatus(const std::string& kind, const std::string& name,
+                                        json::value status) {
+  object& stored = kinds_[kind][name];
+  if (stored.status == status) return;
+  stored.revision = ++revision_;
+  stored.status = std::move(status);
+  history_.push_back({revision_, kind, name, false, stored});
+}
+
+json::value object_store_stand_in::ReadStatus(const std::string& kind,
+                                              const std::string& name) const {
+  const std::lock_guard lock(mutex_);
+  const auto objects = kinds_.find(kind);
+  if (objects == kinds_.end()) return nullptr;
+  const auto found = objects->second.find(name);
+  return found == objects->second.end() ? nullptr : found->second.status;
+}
+
 void object_store_stand_in::Erase(const std::string& kind, const std::string& name) {
   object last = kinds_[kind][name];
   kinds_[kind].erase(name);
--- a/test/mesh/object_store_stand_in.h
+++ b/test/mesh/object_store_stand_in.h
@@ -24,6 +24,9 @@
   std::uint64_t Write(const std::string& kind, const std::string& name, boost::json::value spec);
   /// Returns the content of an object, or null if there is none.
   [[nodiscard]] boost::json::value Read(const std::string& kind, const std::string& name) const;
+  /// Returns the status of an object, or null if there is none.
+  [[nodiscard]] boost::json::value ReadStatus(const std::string& kind,
+                                              const std::string& name) const;
   /// Returns the number of objects of a kind.
   [[nodiscard]] std::size_t Count(const std::string& kind) const;
 
@@ -49,6 +52,7 @@
   struct object {
     std::uint64_t revision = 0;
     boost::json::value spec;
+    boost::json::value status;
   };
   struct change {
     std::uint64_t revision = 0;
@@ -70,6 +74,7 @@
   net::http_response Watch(const call& request, net::cancellation& cancel);
   net::http_response Mutate(const net::http_request& request, call target);
   std::uint64_t Store(const std::string& kind, const std::string& name, boost::json::value spec);
+  void StoreStatus(const std::string& kind, const std::string& name, boost::json::value status);
   void Erase(const std::string& kind, const std::string& name);
 
   mutable std::mutex mutex_;
