--- a/lib/mesh/rollout_consumer.cpp
+++ b/lib/mesh/rollout_consumer.cpp
@@ -9,9 +9,8 @@
   support::findings problems;
   auto order = platform_adapter::ReadRolloutOrder(object, problems);
   if (!order) {
-    context_.log.Warn(
-        "rollout_order_unreadable",
-        {{"name", object.name}, {"revision", object.revision}, {"findings", problems.ToText()}});
+    context_.unreadable.Add(platform_adapter::kRolloutKind, object.name, object.revision,
+                            object.problem.empty() ? problems.ToText() : object.problem);
   }
   return order;
 }
@@ -19,7 +18,15 @@
 void rollout_consumer::OnList(platform_adapter::object_listing listing) {
   std::vector<rollout::order> all;
   for (const platform_adapter::versioned_object& object : listing.objects) {
-    if (auto order = ParseOrder(object)) all.push_back(std::move(*order));
+    if (auto order = ParseOrder(object)) {
+      all.push_back(std::move(*order));
+      continue;
+    }
+    // An order that can't be read any more was not deleted.
+    const rollout::order_entry* known = book_.Find(object.name);
+    if (known == nullptr || known->withdrawn) continue;
+    all.push_back(known->ordered);
+    all.back().revision = known->recorded_revision;
   }
   context_.log.Info("rollout_orders_listed",
                     {{"orders", all.size()}, {"revision", listing.revision}});
--- a/unittests/node/request_path_test.cpp
+++ b/unittests/node/request_path_test.cpp
@@ -44,6 +44,78 @@
   EXPECT_EQ(runs, 0);
 }
 
+// Guards against a second copy of an earlier answer that is passed on as the answer to this
+// request, or whose refusal is reported as this request's although it ran.
+TEST(RequestPath, AnswerToAnotherRequestIsNotPassedOn) {
+  const auto respond = [](const net::http_request& request, net::cancellation&) {
+    if (request.target == "/tray/refusal") {
+      return net::http_response{
+          503, {{"x-request-id", "other"}, {"x-siskinrack-outcome", "not-run"}}, {}};
+    }
+    if (request.target == "/tray/foreign") {
+      return net::http_response{200, {{"x-request-id", "other"}}, "foreign"};
+    }
+    const std::string id(net::FindField(request.fields, "x-request-id"));
+    return net::http_response{200, {{"X-Request-Id", id}}, "own"};
+  };
+  for (const char* target : {"/tray/refusal", "/tray/foreign"}) {
+    for (const char* id : {"", "mine"}) {
+      // A node of its own for each case: a failed call delays the next ones.
+      test_node subject("a", respond);
+      subject.context().members.Merge(subject.MakeRecord());
+      auto request = Get(target, {{"x-siskinrack-deadline-ms", "200"}});
+      if (*id != '\0') request.fields.push_back({"x-request-id", id});
+      const auto response = subject.Send(std::move(request));
+      EXPECT_EQ(GetOutcome(response), "unknown") << target << ' ' << id;
+      EXPECT_NE(response.body, "foreign");
+    }
+  }
+  test_node subject("a", respond);
+  subject.context().members.Merge(subject.MakeRecord());
+  EXPECT_EQ(subject.Send(Get("/tray", {{"x-request-id", "mine"}})).body, "own");
+  EXPECT_EQ(subject.Send(Get("/tray")).body, "own");
+  EXPECT_EQ(subject.Send(Get("/tray", {{"x-request-id", "a"}, {"x-request-id", "b"}})).status,
+            400U);
+}
+
+// Guards against a request that the HTTP library refuses and that keeps a slot of the upstream.
+TEST(RequestPath, RequestThatCannotBeBuiltGets400AndNoSlot) {
+  std::atomic<int> runs = 0;
+  test_node subject("a", [&](const net::http_request&, net::cancellation&) {
+    ++runs;
+    return net::http_response{};
+  });
+  subject.context().members.Merge(subject.MakeRecord());
+  for (int i = 0; i < 10; ++i) {
+    const auto response = subject.Send({"TRACE", "/tray", {}, "body"});
+    EXPECT_EQ(response.status, 400U);
+    EXPECT_EQ(GetOutcome(response), "not-run");
+  }
+  EXPECT_EQ(runs, 0);
+  EXPECT_EQ(subject.Send(Get("/tray")).status, 200U);
+}
+
+// Guards against a call that another node admitted and that keeps its slot when it can't be sent.
+TEST(RequestPath, CallThatCannotBeSentFreesItsSlot) {
+  test_node subject(
+      "a", [](const net::http_request&, net::cancellation&) { return net::http_response{}; });
+  subject.context().members.Merge(subject.MakeRecord());
+  wire::call_request_t call;
+  call.service = "counter";
+  call.rank = "urgent";
+  call.method = "TRACE";
+  call.target = "/tray";
+  call.body = {1};
+  call.deadline_ms = 2'000;
+  subject.context().runtime.Run(0, [&] {
+    net::cancellation cancel;
+    for (int i = 0; i < 10; ++i) {
+      EXPECT_EQ(subject.serving().Serve(call, cancel).outcome, wire::outcome_kind::not_run);
+    }
+  });
+  EXPECT_EQ(subject.Send(Get("/tray")).status, 200U);
+}
+
 // Guards against an upstream that runs calls whose deadline has passed: it must receive the time
 // that remains after the wait for a slot.
 TEST(RequestPath, UpstreamGetsTheRemainingTime) {
