--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -14,6 +14,8 @@
 #include "mesh_context.h"
 #include "object_feed.h"
 #include "registration.h"
+#include "rollout_codec.h"
+#include "rollout_service.h"
 #include "serving_service.h"
 #include "siskinrack/net/head_responses.h"
 #include "siskinrack/net/http_server.h"
@@ -72,11 +74,12 @@
         context_(std::move(settings)),
         registration_(context_),
         crashes_(context_),
-        serving_(context_, registration_, crashes_),
+        rollouts_(context_, registration_, [this] { return serving_.in_flight(); }),
+        serving_(context_, registration_, crashes_, rollouts_.counter()),
         reaper_(context_),
         caps_(context_),
         tenants_(context_, caps_),
-        entry_(context_, serving_, reaper_, crashes_, tenants_),
+        entry_(context_, serving_, reaper_, crashes_, tenants_, rollouts_),
         configs_(context_, [this] { OnConfiguration(); }),
         endpoints_(
             context_,
@@ -96,7 +99,10 @@
                        endpoints_,
                        ComputeWatchPause(std::min(context_.settings.activation_limit,
                                                   context_.settings.drain_period))),
-        monitor_(config_feed_, endpoint_feed_),
+        rollout_feed_(context_, platform_adapter::kRolloutKind,
+                      platform_adapter::read_freshness::kCurrent, rollouts_.consumer(),
+                      milliseconds(0)),
+        monitor_(config_feed_, endpoint_feed_, rollout_feed_),
         freshness_(
             context_, [this] { config_feed_.Verify(platform_adapter::read_freshness::kCurrent); },
             [this](bool proving) {
@@ -141,6 +147,10 @@
                                   {"store", context_.settings.store_address.ToText()}});
     context_.runtime.Post(0, [this] { config_feed_.Run(); });
     context_.runtime.Post(0, [this] { endpoint_feed_.Run(); });
+    if (context_.settings.rollouts) {
+      context_.runtime.Post(0, [this] { rollout_feed_.Run(); });
+      context_.runtime.Post(0, [this] { rollouts_.judging().Run(); });
+    }
     context_.runtime.Post(0, [this] { registration_.Run(); });
     context_.runtime.Post(0, [this] { monitor_.Run(); });
     context_.runtime.Post(0, [this] { freshness_.Run(); });
@@ -254,7 +264,8 @@
     if (context_.shutdown) context_.shutdown->OnNotReady(now);
     if (last_check_) check_interval_ = std::chrono::duration_cast<milliseconds>(now - *last_check_);
     last_check_ = now;
-    const bool ready = !context_.stopping && context_.routes != nullptr && endpoint_feed_.listed();
+    const bool ready = !context_.stopping && context_.routes != nullptr &&
+                       endpoint_feed_.listed() && rollouts_.IsReady();
     return {ready ? kStatusOk : kStatusUnavailable, {}, {}};
   }
 
@@ -289,6 +300,13 @@
                    "log lines that were not written");
     page.AddSample("siskinrack_log_lines_dropped_total", {},
                    static_cast<double>(context_.log.dropped()));
+    page.AddMetric("siskinrack_rollout_phase", "gauge",
+                   "phase of a roll-out: 0 trial, 1 cut-over, 2 done, 3 rolled back");
+    for (const auto& [service, entry] : rollouts_.book().entries()) {
+      page.AddSample("siskinrack_rollout_phase",
+                     {{"service", service}, {"version", entry.ordered.target_version}},
+                     static_cast<double>(entry.current));
+    }
     page.AddMetric("siskinrack_resident_bytes", "gauge", "resident memory");
     page.AddSample("siskinrack_resident_bytes", {}, support::GetProcessResidentBytes());
     net::AddLimitMetrics(page, context_.memory, context_.client_limits);
@@ -314,6 +332,13 @@
     if (message.message.Ascrash_history_request() != nullptr) {
       return wire::MakeEnvelope(crashes_.MakeHistory());
     }
+    if (const auto* report = message.message.Asrollout_report()) {
+      return wire::MakeEnvelope(rollouts_.judging().OnReport(*report));
+    }
+    if (const auto* verdict = message.message.Asrollout_verdict()) {
+      rollouts_.judging().OnVerdict(*verdict);
+      return std::nullopt;
+    }
     const auto* call = message.message.Ascall_request();
     if (call == nullptr) return std::nullopt;
     wire::call_answer_t answer = serving_.Serve(*call, cancel, answer_link_.FindRefusal(*call));
@@ -328,6 +353,7 @@
   mesh_context context_;
   registration registration_;
   crash_guard crashes_;
+  rollout_service rollouts_;
   serving_service serving_;
   answer_link answer_link_{context_};
   endpoint_reaper reaper_;
@@ -338,7 +364,10 @@
   endpoint_consumer endpoints_;
   object_feed<config_consumer> config_feed_;
   object_feed<endpoint_consumer> endpoint_feed_;
-  store_monitor<object_feed<config_consumer>, object_feed<endpoint_consumer>> monitor_;
+  object_feed<rollout_consumer> rollout_feed_;
+  store_monitor<object_feed<config_consumer>, object_feed<endpoint_consumer>,
+                object_feed<rollout_consumer>>
+      monitor_;
   freshness_keeper freshness_;
   net::http_server caller_server_;
   net::http_server ready_server_;
--- a/lib/mesh/store_monitor.h
+++ b/lib/mesh/store_monitor.h
@@ -1,7 +1,11 @@
 #ifndef SISKINRACK_LIB_MESH_STORE_MONITOR_H_
 #define SISKINRACK_LIB_MESH_STORE_MONITOR_H_
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <optional>
+#include <tuple>
 
 #include "mesh_context.h"
 
@@ -10,12 +14,11 @@
 /// Detects that the store, or the connection of a watch call, has stopped answering. A watch with a
 /// long wait costs least, but while it waits, a store that doesn't answer looks like one without
 /// changes. Each feed is verified by itself: an answer to one says nothing about the connection of
-/// the other. `ConfigFeed` and `EndpointFeed` are object_feed or have its members.
-template <typename ConfigFeed, typename EndpointFeed>
+/// another. `Feeds` are object_feed or have its members.
+template <typename... Feeds>
 class store_monitor {
  public:
-  store_monitor(ConfigFeed& config_feed, EndpointFeed& endpoint_feed)
-      : config_feed_(config_feed), endpoint_feed_(endpoint_feed) {}
+  explicit store_monitor(Feeds&... feeds) : feeds_(watched_feed<Feeds>{feeds}...) {}
 
   /// Runs until the process ends, in a fiber of its own.
   void Run() {
@@ -29,14 +32,17 @@
   /// calls, are enough: a change that they don't show yet is found by the next check.
   void CheckOnce() {
     std::optional<std::uint64_t> current;
-    if (IsDue(config_feed_)) current = Verify(config_feed_);
-    if (!IsDue(endpoint_feed_)) return;
-    // Nothing has changed since the endpoints were verified, so that no second call is needed.
-    if (current && *current <= std::max(endpoint_feed_.revision(), endpoints_verified_)) return;
-    if (const auto verified = Verify(endpoint_feed_)) endpoints_verified_ = *verified;
+    std::apply([&](auto&... watched) { (Check(watched, current), ...); }, feeds_);
   }
 
  private:
+  template <typename Feed>
+  struct watched_feed {
+    Feed& feed;
+    /// Revision up to which the feed was last verified.
+    std::uint64_t verified = 0;
+  };
+
   /// Time without an answer after which a feed is verified. Together with the duration of the
   /// check, well below 3 s, after which the platform counts the store as stable again.
   static constexpr std::chrono::milliseconds kInterval{1'500};
@@ -50,19 +56,22 @@
     return feed.listed() && std::chrono::steady_clock::now() - feed.last_answer() >= kInterval;
   }
 
+  /// Verifies a feed that is due. `current` is the newest revision that this check has read; if the
+  /// feed was verified up to it, nothing has changed and no call is needed.
   template <typename Feed>
-  std::optional<std::uint64_t> Verify(Feed& feed) {
-    const auto revision = feed.Verify(platform_adapter::read_freshness::kMayBeStale);
+  void Check(watched_feed<Feed>& watched, std::optional<std::uint64_t>& current) {
+    if (!IsDue(watched.feed)) return;
+    if (current && *current <= std::max(watched.feed.revision(), watched.verified)) return;
+    const auto revision = watched.feed.Verify(platform_adapter::read_freshness::kMayBeStale);
     answered_ = revision.has_value();
-    return revision;
+    if (!revision) return;
+    watched.verified = *revision;
+    current = revision;
   }
 
-  ConfigFeed& config_feed_;
-  EndpointFeed& endpoint_feed_;
+  std::tuple<watched_feed<Feeds>...> feeds_;
   /// The store answered the last call.
   bool answered_ = true;
-  /// Revision up to which the endpoints were last verified.
-  std::uint64_t endpoints_verified_ = 0;
 };
 
 }  // namespace siskinrack::mesh
--- a/lib/routing/endpoint_record.cpp
+++ b/lib/routing/endpoint_record.cpp
@@ -55,7 +55,7 @@
 }  // namespace
 
 json::value ToRecord(const endpoint& entry) {
-  return json::object{
+  json::object record{
       {"instance", entry.life.instance_id},
       {"born_ms", entry.life.born_ms},
       {"service", entry.service},
@@ -64,6 +64,8 @@
       {"slots", static_cast<std::int64_t>(entry.slots)},
       {"state", ToText(entry.state)},
   };
+  if (!entry.software_version.empty()) record["software_version"] = entry.software_version;
+  return record;
 }
 
 std::optional<endpoint> FromRecord(const json::value& record, support::findings& problems) {
@@ -80,14 +82,23 @@
   const auto slots = ReadInteger(members, "slots", problems);
   const auto state_text = ReadString(members, "state", problems);
   const auto state = state_text ? ParseState(*state_text) : std::nullopt;
+  // Records of nodes that don't know software versions have none.
+  const auto version = members.contains("software_version")
+                           ? ReadString(members, "software_version", problems)
+                           : std::string();
   const auto address = node ? support::ParseSocketAddress(*node) : std::nullopt;
   if (node && !address) problems.Add("node", "expected an IPv4 address and port");
   if (state_text && !state)
     problems.Add("state", "expected \"ready\", \"draining\" or \"departed\"");
   if (slots && (*slots == 0 || *slots > kMaxSlots)) problems.Add("slots", "expected 1 to 65535");
   if (!problems.empty()) return std::nullopt;
-  return endpoint{
-      {*instance, *born}, *service, *zone, *address, static_cast<std::uint32_t>(*slots), *state};
+  return endpoint{{*instance, *born},
+                  *service,
+                  *zone,
+                  *address,
+                  static_cast<std::uint32_t>(*slots),
+                  *state,
+                  *version};
 }
 
 }  // namespace siskinrack::routing
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -132,8 +132,13 @@
 }
 
 mesh_fleet::mesh_fleet(const std::vector<std::string>& services, machine_limits limits)
+    : mesh_fleet(services, {}, limits) {}
+
+mesh_fleet::mesh_fleet(const std::vector<std::string>& services, std::vector<std::string> versions,
+                       machine_limits limits)
     : services_(services),
       limits_(limits),
+      versions_(std::move(versions)),
       network_(PickNetwork()),
       sequences_(services.size()),
       states_(services.size(), "ready"),
@@ -192,7 +197,7 @@
 void mesh_fleet::WriteSettings(std::size_t machine) {
   const std::string ip = MakeIp(machine);
   const auto at = [&ip](std::uint16_t port) { return ip + ':' + std::to_string(port); };
-  const json::object settings{
+  json::object settings{
       {"node", "node-" + std::to_string(machine)},
       {"zone", "zone-a"},
       {"ip", ip},
@@ -208,6 +213,12 @@
       {"limits", {{"memoryMb", limits_.memory_mb}, {"maxFds", limits_.max_descriptors}}},
       {"bounds", bounds_},
       {"platform", {{"address", network_ + "251:" + std::to_string(kStorePort)}}}};
+  if (!versions_.empty()) {
+    settings["contracts"] = {"base", "rollout"};
+    json::array& bounds = settings["bounds"].as_array();
+    for (const char* bound : {"canaryShare=0.1", "canarySlack=50", "rollbackS=5"})
+      bounds.emplace_back(bound);
+  }
   std::ofstream(MakePath(machine, ".json")) << json::serialize(settings);
 }
 
@@ -282,7 +293,10 @@
       {"address", MakeIp(machine) + ':' + std::to_string(kUpstreamPort)},
       {"born", kBornMs + lifetimes_[machine]},
       {"info",
-       {{"service", services_[machine]}, {"version", "v1"}, {"zone", "zone-a"}, {"slots", 4}}},
+       {{"service", services_[machine]},
+        {"version", versions_.empty() ? "v1" : versions_[machine]},
+        {"zone", "zone-a"},
+        {"slots", 4}}},
       {"status", {{"state", states_[machine]}, {"seq", ++sequences_[machine]}, {"coldLeftS", 0}}}};
   const auto result =
       Exchange({MakeIp(machine), kHeartbeatPort},
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -96,6 +96,10 @@
   /// Starts the store and one upstream for each element of `services`, but no nodes. Throws
   /// std::runtime_error if the working directory can't be created.
   explicit mesh_fleet(const std::vector<std::string>& services, machine_limits limits = {});
+  /// Starts a mesh in whose deployment roll-outs are in force. The upstreams have the software
+  /// versions `versions`, in the order of `services`.
+  mesh_fleet(const std::vector<std::string>& services, std::vector<std::string> versions,
+             machine_limits limits = {});
   ~mesh_fleet();
 
   /// Writes version `version` of the configuration to the store. It has two routes to each service:
@@ -165,6 +169,8 @@
 
   std::vector<std::string> services_;
   machine_limits limits_;
+  /// Software versions of the upstreams; empty if roll-outs are not in force.
+  std::vector<std::string> versions_;
   std::string network_;
   std::filesystem::path work_dir_;
   net::fiber_runtime runtime_{2};
