bench: requests of bench_path have ids of their own

Cause: all requests had the id r. Since answers of upstreams are matched by their ids, a request with the id of the one before it uses another connection, so bench_path measured a new connection to the upstream for each call. Change: each request has an id of its own, as the ids of callers have.

--- a/utils/bench/path_bench.cpp
+++ b/utils/bench/path_bench.cpp
@@ -38,7 +38,12 @@
     "ranks:\n  - {name: urgent, target_ms: 1000, worth: 100, floor_percent: 40}\n"
     "routes:\n  - {name: tray, prefix: /tray, service: counter, rank: urgent}\n";
 
-net::http_request MakeRequest() { return {"GET", "/tray/item", {{"x-request-id", "r"}}, {}}; }
+/// Makes a request with an id of its own, as callers do: a node sends a request with the id of an
+/// earlier one on another connection.
+net::http_request MakeRequest() {
+  static std::atomic<std::uint64_t> last_id = 0;
+  return {"GET", "/tray/item", {{"x-request-id", std::to_string(++last_id)}}, {}};
+}
 
 /// Sends `calls` requests one after another and returns the latencies in microseconds of those that
 /// were answered with status 200.
