--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -1179,7 +1179,6 @@
   bool redirectable = false;
   float known_limit = 0.0f;
   std::string tenant{};
-  uint32_t expected_ms = 0;
   call_request_t() = default;
   call_request_t(const call_request_t &o);
   call_request_t(call_request_t&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1210,8 +1209,7 @@
     VT_IN_TIME_MS = 38,
     VT_REDIRECTABLE = 40,
     VT_KNOWN_LIMIT = 42,
-    VT_TENANT = 44,
-    VT_EXPECTED_MS = 46
+    VT_TENANT = 44
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1276,9 +1274,6 @@
   const flatbuffers::String *tenant() const {
     return GetPointer<const flatbuffers::String *>(VT_TENANT);
   }
-  uint32_t expected_ms() const {
-    return GetField<uint32_t>(VT_EXPECTED_MS, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -1314,7 +1309,6 @@
            VerifyField<float>(verifier, VT_KNOWN_LIMIT, 4) &&
            VerifyOffset(verifier, VT_TENANT) &&
            verifier.VerifyString(tenant()) &&
-           VerifyField<uint32_t>(verifier, VT_EXPECTED_MS, 4) &&
            verifier.EndTable();
   }
   call_request_t *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1389,9 +1383,6 @@
   void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
     fbb_.AddOffset(call_request::VT_TENANT, tenant);
   }
-  void add_expected_ms(uint32_t expected_ms) {
-    fbb_.AddElement<uint32_t>(call_request::VT_EXPECTED_MS, expected_ms, 0);
-  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1425,13 +1416,11 @@
     uint32_t in_time_ms = 0,
     bool redirectable = false,
     float known_limit = 0.0f,
-    flatbuffers::Offset<flatbuffers::String> tenant = 0,
-    uint32_t expected_ms = 0) {
+    flatbuffers::Offset<flatbuffers::String> tenant = 0) {
   call_requestBuilder builder_(_fbb);
   builder_.add_work_class(work_class);
   builder_.add_config_version(config_version);
   builder_.add_claim_epoch(claim_epoch);
-  builder_.add_expected_ms(expected_ms);
   builder_.add_tenant(tenant);
   builder_.add_known_limit(known_limit);
   builder_.add_in_time_ms(in_time_ms);
@@ -1475,8 +1464,7 @@
     uint32_t in_time_ms = 0,
     bool redirectable = false,
     float known_limit = 0.0f,
-    const char *tenant = nullptr,
-    uint32_t expected_ms = 0) {
+    const char *tenant = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto rank__ = rank ? _fbb.CreateString(rank) : 0;
   auto caller__ = caller ? _fbb.CreateString(caller) : 0;
@@ -1510,8 +1498,7 @@
       in_time_ms,
       redirectable,
       known_limit,
-      tenant__,
-      expected_ms);
+      tenant__);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1533,8 +1520,6 @@
   uint16_t service_ms = 0;
   bool leaving = false;
   float named_limit = 0.0f;
-  uint32_t work_left_ms = 0;
-  float slowness = 0.0f;
   uint32_t link_wait_ms = 0;
   call_answer_t() = default;
   call_answer_t(const call_answer_t &o);
@@ -1561,9 +1546,7 @@
     VT_SERVICE_MS = 28,
     VT_LEAVING = 30,
     VT_NAMED_LIMIT = 32,
-    VT_WORK_LEFT_MS = 34,
-    VT_SLOWNESS = 36,
-    VT_LINK_WAIT_MS = 38
+    VT_LINK_WAIT_MS = 34
   };
   siskinrack::wire::outcome_kind outcome() const {
     return static_cast<siskinrack::wire::outcome_kind>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -1610,12 +1593,6 @@
   float named_limit() const {
     return GetField<float>(VT_NAMED_LIMIT, 0.0f);
   }
-  uint32_t work_left_ms() const {
-    return GetField<uint32_t>(VT_WORK_LEFT_MS, 0);
-  }
-  float slowness() const {
-    return GetField<float>(VT_SLOWNESS, 0.0f);
-  }
   uint32_t link_wait_ms() const {
     return GetField<uint32_t>(VT_LINK_WAIT_MS, 0);
   }
@@ -1641,8 +1618,6 @@
            VerifyField<uint16_t>(verifier, VT_SERVICE_MS, 2) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<float>(verifier, VT_NAMED_LIMIT, 4) &&
-           VerifyField<uint32_t>(verifier, VT_WORK_LEFT_MS, 4) &&
-           VerifyField<float>(verifier, VT_SLOWNESS, 4) &&
            VerifyField<uint32_t>(verifier, VT_LINK_WAIT_MS, 4) &&
            verifier.EndTable();
   }
@@ -1700,12 +1675,6 @@
   void add_named_limit(float named_limit) {
     fbb_.AddElement<float>(call_answer::VT_NAMED_LIMIT, named_limit, 0.0f);
   }
-  void add_work_left_ms(uint32_t work_left_ms) {
-    fbb_.AddElement<uint32_t>(call_answer::VT_WORK_LEFT_MS, work_left_ms, 0);
-  }
-  void add_slowness(float slowness) {
-    fbb_.AddElement<float>(call_answer::VT_SLOWNESS, slowness, 0.0f);
-  }
   void add_link_wait_ms(uint32_t link_wait_ms) {
     fbb_.AddElement<uint32_t>(call_answer::VT_LINK_WAIT_MS, link_wait_ms, 0);
   }
@@ -1737,14 +1706,10 @@
     uint16_t service_ms = 0,
     bool leaving = false,
     float named_limit = 0.0f,
-    uint32_t work_left_ms = 0,
-    float slowness = 0.0f,
     uint32_t link_wait_ms = 0) {
   call_answerBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_link_wait_ms(link_wait_ms);
-  builder_.add_slowness(slowness);
-  builder_.add_work_left_ms(work_left_ms);
   builder_.add_named_limit(named_limit);
   builder_.add_node_id(node_id);
   builder_.add_retry_after_ms(retry_after_ms);
@@ -1779,8 +1744,6 @@
     uint16_t service_ms = 0,
     bool leaving = false,
     float named_limit = 0.0f,
-    uint32_t work_left_ms = 0,
-    float slowness = 0.0f,
     uint32_t link_wait_ms = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<siskinrack::wire::header_field>>(*headers) : 0;
@@ -1803,8 +1766,6 @@
       service_ms,
       leaving,
       named_limit,
-      work_left_ms,
-      slowness,
       link_wait_ms);
 }
 
@@ -5132,8 +5093,7 @@
         in_time_ms(o.in_time_ms),
         redirectable(o.redirectable),
         known_limit(o.known_limit),
-        tenant(o.tenant),
-        expected_ms(o.expected_ms) {
+        tenant(o.tenant) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
 }
@@ -5160,7 +5120,6 @@
   std::swap(redirectable, o.redirectable);
   std::swap(known_limit, o.known_limit);
   std::swap(tenant, o.tenant);
-  std::swap(expected_ms, o.expected_ms);
   return *this;
 }
 
@@ -5194,7 +5153,6 @@
   { auto _e = redirectable(); _o->redirectable = _e; }
   { auto _e = known_limit(); _o->known_limit = _e; }
   { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
-  { auto _e = expected_ms(); _o->expected_ms = _e; }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_request_t* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5226,7 +5184,6 @@
   auto _redirectable = _o->redirectable;
   auto _known_limit = _o->known_limit;
   auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
-  auto _expected_ms = _o->expected_ms;
   return siskinrack::wire::Createcall_request(
       _fbb,
       _service,
@@ -5249,8 +5206,7 @@
       _in_time_ms,
       _redirectable,
       _known_limit,
-      _tenant,
-      _expected_ms);
+      _tenant);
 }
 
 inline call_answer_t::call_answer_t(const call_answer_t &o)
@@ -5268,8 +5224,6 @@
         service_ms(o.service_ms),
         leaving(o.leaving),
         named_limit(o.named_limit),
-        work_left_ms(o.work_left_ms),
-        slowness(o.slowness),
         link_wait_ms(o.link_wait_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new siskinrack::wire::header_field_t(*headers_) : nullptr); }
@@ -5291,8 +5245,6 @@
   std::swap(service_ms, o.service_ms);
   std::swap(leaving, o.leaving);
   std::swap(named_limit, o.named_limit);
-  std::swap(work_left_ms, o.work_left_ms);
-  std::swap(slowness, o.slowness);
   std::swap(link_wait_ms, o.link_wait_ms);
   return *this;
 }
@@ -5321,8 +5273,6 @@
   { auto _e = service_ms(); _o->service_ms = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = named_limit(); _o->named_limit = _e; }
-  { auto _e = work_left_ms(); _o->work_left_ms = _e; }
-  { auto _e = slowness(); _o->slowness = _e; }
   { auto _e = link_wait_ms(); _o->link_wait_ms = _e; }
 }
 
@@ -5349,8 +5299,6 @@
   auto _service_ms = _o->service_ms;
   auto _leaving = _o->leaving;
   auto _named_limit = _o->named_limit;
-  auto _work_left_ms = _o->work_left_ms;
-  auto _slowness = _o->slowness;
   auto _link_wait_ms = _o->link_wait_ms;
   return siskinrack::wire::Createcall_answer(
       _fbb,
@@ -5369,8 +5317,6 @@
       _service_ms,
       _leaving,
       _named_limit,
-      _work_left_ms,
-      _slowness,
       _link_wait_ms);
 }
 
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -309,6 +309,12 @@
     }
     page.AddMetric("siskinrack_resident_bytes", "gauge", "resident memory");
     page.AddSample("siskinrack_resident_bytes", {}, support::GetProcessResidentBytes());
+    if (context_.pacer) {
+      page.AddMetric("siskinrack_link_wait_seconds", "gauge",
+                     "time for which a large answer would wait for the network link");
+      const std::chrono::duration<double> wait = context_.pacer->EstimateWait();
+      page.AddSample("siskinrack_link_wait_seconds", {}, wait.count());
+    }
     net::AddLimitMetrics(page, context_.memory, context_.client_limits);
     return {kStatusOk, {{"Content-Type", "text/plain"}}, page.text()};
   }
