net: the state of a server's connection has a file of its own

Change: server_connection.h holds what one connection and one open request keep; no behaviour changes.

--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -19,7 +19,7 @@
 #include "http_fields.h"
 #include "listener.h"
 #include "request_reader.h"
-#include "response_order.h"
+#include "server_connection.h"
 #include "siskinrack/support/in_flight_guard.h"
 
 namespace siskinrack::net {
@@ -37,13 +37,11 @@
 
 /// Memory of a connection: the used part of the stack of its fiber, its buffer and its state.
 constexpr std::size_t kConnectionBytes = 24U << 10U;
-/// Time without a byte after which a connection with an incomplete request makes room for another.
-constexpr milliseconds kStallTime{1'000};
 /// Time without a byte of a body after which its request is refused. Longer than the suspension of
 /// a VM that other limits tolerate.
 constexpr milliseconds kBodyProgressTimeout{5'000};
-/// Wait of a request for memory. Longer than kStallTime, so that bodies that make no progress have
-/// given back theirs.
+/// Wait of a request for memory. Longer than kStallTime, so that bodies that make no
+/// progress have given back theirs.
 constexpr milliseconds kMemoryWait{1'500};
 constexpr milliseconds kMemoryPollInterval{20};
 
@@ -94,90 +92,10 @@
   }
 
  private:
-  /// Notifies the fiber that runs the last request on a connection of what happens to the
-  /// connection meanwhile.
-  struct readable_watch {
-    /// False once the fiber no longer waits for the handler and its turn.
-    bool active = true;
-    /// Another fiber has started to read the next request.
-    bool handed_over = false;
-  };
-
-  /// State of one connection. One fiber at a time reads from it. When a further request arrives
-  /// while the last one runs, a new fiber takes over the reading, so that a connection without
-  /// overlapping requests needs one fiber only.
-  struct connection {
-    connection(tcp::socket socket, memory_charge own_charge, std::set<connection*>& all,
-               std::atomic<std::size_t>& open)
-        : stream(std::move(socket)), charge(std::move(own_charge)), registry(all), count(open) {
-      registry.insert(this);
-    }
-    ~connection() {
-      registry.erase(this);
-      detail::CloseQuietly(stream.socket());
-    }
-    connection(const connection&) = delete;
-    connection& operator=(const connection&) = delete;
-
-    /// Cancels all requests without a response.
-    void CancelOpenRequests() {
-      for (cancellation* request : open_requests) request->Cancel();
-    }
-
-    /// Returns true if the connection may be closed to make room for another.
-    [[nodiscard]] bool IsEvictable(steady_clock::time_point now) const {
-      if (evicted || order.open() > 0) return false;
-      return idle || lingering || IsStalled(now);
-    }
-    /// Returns true if a request is being read and no byte has arrived for a while.
-    [[nodiscard]] bool IsStalled(steady_clock::time_point now) const {
-      return reading && now - last_progress >= kStallTime;
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    memory_charge charge;
-    /// True while the server waits for the first byte of a request.
-    bool idle = false;
-    /// True while the server waits for further bytes of a request.
-    bool reading = false;
-    /// True while the server discards what the client sends after the last response.
-    bool lingering = false;
-    /// Time at which the connection became idle or the server began to read the request or, in a
-    /// body, at which the last bytes arrived.
-    steady_clock::time_point last_progress = steady_clock::now();
-    /// True if the request is refused because its body makes no progress.
-    bool interrupted = false;
-    /// True if the connection was closed to make room for another.
-    bool evicted = false;
-    detail::response_order order;
-    std::set<cancellation*> open_requests;
-    /// Watch of a fiber that can't hand over the reading, because as many requests are open as may
-    /// overlap; null if there is none.
-    std::shared_ptr<readable_watch> waiting_watch;
-    boost::fibers::mutex turn_mutex;
-    boost::fibers::condition_variable_any turn_changed;
-    std::set<connection*>& registry;
-    support::in_flight_guard count;
-  };
+  using connection = detail::server_connection;
   using connection_ptr = std::shared_ptr<connection>;
-
-  /// Represents one request that was read from a connection.
-  struct open_request {
-    open_request(connection& owner, std::atomic<std::size_t>& in_flight)
-        : conn(owner), count(in_flight), position(owner.order.Add()) {
-      conn.open_requests.insert(&cancel);
-    }
-    ~open_request() { conn.open_requests.erase(&cancel); }
-    open_request(const open_request&) = delete;
-    open_request& operator=(const open_request&) = delete;
-
-    connection& conn;
-    support::in_flight_guard count;
-    detail::response_order::position position;
-    cancellation cancel;
-    std::shared_ptr<readable_watch> watch = std::make_shared<readable_watch>();
-  };
+  using open_request = detail::open_request;
+  using readable_watch = detail::readable_watch;
 
   /// Calls `visit` for each open connection, asynchronously on the thread of the connection.
   template <typename Visit>
--- a/utils/bench_table.py
+++ b/utils/bench_table.py
@@ -6,7 +6,8 @@
 import json
 import os
 
-SITES = ["bluemahoe-mesh", "bluemahoe-mesh-grown", "lensfold-prod-large", "lensfold-prod", "mavro-mesh",
+SITES = ["phca-mesh-grown", "tfr-heizleit-grown", "lensfold-prod-now-grown", "bluemahoe-mesh",
+         "bluemahoe-mesh-grown", "lensfold-prod-large", "lensfold-prod", "mavro-mesh",
          "lensfold-prod-grown", "mavro-mesh-grown"]
 MAX_PRICES = 3  # per day, the highest first
 
