balancing: a call that must wait goes to another domain only if that saves enough

Change: after such a refusal the call crosses only if it would be late at home, or saves a third of its target and the worth of its bytes (IsWorthCrossing, as for the first choice); otherwise it waits at the upstream of its own domain with the shortest wait.

--- a/include/siskinrack/balancing/call_placement.h
+++ b/include/siskinrack/balancing/call_placement.h
@@ -31,6 +31,12 @@
 /// `in_time_candidates` is the number of endpoints that are expected to answer in time.
 [[nodiscard]] bool MayRedirect(std::uint32_t refusals, std::size_t in_time_candidates);
 
+/// Returns true if a call should go to another failure domain after an endpoint of its own domain
+/// has refused it because it would have to wait there for `wait`: if it would be late there, or if
+/// going elsewhere saves enough. Answers the load pattern of a domain with a single upstream of the
+/// service: each short wait there would send a call, with its bytes, to another domain.
+[[nodiscard]] bool IsWorthCrossing(nanoseconds wait, const completion_goal& goal);
+
 }  // namespace siskinrack::balancing
 
 #endif  // SISKINRACK_BALANCING_CALL_PLACEMENT_H_
--- a/include/siskinrack/balancing/selection.h
+++ b/include/siskinrack/balancing/selection.h
@@ -53,6 +53,9 @@
   double early_remote_gain_ms = std::numeric_limits<double>::infinity();
 };
 
+/// Returns the waiting time that an answer from another failure domain is worth, in milliseconds.
+double ComputeCrossingMs(const completion_goal& goal);
+
 /// Result of an endpoint selection.
 struct selection {
   /// Index of the selected candidate; empty if every candidate is paused or excluded.
--- a/lib/balancing/call_placement.cpp
+++ b/lib/balancing/call_placement.cpp
@@ -35,4 +35,10 @@
   return in_time_candidates > 1 && MayTryAnother(refusals + 1);
 }
 
+bool IsWorthCrossing(nanoseconds wait, const completion_goal& goal) {
+  const double answered_ms = Ms(wait) + Ms(goal.expected_service);
+  if (answered_ms > goal.in_time_ms) return true;
+  return Ms(wait) > goal.early_remote_gain_ms + ComputeCrossingMs(goal);
+}
+
 }  // namespace siskinrack::balancing
--- a/lib/balancing/selection.cpp
+++ b/lib/balancing/selection.cpp
@@ -134,9 +134,13 @@
 
 }  // namespace
 
+double ComputeCrossingMs(const completion_goal& goal) {
+  return 2 * kCrossDomainDelayMs + goal.kilobytes * kCrossDomainMsPerKilobyte;
+}
+
 selection ChooseByCompletion(std::span<const candidate> candidates, const completion_goal& goal,
                              time_point now, std::uint64_t random) {
-  const double crossing_ms = 2 * kCrossDomainDelayMs + goal.kilobytes * kCrossDomainMsPerKilobyte;
+  const double crossing_ms = ComputeCrossingMs(goal);
   earliest_completion local(random);
   earliest_completion remote(~random);
   earliest_completion ejected(random * 3);
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -217,10 +217,31 @@
                                     profiles_[state.call.work_class]);
   const auto choice = balancing::ChooseByCompletion(untried, goal, now, random_());
   if (!choice.index) return std::nullopt;
+  if (state.local_wait && !untried[*choice.index].same_domain &&
+      !balancing::IsWorthCrossing(state.local_wait->second, goal)) {
+    const auto own = std::find_if(view.endpoints->begin(), view.endpoints->end(),
+                                  [&](const routing::endpoint& endpoint) {
+                                    return endpoint.life.instance_id == state.local_wait->first;
+                                  });
+    state.local_wait.reset();
+    if (own != view.endpoints->end() && rollouts_.Allows(state.rollout, *own)) {
+      state.call.redirectable = false;
+      return static_cast<std::size_t>(own - view.endpoints->begin());
+    }
+  }
   state.call.redirectable = balancing::MayRedirect(state.refusals, choice.in_time_candidates);
   return indices[*choice.index];
 }
 
+void entry_service::RecordRefusal(const balancing::candidate& refused,
+                                  const std::string& instance_id, const wire::call_answer_t& answer,
+                                  request_state& state) {
+  if (!refused.same_domain || answer.cause != answer_cause::no_capacity) return;
+  if (!state.call.redirectable) return;
+  const milliseconds wait(answer.retry_after_ms);
+  if (!state.local_wait || wait < state.local_wait->second) state.local_wait = {instance_id, wait};
+}
+
 void entry_service::OnAnswer(const routing::endpoint& target, const wire::call_answer_t& answer) {
   if (answer.leaving || answer.cause == answer_cause::departed) {
     departed_[target.life.instance_id] = target.life.born_ms;
@@ -266,6 +287,7 @@
     balancing::call_report report = MakeCallReport(last, cancel.cancelled(), now - sent_at);
     RecordProfile(state, last, report);
     attempt.Finish(report, now);
+    RecordRefusal(view.candidates[*index], target.life.instance_id, last, state);
     if (cancel.cancelled() || !AllowRetry(state, last)) return last;
     context_.log.Info("call_resent", {{"request", state.call.request_id},
                                       {"after", wire::EnumNameanswer_cause(last.cause)},
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -69,6 +69,9 @@
     std::uint32_t arrivals = 0;
     /// Ids of the instances to which the request was sent.
     std::set<std::string> tried;
+    /// Instance of the own failure domain where the call would wait for the shortest time, of those
+    /// that refused it, and that time.
+    std::optional<std::pair<std::string, std::chrono::milliseconds>> local_wait;
     /// Upstreams that the roll-out of the service allows.
     rollout::assignment rollout;
   };
@@ -92,8 +95,12 @@
                      balancing::call_report& report);
   /// Counts the failed attempt in `state`; returns true if another one is allowed.
   [[nodiscard]] bool AllowRetry(request_state& state, const wire::call_answer_t& answer);
-  /// Returns the index of an endpoint that was not tried yet, or std::nullopt if there is none.
-  /// Sets whether the call may be redirected from it.
+  /// Records that the candidate refused the call because it would have to wait there.
+  static void RecordRefusal(const balancing::candidate& refused, const std::string& instance_id,
+                            const wire::call_answer_t& answer, request_state& state);
+  /// Returns the index of an endpoint that was not tried yet, or of the one in `local_wait` if the
+  /// call should rather wait there; std::nullopt if there is none. Sets whether the call may be
+  /// redirected from it.
   std::optional<std::size_t> ChooseEndpoint(const service_view& view, request_state& state);
   wire::call_answer_t SendTo(const routing::endpoint& target, request_state& state,
                              net::cancellation& cancel);
--- a/unittests/balancing/completion_test.cpp
+++ b/unittests/balancing/completion_test.cpp
@@ -2,6 +2,7 @@
 
 #include <random>
 
+#include "siskinrack/balancing/call_placement.h"
 #include "siskinrack/balancing/call_profile.h"
 #include "siskinrack/balancing/selection.h"
 
@@ -148,5 +149,27 @@
   EXPECT_NEAR(profile.kilobytes(), 1, 0.1);
 }
 
+// Guards against calls that leave a domain with a single upstream of the service for every short
+// wait there, which doubled the bytes between domains on a quiet day.
+TEST(IsWorthCrossing, ShortWaitInTimeIsSpentInTheOwnDomain) {
+  call_profile profile;
+  profile.Record(milliseconds(100), 1);
+  const completion_goal goal =
+      MakeCompletionGoal({.in_time = milliseconds(600), .target = milliseconds(600)}, profile);
+  EXPECT_FALSE(IsWorthCrossing(milliseconds(50), goal));
+  EXPECT_FALSE(IsWorthCrossing(milliseconds(200), goal));
+  EXPECT_TRUE(IsWorthCrossing(milliseconds(300), goal)) << "saves more than a third of the target";
+}
+
+// Guards against calls that become late in their own domain while another one has room.
+TEST(IsWorthCrossing, LateCallGoesElsewhere) {
+  call_profile profile;
+  profile.Record(milliseconds(100), 90);
+  const completion_goal goal =
+      MakeCompletionGoal({.in_time = milliseconds(150), .target = milliseconds(600)}, profile);
+  EXPECT_FALSE(IsWorthCrossing(milliseconds(10), goal));
+  EXPECT_TRUE(IsWorthCrossing(milliseconds(50), goal));
+}
+
 }  // namespace
 }  // namespace siskinrack::balancing
