balancing: the early choice of another domain is withdrawn

Change: the first choice is as before that rule. A call that was refused because it would wait crosses by IsWorthCrossing.

--- a/include/siskinrack/balancing/selection.h
+++ b/include/siskinrack/balancing/selection.h
@@ -46,11 +46,9 @@
   double refusal_cost_ms = 0;
   /// Expected size of the request and its answer, in kilobytes.
   double kilobytes = 0;
-  /// An endpoint in another failure domain is selected although one in the own domain would answer
-  /// in time if it saves more than this time. Answers the load pattern of a domain that has a
-  /// larger share of the calls than of the upstreams: its calls wait up to their targets while
-  /// upstreams of other domains are idle, and the ones that take long become late.
-  double early_remote_gain_ms = std::numeric_limits<double>::infinity();
+  /// Waiting time that another failure domain has to save for a call that its own domain refused
+  /// because it would have to wait, although it would be in time there.
+  double redirect_gain_ms = 0;
 };
 
 /// Returns the waiting time that an answer from another failure domain is worth, in milliseconds.
@@ -75,12 +73,11 @@
                  std::optional<std::size_t> exclude = std::nullopt);
 
 /// Selects the endpoint with the earliest expected answer. Endpoints in the own failure domain take
-/// precedence; one in another domain is selected if only it is expected to answer in time, if it
-/// saves more than `early_remote_gain_ms`, or if none is in time and it saves more than
-/// `min_remote_gain_ms`; the expected bytes count as additional time
-/// there. An endpoint that is due for a probe comes
-/// first, an ejected one last; a paused one is never selected. `random` must be uniform over all
-/// values; it varies the choice between endpoints with similar expectations.
+/// precedence; one in another domain is selected if only it is expected to answer in time, or if
+/// none is and it saves more than `min_remote_gain_ms`; the expected bytes count as additional time
+/// there. An endpoint that is due for a probe comes first, an ejected one last; a paused one is
+/// never selected. `random` must be uniform over all values; it varies the choice between endpoints
+/// with similar expectations.
 selection ChooseByCompletion(std::span<const candidate> candidates, const completion_goal& goal,
                              time_point now, std::uint64_t random);
 
--- a/lib/balancing/call_placement.cpp
+++ b/lib/balancing/call_placement.cpp
@@ -9,10 +9,10 @@
 /// Fraction of the remaining time within which an answer must be predicted to count as in time,
 /// because service times vary.
 constexpr double kInTimeFraction = 0.8;
-/// Waiting time that a call between failure domains must save if its own domain would answer in
-/// time, as a fraction of the target latency. Less would send calls to other domains whenever the
-/// queues differ a little.
-constexpr double kEarlyRemoteGainFraction = 1.0 / 3;
+/// Waiting time that another domain must save for a call that would be in time at home, as a
+/// fraction of the target latency. Less would send calls, with their bytes, to other domains
+/// whenever the queues differ a little.
+constexpr double kRedirectGainFraction = 1.0 / 3;
 
 double Ms(nanoseconds time) { return std::chrono::duration<double, std::milli>(time).count(); }
 
@@ -26,7 +26,7 @@
           .expected_service = profile.service(),
           .refusal_cost_ms = target_ms,
           .kilobytes = profile.kilobytes(),
-          .early_remote_gain_ms = target_ms * kEarlyRemoteGainFraction};
+          .redirect_gain_ms = target_ms * kRedirectGainFraction};
 }
 
 bool MayTryAnother(std::uint32_t refusals) { return refusals < kMaxRefusals; }
@@ -38,7 +38,7 @@
 bool IsWorthCrossing(nanoseconds wait, const completion_goal& goal) {
   const double answered_ms = Ms(wait) + Ms(goal.expected_service);
   if (answered_ms > goal.in_time_ms) return true;
-  return Ms(wait) > goal.early_remote_gain_ms + ComputeCrossingMs(goal);
+  return Ms(wait) > goal.redirect_gain_ms + ComputeCrossingMs(goal);
 }
 
 }  // namespace siskinrack::balancing
--- a/lib/balancing/selection.cpp
+++ b/lib/balancing/selection.cpp
@@ -173,8 +173,7 @@
     const bool only_remote_in_time = !local_in_time && remote_ms <= goal.in_time_ms;
     const bool remote_much_sooner =
         !local_in_time && remote_ms + goal.min_remote_gain_ms < local.predicted_ms();
-    const bool remote_saves_wait = remote_ms + goal.early_remote_gain_ms < local.predicted_ms();
-    const bool use_remote = only_remote_in_time || remote_much_sooner || remote_saves_wait;
+    const bool use_remote = only_remote_in_time || remote_much_sooner;
     return {use_remote ? remote.index() : local.index(), {}, in_time};
   }
   for (const earliest_completion* best : {&local, &remote, &ejected}) {
