docs in code: a broken list item, and the usual term for many clients

A list item of retry_delay.h was wrapped in the middle, and a comment of limit_counters.cpp used a figurative word. Change: comments only.

--- a/include/siskinrack/routing/retry_delay.h
+++ b/include/siskinrack/routing/retry_delay.h
@@ -23,8 +23,7 @@
 ///
 /// Load patterns:
 /// - Upstreams refuse a part of their calls at once, whatever their load: callers come back while
-/// an
-///   answer can still be in time. A long delay would make every one of these answers late.
+///   an answer can still be in time. A long delay would make every one of these answers late.
 /// - All upstreams are busy for longer than the request can wait: callers come back after most of
 ///   the time for which they honour a delay, so that the overload can subside and two more attempts
 ///   fit in. An early return would meet the same queues and end refused again.
--- a/lib/net/limit_counters.cpp
+++ b/lib/net/limit_counters.cpp
@@ -3,7 +3,7 @@
 namespace siskinrack::net {
 namespace {
 
-/// A flood of refused clients must not push other events out of the log.
+/// Many refused clients must not push other events out of the log.
 constexpr std::chrono::seconds kReportInterval{1};
 
 }  // namespace
