--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -99,7 +99,7 @@
       context_.log.Warn("watch_silent",
                         {{"kind", kind_}, {"seen", revision_}, {"newest", changes.revision}});
       Interrupt();
-      Apply(std::move(changes));
+      Apply(std::move(changes), "check");
     }
     if (freshness == platform_adapter::read_freshness::kCurrent) ReportProof(requested_at);
     return verified_revision_;
@@ -124,6 +124,7 @@
     if (const auto* error = std::get_if<platform_adapter::store_error>(&result))
       return OnError(*error);
     auto& listing = std::get<platform_adapter::object_listing>(result);
+    LogReceived("list", listing.objects.size(), listing.revision);
     revision_ = listing.revision;
     listed_ = true;
     history_gone_ = false;
@@ -156,15 +157,17 @@
       return;
     }
     recovering_ = false;
-    last_answer_ = std::chrono::steady_clock::now();
     auto& changes = std::get<platform_adapter::object_changes>(result);
     const bool changed = !changes.events.empty();
-    Apply(std::move(changes));
+    Apply(std::move(changes), "watch");
+    last_answer_ = std::chrono::steady_clock::now();
     if (freshness_ == platform_adapter::read_freshness::kCurrent) ReportProof(requested_at);
     if (changed) AwaitMoreChanges();
   }
 
-  void Apply(platform_adapter::object_changes changes) {
+  /// Applies changes that a call of the kind `source` has brought.
+  void Apply(platform_adapter::object_changes changes, std::string_view source) {
+    if (!changes.events.empty()) LogReceived(source, changes.events.size(), changes.revision);
     revision_ = std::max(revision_, changes.revision);
     RecordUnnamed(changes.unnamed);
     for (std::size_t i = 0; i < changes.events.size(); ++i) {
@@ -197,16 +200,34 @@
       return false;
     }
     auto& object = std::get<platform_adapter::versioned_object>(result);
-    last_answer_ = std::chrono::steady_clock::now();
+    const auto answered_at = std::chrono::steady_clock::now();
     if (object.revision > revision_) {
+      LogReceived("poll", 1, object.revision);
       revision_ = object.revision;
-      last_change_ = last_answer_;
+      last_change_ = answered_at;
       consumer_.OnChange({std::move(object), /*deleted=*/false});
     }
+    last_answer_ = answered_at;
     ReportProof(requested_at);
     return true;
   }
 
+  /// Logs which call has brought objects, and for how long the feed had no answer before it.
+  /// Changes of a kind without a polled object are logged only if the watch call did not bring
+  /// them: the consumer logs each of them.
+  void LogReceived(std::string_view source, std::size_t objects, std::uint64_t revision) {
+    if (polled_.empty() && source == "watch") return;
+    const auto silence = std::chrono::steady_clock::now() - last_answer_;
+    const bool first = last_answer_ == net::steady_time{};
+    const auto silent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(silence).count();
+    context_.log.Info("objects_received", {{"kind", kind_},
+                                           {"source", source},
+                                           {"objects", objects},
+                                           {"revision", revision},
+                                           {"previous", revision_},
+                                           {"silent_ms", first ? 0 : silent_ms}});
+  }
+
   void ReportProof(support::boot_clock::time_point requested_at) {
     if (failed_) return;
     if constexpr (requires { consumer_.OnProved(requested_at); }) consumer_.OnProved(requested_at);
