mesh: a silent watch is noticed within the time that a change has

Cause: the bound of 2 s was nowhere summed up. store_monitor ran every 1.5 s and skipped feeds that had been silent for a little less, so the first check came after up to 3 s; the check itself used idle connections, which go silent together with the watch, and spent 1 s on each of them and 0.5 s between two.

Change: each feed is checked 1 s after its last answer or check.

--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -76,6 +76,10 @@
   /// otherwise be aborted and requested again without end.
   std::chrono::milliseconds progress_extension{0};
   static constexpr std::chrono::milliseconds kProgressInterval{1'000};
+  /// Time limit for the response on a reused connection, which may have gone silent while it was
+  /// idle. After it, all idle connections to the server are closed and the request is sent again on
+  /// a new one, so it must be repeatable. Zero for no such limit.
+  std::chrono::milliseconds reuse_timeout{0};
 };
 
 /// Relation of a response to the request that was sent last on its connection.
--- a/lib/mesh/store_monitor.h
+++ b/lib/mesh/store_monitor.h
@@ -23,13 +23,14 @@
   /// Runs until the process ends, in a fiber of its own.
   void Run() {
     while (true) {
-      net::SleepFor(answered_ ? kInterval : kRecoveryInterval);
+      net::SleepFor(ComputePause());
       CheckOnce();
     }
   }
 
   /// Verifies the feeds that have had no answer recently. Stale reads, which cost a tenth of other
-  /// calls, are enough: a change that they don't show yet is found by the next check.
+  /// calls, are enough: a change that they don't show yet is found by a later check, or learned
+  /// from other nodes (see version_follower).
   void CheckOnce() {
     std::optional<std::uint64_t> current;
     std::apply([&](auto&... watched) { (Check(watched, current), ...); }, feeds_);
@@ -41,27 +42,46 @@
     Feed& feed;
     /// Revision up to which the feed was last verified.
     std::uint64_t verified = 0;
+    net::steady_time checked_at{};
+
+    [[nodiscard]] net::steady_time due_at() const {
+      return std::max(feed.last_answer(), checked_at) + kInterval;
+    }
   };
 
-  /// Time without an answer after which a feed is verified. Together with the duration of the
-  /// check, well below 3 s, after which the platform counts the store as stable again.
-  static constexpr std::chrono::milliseconds kInterval{1'500};
+  /// Time without an answer after which a feed is verified, and time between two checks of it.
+  /// Leaves half of 2 s, within which a change must be in force, for a check on a silent connection
+  /// and its repetition on another one.
+  static constexpr std::chrono::milliseconds kInterval{1'000};
 
   /// Time until the next check if the store did not answer the last one, so that changes made while
   /// it was down are found soon.
   static constexpr std::chrono::milliseconds kRecoveryInterval{500};
 
-  template <typename Feed>
-  static bool IsDue(const Feed& feed) {
-    return feed.listed() && std::chrono::steady_clock::now() - feed.last_answer() >= kInterval;
+  /// Returns the time until the first feed is due.
+  [[nodiscard]] net::steady_time::duration ComputePause() const {
+    if (!answered_) return kRecoveryInterval;
+    const auto now = std::chrono::steady_clock::now();
+    auto next = now + kInterval;
+    const auto add = [&next](const auto& watched) {
+      if (watched.feed.listed()) next = std::min(next, watched.due_at());
+    };
+    std::apply([&](const auto&... watched) { (add(watched), ...); }, feeds_);
+    return std::max(next - now, net::steady_time::duration(0));
   }
 
   /// Verifies a feed that is due. `current` is the newest revision that this check has read; if the
   /// feed was verified up to it, nothing has changed and no call is needed.
   template <typename Feed>
   void Check(watched_feed<Feed>& watched, std::optional<std::uint64_t>& current) {
-    if (!IsDue(watched.feed)) return;
-    if (current && *current <= std::max(watched.feed.revision(), watched.verified)) return;
+    const auto now = std::chrono::steady_clock::now();
+    if (!watched.feed.listed()) return;
+    if (current && *current <= std::max(watched.feed.revision(), watched.verified)) {
+      watched.checked_at = now;
+      return;
+    }
+    if (now < watched.due_at()) return;
+    watched.checked_at = now;
     const auto revision = watched.feed.Verify(platform_adapter::read_freshness::kMayBeStale);
     answered_ = revision.has_value();
     if (!revision) return;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -126,24 +126,18 @@
     if (auto problem = FindRequestProblem(request)) {
       return {exchange_stage::kNotSent, {}, "request can't be sent: " + *problem, false};
     }
-    connection_ptr conn = TakeIdle(address, options.max_idle, options.request_id);
-    const bool reused = conn != nullptr;
-    if (!reused) conn = std::make_shared<connection>(detail::GetCurrentContext());
-    if (!options.request_id.empty()) {
-      conn->request_ids.push_back(std::hash<std::string_view>{}(options.request_id));
-    }
-    bool keep_alive = false;
-    http_result result =
-        SendOn(conn, reused, address, request, deadline, cancel, options, keep_alive);
-    // A cancellation that came with the response closes the connection later, when it could be in
-    // use again.
-    if (cancel != nullptr && cancel->cancelled()) keep_alive = false;
-    if (keep_alive) {
-      PutIdle(address, conn);
-    } else {
-      detail::CloseQuietly(conn->stream.socket());
+    const connection_ptr idle = TakeIdle(address, options.max_idle, options.request_id);
+    const steady_time reuse_end = std::chrono::steady_clock::now() + options.reuse_timeout;
+    if (idle != nullptr && options.reuse_timeout.count() > 0 && reuse_end < deadline) {
+      http_result result = SendOnce(idle, true, address, request, reuse_end, cancel, options);
+      const bool cancelled = cancel != nullptr && cancel->cancelled();
+      if (!result.timed_out || cancelled) return result;
+      idle_[fiber_runtime::GetCurrentThreadIndex()].erase(address);
+    } else if (idle != nullptr) {
+      return SendOnce(idle, true, address, request, deadline, cancel, options);
     }
-    return result;
+    return SendOnce(std::make_shared<connection>(detail::GetCurrentContext()), false, address,
+                    request, deadline, cancel, options);
   }
 
   connect_result TryConnect(const support::socket_address& address,
@@ -165,6 +159,28 @@
  private:
   using pool = std::map<support::socket_address, std::vector<connection_ptr>>;
 
+  /// Sends the request on `conn` and returns the connection to the pool or closes it.
+  http_result SendOnce(const connection_ptr& conn, bool reused,
+                       const support::socket_address& address, const http_request& request,
+                       steady_time deadline, cancellation* cancel,
+                       const exchange_options& options) {
+    if (!options.request_id.empty()) {
+      conn->request_ids.push_back(std::hash<std::string_view>{}(options.request_id));
+    }
+    bool keep_alive = false;
+    http_result result =
+        SendOn(conn, reused, address, request, deadline, cancel, options, keep_alive);
+    // A cancellation that came with the response closes the connection later, when it could be in
+    // use again.
+    if (cancel != nullptr && cancel->cancelled()) keep_alive = false;
+    if (keep_alive) {
+      PutIdle(address, conn);
+    } else {
+      detail::CloseQuietly(conn->stream.socket());
+    }
+    return result;
+  }
+
   /// Sends the request on `conn` after connecting it, unless it is reused. Sets `keep_alive` to
   /// true if the connection can be reused afterwards.
   http_result SendOn(const connection_ptr& conn, bool reused,
--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -194,6 +194,21 @@
   return work_dir_ / ("node-" + std::to_string(machine) + suffix);
 }
 
+support::socket_address mesh_fleet::StoreAddress(std::size_t machine) const {
+  constexpr std::size_t kFirstProxy = 101;
+  const std::string host = proxies_.empty() ? "251" : std::to_string(kFirstProxy + machine);
+  return {network_ + host, kStorePort};
+}
+
+void mesh_fleet::AddStoreProxies() {
+  const support::socket_address store = StoreAddress(0);
+  proxies_.resize(services_.size());
+  for (std::size_t i = 0; i < services_.size(); ++i) {
+    proxies_[i] = std::make_unique<silencing_proxy>(StoreAddress(i), store);
+    WriteSettings(i);
+  }
+}
+
 void mesh_fleet::WriteSettings(std::size_t machine) {
   const std::string ip = MakeIp(machine);
   const auto at = [&ip](std::uint16_t port) { return ip + ':' + std::to_string(port); };
@@ -212,7 +227,7 @@
       {"heartbeatS", 0.5},
       {"limits", {{"memoryMb", limits_.memory_mb}, {"maxFds", limits_.max_descriptors}}},
       {"bounds", bounds_},
-      {"platform", {{"address", network_ + "251:" + std::to_string(kStorePort)}}}};
+      {"platform", {{"address", StoreAddress(machine).ToText()}}}};
   if (!versions_.empty()) {
     settings["contracts"] = {"base", "rollout"};
     json::array& bounds = settings["bounds"].as_array();
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -12,6 +12,7 @@
 
 #include "object_store_stand_in.h"
 #include "process.h"
+#include "silencing_proxy.h"
 #include "siskinrack/net/http_client.h"
 
 namespace siskinrack::test {
@@ -111,6 +112,10 @@
   void SetTenants(boost::json::array tenants) { tenants_ = std::move(tenants); }
   /// Adds bounds, as "name=value", to the settings of the nodes that are started from now on.
   void AddBounds(const std::vector<std::string>& bounds);
+  /// Lets the nodes that are started from now on reach the store through a proxy for each machine.
+  void AddStoreProxies();
+  /// Returns the proxy of a machine; AddStoreProxies must have been called.
+  [[nodiscard]] silencing_proxy& store_proxy(std::size_t machine) { return *proxies_[machine]; }
   /// Starts the node of a machine after killing the one that still runs, if any.
   void StartNode(std::size_t machine);
   /// Sends one heartbeat of a machine's upstream and returns true if it was acknowledged. `state`
@@ -163,6 +168,8 @@
   /// Makes the configuration of one route.
   [[nodiscard]] boost::json::object MakeRoute(const std::string& prefix, const std::string& service,
                                               bool repeatable) const;
+  /// Returns the address at which a machine's node reaches the store.
+  [[nodiscard]] support::socket_address StoreAddress(std::size_t machine) const;
   void WriteSettings(std::size_t machine);
   [[nodiscard]] std::filesystem::path MakePath(std::size_t machine,
                                                const std::string& suffix) const;
@@ -176,6 +183,8 @@
   net::fiber_runtime runtime_{2};
   net::http_client client_{runtime_};
   std::unique_ptr<object_store_stand_in> store_;
+  /// Proxies by machine; empty if the nodes reach the store directly.
+  std::vector<std::unique_ptr<silencing_proxy>> proxies_;
   std::vector<std::unique_ptr<instance_stand_in>> instances_;
   std::vector<std::unique_ptr<child_process>> nodes_;
   /// Guards the sequences and states, and is held during each heartbeat so that they arrive in
