mesh: a node learns of a newer configuration from the calls of its peers

Cause: the check of a silent watch trusts a stale read, and the platform allows such an answer to be seconds old. With stale reads 3 s old and one silent watch, a change was in force on that node after more than 3 s, although every call of its peers carried the newer version: the code asked the store 'is there something newer?' and took an old answer for a current one.

Change: version_follower compares the versions in calls and answers with the own one. If a newer one doesn't arrive by itself within the pause of a series, the node reads the object with a current read, once for each version seen. It costs no call while watches work.

--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -243,6 +243,7 @@
 }
 
 void entry_service::OnAnswer(const routing::endpoint& target, const wire::call_answer_t& answer) {
+  versions_.OnSeen(answer.config_version);
   if (answer.leaving || answer.cause == answer_cause::departed) {
     departed_[target.life.instance_id] = target.life.born_ms;
   }
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -18,6 +18,7 @@
 #include "siskinrack/routing/caller_wait.h"
 #include "siskinrack/routing/retry_delay.h"
 #include "tenant_gate.h"
+#include "version_follower.h"
 
 namespace siskinrack::mesh {
 
@@ -26,13 +27,15 @@
 class entry_service {
  public:
   entry_service(mesh_context& context, serving_service& serving, endpoint_reaper& reaper,
-                crash_guard& crashes, tenant_gate& tenants, rollout_service& rollouts)
+                crash_guard& crashes, tenant_gate& tenants, rollout_service& rollouts,
+                version_follower& versions)
       : context_(context),
         serving_(serving),
         reaper_(reaper),
         crashes_(crashes),
         tenants_(tenants),
-        rollouts_(rollouts) {}
+        rollouts_(rollouts),
+        versions_(versions) {}
 
   /// Handles one request and returns the upstream's response or one made by this node: 404 if no
   /// route matches, 401 if the route needs an API key that the caller doesn't have, 503 if the
@@ -122,6 +125,7 @@
   crash_guard& crashes_;
   tenant_gate& tenants_;
   rollout_service& rollouts_;
+  version_follower& versions_;
   std::map<std::string, service_view> views_;
   /// Start times of the departing and departed lifetimes by instance id. Their records may stay in
   /// the store while it is unavailable, and their nodes may forget the departure in a restart.
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -21,6 +21,7 @@
 #include "siskinrack/net/http_server.h"
 #include "store_monitor.h"
 #include "tenant_gate.h"
+#include "version_follower.h"
 
 namespace siskinrack::mesh {
 namespace {
@@ -79,7 +80,9 @@
         reaper_(context_),
         caps_(context_),
         tenants_(context_, caps_),
-        entry_(context_, serving_, reaper_, crashes_, tenants_, rollouts_),
+        versions_(context_, ComputeWatchPause(context_.settings.activation_limit),
+                  [this] { return config_feed_.ReadPolled(); }),
+        entry_(context_, serving_, reaper_, crashes_, tenants_, rollouts_, versions_),
         configs_(context_, [this] { OnConfiguration(); }),
         endpoints_(
             context_,
@@ -347,6 +350,7 @@
     }
     const auto* call = message.message.Ascall_request();
     if (call == nullptr) return std::nullopt;
+    versions_.OnSeen(call->config_version);
     wire::call_answer_t answer = serving_.Serve(*call, cancel, answer_link_.FindRefusal(*call));
     answer_link_.OnAnswer(*call, answer);
     return wire::MakeEnvelope(std::move(answer));
@@ -365,6 +369,7 @@
   endpoint_reaper reaper_;
   cap_service caps_;
   tenant_gate tenants_;
+  version_follower versions_;
   entry_service entry_;
   config_consumer configs_;
   endpoint_consumer endpoints_;
--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -105,6 +105,26 @@
     return verified_revision_;
   }
 
+  /// Reads the current version of the polled object, of which there is a newer one according to
+  /// other nodes. Returns false if the store doesn't answer. May be called from another fiber than
+  /// Run.
+  bool ReadPolled() {
+    // Closes idle connections that are silent.
+    if (!listed_ || !std::holds_alternative<std::uint64_t>(context_.store.ReadRecentRevision())) {
+      return false;
+    }
+    auto result = context_.store.Get(kind_, polled_);
+    auto* object = std::get_if<platform_adapter::versioned_object>(&result);
+    if (object == nullptr) return false;
+    if (object->revision > revision_) {
+      context_.log.Warn("watch_silent",
+                        {{"kind", kind_}, {"seen", revision_}, {"newest", object->revision}});
+      Interrupt();
+      ApplyPolled(std::move(*object), "peers");
+    }
+    return true;
+  }
+
   /// Cancels a watch call that may never be answered; watching resumes once the store answers.
   void Interrupt() {
     if (watch_cancel_ != nullptr) watch_cancel_->Cancel();
@@ -200,18 +220,20 @@
       return false;
     }
     auto& object = std::get<platform_adapter::versioned_object>(result);
-    const auto answered_at = std::chrono::steady_clock::now();
-    if (object.revision > revision_) {
-      LogReceived("poll", 1, object.revision);
-      revision_ = object.revision;
-      last_change_ = answered_at;
-      consumer_.OnChange({std::move(object), /*deleted=*/false});
-    }
-    last_answer_ = answered_at;
+    if (object.revision > revision_) ApplyPolled(std::move(object), "poll");
+    last_answer_ = std::chrono::steady_clock::now();
     ReportProof(requested_at);
     return true;
   }
 
+  /// Applies a version of the polled object that is newer than `revision_`.
+  void ApplyPolled(platform_adapter::versioned_object object, std::string_view source) {
+    LogReceived(source, 1, object.revision);
+    revision_ = object.revision;
+    last_change_ = std::chrono::steady_clock::now();
+    consumer_.OnChange({std::move(object), /*deleted=*/false});
+  }
+
   /// Logs which call has brought objects, and for how long the feed had no answer before it.
   /// Changes of a kind without a polled object are logged only if the watch call did not bring
   /// them: the consumer logs each of them.
--- a/test/mesh/config_delay_test.cpp
+++ b/test/mesh/config_delay_test.cpp
@@ -68,5 +68,16 @@
   }
 }
 
+// Guards against a node that has an old configuration for seconds beside nodes that have the new
+// one: its watch is silent, and stale reads don't show the change yet.
+TEST_F(config_delay_test, NodeLearnsOfANewVersionFromItsPeers) {
+  fleet_.store().SetStaleLag(milliseconds(3'000));
+  fleet_.store_proxy(0).SilenceOpenConnections();
+  std::this_thread::sleep_for(milliseconds(1'000));
+  fleet_.Configure(++version_);
+  const auto end = steady_clock::now() + kActivationLimit;
+  EXPECT_TRUE(IsInForceBefore(0, end, [&] { fleet_.Send(0, "/dock/"); }));
+}
+
 }  // namespace
 }  // namespace siskinrack::test
--- a/test/mesh/object_store_stand_in.cpp
+++ b/test/mesh/object_store_stand_in.cpp
@@ -91,6 +91,11 @@
   stale_revision_ = frozen ? revision_ : 0;
 }
 
+void object_store_stand_in::SetStaleLag(milliseconds lag) {
+  const std::lock_guard lock(mutex_);
+  stale_lag_ = lag;
+}
+
 std::size_t object_store_stand_in::CountLists(const std::string& kind) const {
   const std::lock_guard lock(mutex_);
   const auto found = list_counts_.find(kind);
@@ -206,16 +211,22 @@
       if (silence == silence_count_ && silenced == silenced_watches_[request.kind]) {
         if (down_) return {503, {}, {}};
         if (since < history_start_) return {410, {}, "{}"};
+        const auto newest = std::chrono::steady_clock::now() -
+                            (request.query.contains("staleOk") ? stale_lag_ : milliseconds(0));
+        std::uint64_t shown = revision_;
         json::array events;
         for (const change& entry : history_) {
+          if (entry.at > newest) {
+            shown = std::min(shown, entry.revision - 1);
+            break;
+          }
           if (entry.revision <= since || entry.kind != request.kind) continue;
           events.push_back(json::object{{"object", ToJson(entry.name, entry.state)},
                                         {"deleted", entry.deleted}});
         }
         if (!events.empty() || std::chrono::steady_clock::now() >= end) {
-          return MakeAnswer(200,
-                            json::object{{"events", std::move(events)},
-                                         {"currentRev", static_cast<std::int64_t>(revision_)}});
+          return MakeAnswer(200, json::object{{"events", std::move(events)},
+                                              {"currentRev", static_cast<std::int64_t>(shown)}});
         }
       }
     }
--- a/test/mesh/object_store_stand_in.h
+++ b/test/mesh/object_store_stand_in.h
@@ -2,6 +2,7 @@
 #define SISKINRACK_TEST_MESH_OBJECT_STORE_STAND_IN_H_
 
 #include <boost/json.hpp>
+#include <chrono>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -45,6 +46,8 @@
   /// While `frozen` is true, stale lists report the revision that the store had at this call. Their
   /// objects are still current.
   void FreezeStaleReads(bool frozen);
+  /// Stale watches show the changes that are older than `lag` only, and the revision of that time.
+  void SetStaleLag(std::chrono::milliseconds lag);
   /// Returns how often a kind was listed; pages after the first don't count.
   [[nodiscard]] std::size_t CountLists(const std::string& kind) const;
   /// Discards the history: watches from an older revision fail with 410.
@@ -62,6 +65,7 @@
     std::string name;
     bool deleted = false;
     object state;
+    std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now();
   };
   struct call {
     std::string kind;
@@ -98,6 +102,7 @@
   mutable std::map<std::string, std::size_t> list_counts_;
   /// Revision that stale lists report; 0 for the current one.
   std::uint64_t stale_revision_ = 0;
+  std::chrono::milliseconds stale_lag_{0};
   net::http_server server_;
 };
 
