--- a/include/siskinrack/net/http.h
+++ b/include/siskinrack/net/http.h
@@ -33,6 +33,8 @@
   /// Body that http_client sends in place of `body` if it isn't empty. The owner of the bytes keeps
   /// them until the exchange ends; a large body isn't copied then.
   std::string_view body_view = {};
+  /// Time at which http_server received the first bytes of the request; the epoch if it didn't.
+  std::chrono::steady_clock::time_point received_at = {};
 };
 
 /// Returns the reason for which http_client can't send `request`, for example content that the
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -54,6 +54,10 @@
   }
 }
 
+std::int64_t ToMilliseconds(steady_clock::duration time) {
+  return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
 double CountKilobytes(const wire::call_request_t& call, const wire::call_answer_t& answer) {
   constexpr double kBytesPerKilobyte = 1'024;
   return static_cast<double>(call.body.size() + answer.body.size()) / kBytesPerKilobyte;
@@ -116,6 +120,7 @@
   }
   request_state state;
   state.started = now;
+  state.waited = now - request.received_at;
   state.routes = context_.routes;
   if (state.routes == nullptr) {
     return Refuse(caller.id, kStatusUnavailable, "no configuration is active yet");
@@ -423,6 +428,7 @@
                                          {"node", answer.node_id},
                                          {"tried", state.tried.size()},
                                          {"took_ms", took.count()},
+                                         {"waited_ms", ToMilliseconds(state.waited)},
                                          {"config_version", state.call.config_version}});
     const bool retryable = answer.outcome == outcome_kind::not_run;
     return platform_adapter::MakeLocalResponse(
--- a/lib/mesh/entry_service.h
+++ b/lib/mesh/entry_service.h
@@ -58,6 +58,8 @@
     std::string service;
     wire::call_request_t call;
     net::steady_time started;
+    /// Time between the arrival of the request and the start of its handling.
+    net::steady_time::duration waited{0};
     net::steady_time deadline;
     /// Time until which an answer is in time: the route's target latency after the start, less the
     /// estimated time for which the caller had waited before.
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -165,7 +165,8 @@
   bool ServeNextRequest(const connection_ptr& conn) {
     const std::shared_ptr<const http_limits> limits = limits_.load();
     request_reader reader(*limits, options_.memory);
-    const read_result result = ReadRequest(*conn, reader, *limits);
+    steady_clock::time_point received_at;
+    const read_result result = ReadRequest(*conn, reader, *limits, received_at);
     // The request counts as not read, because it was sent behind a response that closes.
     if (conn->order.closed()) return false;
     if (result == read_result::kRefused) {
@@ -175,7 +176,7 @@
       conn->CancelOpenRequests();
       return false;
     }
-    open_request open(*conn, in_flight_);
+    open_request open(*conn, in_flight_, received_at);
     return ServeRequest(conn, open, reader);
   }
 
@@ -185,6 +186,7 @@
     WatchConnection(conn, open.watch);
     memory_charge charge = reader.ReleaseCharge();
     http_request request = reader.Release();
+    request.received_at = open.received_at;
     const bool may_overlap = options_.may_overlap && options_.may_overlap(request);
     if (!may_overlap && !AwaitTurn(*conn, open.position)) return false;
     http_response response = RunHandler(std::move(request), open.cancel);
@@ -271,8 +273,9 @@
     kEnded,
   };
 
-  /// Reads one request.
-  read_result ReadRequest(connection& conn, request_reader& reader, const http_limits& limits) {
+  /// Reads one request. Sets `received_at` to the time at which its first bytes arrived.
+  read_result ReadRequest(connection& conn, request_reader& reader, const http_limits& limits,
+                          steady_clock::time_point& received_at) {
     if (conn.buffer.size() == 0) {
       // An idle connection keeps no buffer of a large request.
       conn.buffer.shrink_to_fit();
@@ -284,6 +287,7 @@
       // No request was started, so a close or timeout gets no error response.
       if (error) return read_result::kEnded;
     }
+    received_at = conn.received_at;
     conn.interrupted = false;
     conn.last_progress = steady_clock::now();
     conn.reading = true;
@@ -353,8 +357,14 @@
   }
 
   static boost::system::error_code ReadSome(connection& conn, std::size_t bytes) {
-    const auto read = Await<std::size_t>(
-        [&](auto handler) { conn.stream.async_read_some(conn.buffer.prepare(bytes), handler); });
+    const auto read = Await<std::size_t>([&](auto handler) {
+      conn.stream.async_read_some(
+          conn.buffer.prepare(bytes),
+          [&conn, handler](const boost::system::error_code& error, std::size_t size) mutable {
+            conn.received_at = steady_clock::now();
+            handler(error, size);
+          });
+    });
     if (!read.error) conn.buffer.commit(read.value);
     return read.error;
   }
--- a/lib/net/server_connection.h
+++ b/lib/net/server_connection.h
@@ -76,6 +76,9 @@
   /// Time at which the connection became idle or the server began to read the request or, in a
   /// body, at which the last bytes arrived.
   std::chrono::steady_clock::time_point last_progress = std::chrono::steady_clock::now();
+  /// Time at which the last bytes arrived in the process. The fiber that waited for them may run
+  /// later if the thread is busy.
+  std::chrono::steady_clock::time_point received_at = last_progress;
   /// True if the request is refused because its body makes no progress.
   bool interrupted = false;
   /// True if the connection was closed to make room for another.
@@ -93,8 +96,9 @@
 
 /// Represents one request that was read from a connection.
 struct open_request {
-  open_request(server_connection& owner, std::atomic<std::size_t>& in_flight)
-      : conn(owner), count(in_flight), position(owner.order.Add()) {
+  open_request(server_connection& owner, std::atomic<std::size_t>& in_flight,
+               std::chrono::steady_clock::time_point first_received_at)
+      : conn(owner), count(in_flight), position(owner.order.Add()), received_at(first_received_at) {
     conn.open_requests.insert(&cancel);
   }
   ~open_request() { conn.open_requests.erase(&cancel); }
@@ -104,6 +108,8 @@
   server_connection& conn;
   support::in_flight_guard count;
   response_order::position position;
+  /// Time at which the first bytes of the request arrived.
+  std::chrono::steady_clock::time_point received_at;
   cancellation cancel;
   std::shared_ptr<readable_watch> watch = std::make_shared<readable_watch>();
 };
