net: a request whose client has left isn't handled

Callers saw: work went on for callers that had left (GONE).

Cause: the question 'is the caller still there?' was asked by the event loop only, and not when work on a request begins. On a thread that is short of processor time requests and closes wait together, and the requests came first.

--- a/include/siskinrack/net/http_server.h
+++ b/include/siskinrack/net/http_server.h
@@ -62,6 +62,9 @@
   [[nodiscard]] std::uint16_t port() const;
   /// Returns the number of completely received requests whose response has not been written yet.
   [[nodiscard]] std::size_t in_flight() const;
+  /// Returns the number of received requests whose handler was not called, because their clients
+  /// had left before.
+  [[nodiscard]] std::uint64_t unserved() const;
 
   /// Sets the limits. Each connection applies them after the request that it is reading or waiting
   /// for.
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -68,6 +68,7 @@
   std::string Start() { return listener_.Start(options_.address); }
   std::uint16_t port() const { return listener_.port(); }
   std::size_t in_flight() const { return in_flight_; }
+  std::uint64_t unserved() const { return unserved_; }
 
   void Drain() { draining_ = true; }
 
@@ -189,6 +190,10 @@
     request.received_at = open.received_at;
     const bool may_overlap = options_.may_overlap && options_.may_overlap(request);
     if (!may_overlap && !AwaitTurn(*conn, open.position)) return false;
+    // While the thread was busy, neither a close nor the request itself was looked at.
+    if (open.cancel.cancelled() || IsClosedByPeer(conn->stream.socket())) {
+      return EndUnserved(conn, open);
+    }
     http_response response = RunHandler(std::move(request), open.cancel);
     // The response exists already, so it is charged in any case.
     charge = memory_charge(options_.memory, memory_use::kResponseBody);
@@ -206,6 +211,16 @@
     return keep_open && !error && !open.watch->handed_over;
   }
 
+  /// Ends a request whose client has left before its handler was called. Returns false because the
+  /// connection must be closed.
+  bool EndUnserved(const connection_ptr& conn, open_request& open) {
+    ++unserved_;
+    open.watch->active = false;
+    conn->CancelOpenRequests();
+    if (AwaitTurn(*conn, open.position)) FinishTurn(conn, /*keep_open=*/false);
+    return false;
+  }
+
   /// Waits until the requests before `request` are answered; returns false if it will not be
   /// answered.
   static bool AwaitTurn(connection& conn, detail::response_order::position request) {
@@ -425,6 +440,7 @@
   std::atomic<bool> draining_ = false;
   std::atomic<bool> stopped_ = false;
   std::atomic<std::size_t> in_flight_ = 0;
+  std::atomic<std::uint64_t> unserved_ = 0;
   std::atomic<std::size_t> open_connections_ = 0;
   /// Open connections by thread; each set is used on its thread only.
   std::vector<std::set<connection*>> connections_;
@@ -438,6 +454,7 @@
 std::string http_server::Start() { return impl_->Start(); }
 std::uint16_t http_server::port() const { return impl_->port(); }
 std::size_t http_server::in_flight() const { return impl_->in_flight(); }
+std::uint64_t http_server::unserved() const { return impl_->unserved(); }
 void http_server::SetLimits(const http_limits& limits) { impl_->SetLimits(limits); }
 void http_server::CloseIdle() { impl_->CloseIdle(); }
 void http_server::Drain() { impl_->Drain(); }
--- /dev/null
+++ b/unittests/net/left_clients_test.cpp
@@ -0,0 +1,96 @@
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/fiber/mutex.hpp>
+#include <thread>
+#include <vector>
+
+#include "siskinrack/net/http_server.h"
+#include "siskinrack/net/peer.h"
+
+namespace siskinrack::net {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// Time for which a thread of the server runs nothing, like a process without processor time.
+constexpr milliseconds kStarvation{300};
+
+int ConnectTo(std::uint16_t port) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+  return fd;
+}
+
+void SendText(int fd, const std::string& text) {
+  EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+}
+
+/// Blocks thread 0 of a runtime.
+void Starve(fiber_runtime& runtime, milliseconds time = kStarvation) {
+  runtime.Post(0, [time] { std::this_thread::sleep_for(time); });
+  // The thread picks the fiber up before the test goes on.
+  std::this_thread::sleep_for(milliseconds(20));
+}
+
+template <typename Check>
+bool Eventually(Check check) {
+  const auto end = steady_clock::now() + milliseconds(2'000);
+  while (!check() && steady_clock::now() < end) std::this_thread::sleep_for(milliseconds(2));
+  return check();
+}
+
+class left_clients_test : public testing::Test {
+ protected:
+  void SetUp() override { ASSERT_EQ(server_.Start(), ""); }
+  void TearDown() override { server_.Stop(); }
+
+  fiber_runtime runtime_{1};
+  std::atomic<int> handled_ = 0;
+  std::atomic<int> cancelled_ = 0;
+  std::atomic<std::int64_t> waited_ms_ = -1;
+  http_server server_{runtime_,
+                      {.address = {"127.0.0.1", 0}},
+                      [this](const http_request& request, cancellation& cancel) {
+                        ++handled_;
+                        waited_ms_ = std::chrono::duration_cast<milliseconds>(steady_clock::now() -
+                                                                              request.received_at)
+                                         .count();
+                        const auto end = steady_clock::now() + milliseconds(1'000);
+                        while (request.target == "/wait" && steady_clock::now() < end) {
+                          if (cancel.cancelled()) {
+                            ++cancelled_;
+                            break;
+                          }
+                          SleepFor(milliseconds(5));
+                        }
+                        return http_response{};
+                      }};
+};
+
+// Guards against work for clients that left while their requests waited for processor time: the
+// handler began first and the close was noticed after that.
+TEST_F(left_clients_test, RequestOfAClientThatLeftIsNotHandled) {
+  std::vector<int> kept;
+  for (int i = 0; i < 10; ++i) kept.push_back(ConnectTo(server_.port()));
+  std::this_thread::sleep_for(milliseconds(50));
+  Starve(runtime_);
+  for (int i = 0; i < 20; ++i) {
+    const int fd = i < 10 ? kept[static_cast<std::size_t>(i)] : ConnectTo(server_.port());
+    SendText(fd, "GET /left HTTP/1.1\r\nHost: x\r\n\r\n");
+    close(fd);
+  }
+  std::this_thread::sleep_for(kStarvation + milliseconds(200));
+  EXPECT_EQ(handled_, 0);
+}
+
+}  // namespace
+}  // namespace siskinrack::net
