net: a close is noticed behind a further request that isn't read yet

A client sends a further request on its connection while the first one runs, and leaves.

Cause: the watch of a connection waited once. If it woke for bytes that can't be read yet (requests may not overlap, too many are open, the server drains), nobody waited for the close; and a peek shows unread bytes, not the close behind them.

Change: the watch waits on after such bytes, and POLLRDHUP is asked when there are some.

--- a/include/siskinrack/net/http_server.h
+++ b/include/siskinrack/net/http_server.h
@@ -18,8 +18,7 @@
 namespace siskinrack::net {
 
 /// Handles one request. Runs in a fiber and may suspend it. `cancel` is cancelled when the client
-/// closes its side of the connection. This isn't detected while the client has sent data after the
-/// request that the server doesn't read yet.
+/// closes its side of the connection.
 using http_handler = std::function<http_response(http_request request, cancellation& cancel)>;
 
 /// Options of an http_server.
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "siskinrack/net/http_server.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -50,7 +51,10 @@
 bool IsClosedByPeer(tcp::socket& socket) {
   char byte = 0;
   const auto size = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  if (size <= 0) return size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  // The close may be behind the unread data.
+  pollfd state{socket.native_handle(), POLLRDHUP, 0};
+  return poll(&state, 1, /*timeout=*/0) > 0;
 }
 
 }  // namespace
@@ -240,16 +244,21 @@
   void WatchConnection(const connection_ptr& conn, const std::shared_ptr<readable_watch>& watch) {
     if (conn->buffer.size() > 0) OnReadable(conn, watch);
     if (watch->handed_over) return;
+    AwaitReadable(conn, watch);
+  }
+
+  /// Waits for a close or further data. After data that isn't read yet, waits on for a close.
+  void AwaitReadable(const connection_ptr& conn, const std::shared_ptr<readable_watch>& watch) {
     // The wait must not keep the connection alive: it ends when the connection is destroyed.
-    conn->stream.socket().async_wait(tcp::socket::wait_read,
-                                     [self = shared_from_this(), weak = std::weak_ptr(conn),
-                                      watch](const boost::system::error_code& error) {
-                                       const connection_ptr waiting = weak.lock();
-                                       if (error || !watch->active || waiting == nullptr) return;
-                                       if (IsClosedByPeer(waiting->stream.socket()))
-                                         return waiting->CancelOpenRequests();
-                                       self->OnReadable(waiting, watch);
-                                     });
+    conn->stream.socket().async_wait(
+        tcp::socket::wait_read, [self = shared_from_this(), weak = std::weak_ptr(conn),
+                                 watch](const boost::system::error_code& error) {
+          const connection_ptr waiting = weak.lock();
+          if (error || !watch->active || watch->handed_over || waiting == nullptr) return;
+          if (IsClosedByPeer(waiting->stream.socket())) return waiting->CancelOpenRequests();
+          self->OnReadable(waiting, watch);
+          if (!watch->handed_over) self->AwaitReadable(waiting, watch);
+        });
   }
 
   /// Lets another fiber read the next request if it may overlap with those that are open.
--- a/unittests/net/left_clients_test.cpp
+++ b/unittests/net/left_clients_test.cpp
@@ -92,5 +92,20 @@
   EXPECT_EQ(handled_, 0);
 }
 
+// Guards against a close that nobody notices because the client has sent a further request, which
+// isn't read before the first one is answered.
+TEST_F(left_clients_test, CloseBehindAFurtherRequestIsNoticed) {
+  const int fd = ConnectTo(server_.port());
+  const std::string request = "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n";
+  SendText(fd, request);
+  ASSERT_TRUE(Eventually([&] { return handled_ == 1; }));
+  SendText(fd, request);
+  std::this_thread::sleep_for(milliseconds(50));
+  close(fd);
+  const auto closed_at = steady_clock::now();
+  EXPECT_TRUE(Eventually([&] { return cancelled_ > 0; }));
+  EXPECT_LT(steady_clock::now() - closed_at, milliseconds(500));
+}
+
 }  // namespace
 }  // namespace siskinrack::net
