net, wire: time that a request has waited in the process is deducted from its deadline

Cause: 'how old is this request?' was answered by the start of the code that asked. The entry node counted the caller's deadline from the start of the handler, the serving node from the start of the call.

Change: the entry node counts from the first bytes of the request (http_request::received_at), and peer_server deducts the wait of a call from its remaining times before the handler. A wait in the kernel isn't known and stays.

--- a/include/siskinrack/wire/frame.h
+++ b/include/siskinrack/wire/frame.h
@@ -1,6 +1,7 @@
 #ifndef SISKINRACK_WIRE_FRAME_H_
 #define SISKINRACK_WIRE_FRAME_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -28,6 +29,13 @@
 /// envelope.
 std::unique_ptr<envelope_t> DecodeEnvelope(std::span<const std::uint8_t> bytes);
 
+/// Returns the rest of a remaining time, in milliseconds, after a wait; 0 if nothing is left.
+std::uint32_t DeductWait(std::uint32_t remaining_ms, std::chrono::nanoseconds waited);
+
+/// Deducts time that a call has waited in this process from its remaining times. Messages of other
+/// types stay unchanged.
+void DeductWait(envelope_t& message, std::chrono::nanoseconds waited);
+
 /// Returns an envelope that contains `body`; the other fields have their defaults.
 template <typename Message>
 envelope_t MakeEnvelope(Message body) {
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -119,7 +119,8 @@
     return Refuse(caller.id, kStatusBadRequest, *problem);
   }
   request_state state;
-  state.started = now;
+  // The caller's times run while the request waits.
+  state.started = request.received_at;
   state.waited = now - request.received_at;
   state.routes = context_.routes;
   if (state.routes == nullptr) {
@@ -140,11 +141,12 @@
     return Refuse(caller.id, kStatusUnavailable, "node is shutting down");
   }
   state.service = ChooseService(*state.route);
-  state.deadline = now + std::min(deadline, timeout);
+  state.deadline = state.started + std::min(deadline, timeout);
   if (context_.shutdown) state.deadline = context_.shutdown->LimitDeadline(state.deadline);
-  state.caller_deadline = now + deadline;
+  state.caller_deadline = state.started + deadline;
   const milliseconds target = state.route->target_latency;
-  state.in_time_by = now + target - caller_waits_[state.route].EstimateWait(deadline, target);
+  state.in_time_by =
+      state.started + target - caller_waits_[state.route].EstimateWait(deadline, target);
   state.call = MakeCall(std::move(request), caller.id, *state.route, state.service,
                         context_.settings.service);
   if (access.tenant != nullptr) {
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -47,6 +47,7 @@
       on_request_(std::move(on_request)),
       last_activity_(std::chrono::steady_clock::now()),
       last_received_(last_activity_),
+      bytes_received_at_(last_activity_),
       idle_timer_(GetCurrentContext()),
       liveness_timer_(GetCurrentContext()),
       stall_timer_(GetCurrentContext()),
@@ -79,8 +80,12 @@
     });
   }
   const auto read = Await<std::size_t>([&](auto handler) {
-    socket_.async_read_some(asio::buffer(buffer.data() + buffered, buffer.size() - buffered),
-                            handler);
+    socket_.async_read_some(
+        asio::buffer(buffer.data() + buffered, buffer.size() - buffered),
+        [this, handler](const boost::system::error_code& error, std::size_t size) mutable {
+          bytes_received_at_ = std::chrono::steady_clock::now();
+          handler(error, size);
+        });
   });
   if (buffered > 0) stall_timer_.cancel();
   return read;
@@ -136,7 +141,7 @@
   if (!message->is_reply) {
     memory_charge charge(context_.memory, memory_use::kFrame);
     charge.ForceResize(bytes.size());
-    on_request_(shared_from_this(), std::move(message), std::move(charge));
+    on_request_(shared_from_this(), std::move(message), std::move(charge), bytes_received_at_);
     return true;
   }
   const auto found = pending_requests_.find(message->correlation_id);
--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -21,11 +21,12 @@
 /// on the thread of the socket.
 class peer_link : public std::enable_shared_from_this<peer_link> {
  public:
-  using frame_handler = std::function<void(const std::shared_ptr<peer_link>&,
-                                           std::unique_ptr<wire::envelope_t>, memory_charge)>;
+  using frame_handler =
+      std::function<void(const std::shared_ptr<peer_link>&, std::unique_ptr<wire::envelope_t>,
+                         memory_charge, steady_time received_at)>;
 
   /// `on_request` receives every frame that is neither a reply nor a ping or pong, with the charge
-  /// for its message.
+  /// for its message and the time at which it arrived in the process.
   peer_link(boost::asio::ip::tcp::socket socket, peer_context& context, frame_handler on_request);
 
   /// Reads and dispatches frames until the link is closed. Must run in a fiber of its own.
@@ -114,6 +115,8 @@
   steady_time last_activity_;
   /// Time at which the last bytes were received or liveness checks were started.
   steady_time last_received_;
+  /// Time at which the bytes that are being dispatched arrived in the process.
+  steady_time bytes_received_at_;
   boost::asio::steady_timer idle_timer_;
   boost::asio::steady_timer liveness_timer_;
   /// Closes the link if a frame stops short.
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -153,7 +153,7 @@
     socket->set_option(tcp::no_delay(true), error);
     detail::EnableKeepAlive(*socket);
     auto link = std::make_shared<peer_link>(std::move(*socket), context_,
-                                            [](const auto&, const auto&, const auto&) {});
+                                            [](const auto&, const auto&, const auto&, auto) {});
     link->CloseWhenIdle(options_.idle_timeout);
     Spawn([this, link, address] {
       link->ReadLoop();
--- a/lib/net/peer_server.cpp
+++ b/lib/net/peer_server.cpp
@@ -65,8 +65,9 @@
     auto link = std::make_shared<peer_link>(
         std::move(socket), context_,
         [this, running](const std::shared_ptr<peer_link>& source,
-                        std::unique_ptr<wire::envelope_t> message, memory_charge charge) {
-          OnRequest(source, running, std::move(message), std::move(charge));
+                        std::unique_ptr<wire::envelope_t> message, memory_charge charge,
+                        steady_time received_at) {
+          OnRequest(source, running, std::move(message), std::move(charge), received_at);
         });
     auto& links = links_[fiber_runtime::GetCurrentThreadIndex()];
     links.insert(link);
@@ -78,7 +79,8 @@
 
   void OnRequest(const std::shared_ptr<peer_link>& link,
                  const std::shared_ptr<running_requests>& running,
-                 std::unique_ptr<wire::envelope_t> message, memory_charge charge) {
+                 std::unique_ptr<wire::envelope_t> message, memory_charge charge,
+                 steady_time received_at) {
     const std::uint64_t id = message->correlation_id;
     if (message->message.type == wire::message::call_cancel) {
       const auto found = running->find(id);
@@ -89,7 +91,8 @@
     if (id != 0) running->emplace(id, cancel);
     std::shared_ptr<wire::envelope_t> request = std::move(message);
     auto held = std::make_shared<memory_charge>(std::move(charge));
-    Spawn([self = shared_from_this(), link, running, request, cancel, id, held] {
+    Spawn([self = shared_from_this(), link, running, request, cancel, id, held, received_at] {
+      wire::DeductWait(*request, std::chrono::steady_clock::now() - received_at);
       std::optional<wire::envelope_t> reply;
       try {
         reply = self->handler_(*request, *cancel);
--- a/lib/wire/frame.cpp
+++ b/lib/wire/frame.cpp
@@ -1,5 +1,6 @@
 #include "siskinrack/wire/frame.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace siskinrack::wire {
@@ -55,4 +56,16 @@
   return std::unique_ptr<envelope_t>(frame->UnPack());
 }
 
+std::uint32_t DeductWait(std::uint32_t remaining_ms, std::chrono::nanoseconds waited) {
+  const std::int64_t ms = std::chrono::floor<std::chrono::milliseconds>(waited).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(remaining_ms - ms, 0, remaining_ms));
+}
+
+void DeductWait(envelope_t& message, std::chrono::nanoseconds waited) {
+  call_request_t* call = message.message.Ascall_request();
+  if (call == nullptr) return;
+  call->deadline_ms = DeductWait(call->deadline_ms, waited);
+  call->in_time_ms = DeductWait(call->in_time_ms, waited);
+}
+
 }  // namespace siskinrack::wire
--- a/test/mesh/left_callers_test.cpp
+++ b/test/mesh/left_callers_test.cpp
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -33,7 +34,13 @@
   /// and closes their connections before it runs again. Returns how many of them have run 1.5 s
   /// later.
   std::size_t CountRunsForLeftCallers(std::vector<std::size_t> suspended) {
-    for (const std::size_t machine : suspended) fleet_.node(machine).Signal(SIGSTOP);
+    for (const std::size_t machine : suspended) {
+      fleet_.node(machine).Signal(SIGSTOP);
+      // A request must not run before the signal has taken effect.
+      siginfo_t state{};
+      const auto pid = static_cast<id_t>(fleet_.node(machine).pid());
+      EXPECT_EQ(waitid(P_PID, pid, &state, WSTOPPED | WNOWAIT), 0);
+    }
     std::vector<int> callers;
     constexpr int kCallers = 60;
     for (int i = 0; i < kCallers; ++i) callers.push_back(SendRequest(i));
--- a/unittests/net/left_clients_test.cpp
+++ b/unittests/net/left_clients_test.cpp
@@ -107,5 +107,70 @@
   EXPECT_LT(steady_clock::now() - closed_at, milliseconds(500));
 }
 
+/// Runs a server on a thread that can be starved, and a pool on another one.
+class late_calls_test : public testing::Test {
+ protected:
+  late_calls_test()
+      : server_(server_runtime_, server_context_, {.address = {"127.0.0.1", 0}},
+                [this](const wire::envelope_t& message, cancellation& cancel) {
+                  ++handled_;
+                  if (!cancel.cancelled()) ++wanted_;
+                  deadline_ms_ = message.message.Ascall_request()->deadline_ms;
+                  if (handled_ == busy_call_) std::this_thread::sleep_for(kStarvation);
+                  return std::optional(wire::MakeEnvelope(wire::call_answer_t{}));
+                }),
+        pool_(client_runtime_, pool_context_) {
+    EXPECT_EQ(server_.Start(), "");
+  }
+  ~late_calls_test() override {
+    pool_.Stop();
+    server_.Stop();
+  }
+
+  /// Sends a call of the usual size with a deadline of 1 s.
+  void Send(cancellation& cancel) {
+    client_runtime_.Post(0, [this, &cancel] {
+      wire::call_request_t call;
+      call.deadline_ms = 1'000;
+      call.body.resize(400);
+      const auto deadline = steady_clock::now() + milliseconds(1'000);
+      pool_.Request({"127.0.0.1", server_.port()}, wire::MakeEnvelope(std::move(call)), deadline,
+                    &cancel);
+      ++ended_;
+    });
+  }
+
+  support::hybrid_clock clock_;
+  traffic_counters traffic_;
+  peer_context server_context_{"server", &clock_, &traffic_, ""};
+  peer_context pool_context_{"pool", &clock_, &traffic_, ""};
+  fiber_runtime server_runtime_{1};
+  fiber_runtime client_runtime_{1};
+  std::atomic<int> handled_ = 0;
+  std::atomic<int> wanted_ = 0;
+  /// Number of the call that keeps the thread busy for a while.
+  std::atomic<int> busy_call_ = -1;
+  std::atomic<int> ended_ = 0;
+  std::atomic<std::int64_t> deadline_ms_ = -1;
+  peer_server server_;
+  peer_pool pool_;
+};
+
+// Guards against a deadline that starts anew at the serving node: a call that waits there for
+// processor time was given all of it again.
+TEST_F(late_calls_test, WaitAtTheServerIsDeductedFromTheDeadline) {
+  cancellation cancel;
+  Send(cancel);
+  ASSERT_TRUE(Eventually([&] { return ended_ == 1; }));
+  EXPECT_GT(deadline_ms_, 900);
+  // Two calls are read together, and the first of them keeps the thread busy.
+  busy_call_ = 2;
+  Starve(server_runtime_, milliseconds(100));
+  Send(cancel);
+  Send(cancel);
+  ASSERT_TRUE(Eventually([&] { return ended_ == 3; }));
+  EXPECT_LT(deadline_ms_, 1'000 - kStarvation.count() + 50);
+}
+
 }  // namespace
 }  // namespace siskinrack::net
