net, mesh, node: a withdrawn call isn't started

Callers saw: GONE. A cancellation crosses the link behind the call and behind all frames in between.

Cause: a link was read 4 KiB at a time, and the calls in it were started before it was read on, so a starved serving node started calls whose cancellation had arrived. Nor did it ask again when a call got its slot.

Change: a link is read until it is empty (64 KiB at most) before other fibers run, and 'is it still wanted?' is asked when a call starts and when it has been admitted, in lib/mesh and lib/node. The answer is 'not run'.

--- a/lib/mesh/serving_service.cpp
+++ b/lib/mesh/serving_service.cpp
@@ -119,7 +119,11 @@
   });
 }
 
-std::optional<wire::call_answer_t> serving_service::FindRefusal(const wire::call_request_t& call) {
+std::optional<wire::call_answer_t> serving_service::FindRefusal(const wire::call_request_t& call,
+                                                                const net::cancellation& cancel) {
+  if (cancel.cancelled()) {
+    return MakeNotRunAnswer(answer_cause::cancelled, "withdrawn before it was started");
+  }
   if (stopped_) {
     const auto now = steady_clock::now();
     const auto until_exit =
@@ -150,7 +154,7 @@
   const support::in_flight_guard count(in_flight_);
   last_call_ = steady_clock::now();
   const auto deadline = steady_clock::now() + milliseconds(call.deadline_ms);
-  auto refusal = FindRefusal(call);
+  auto refusal = FindRefusal(call, cancel);
   if (!refusal) refusal = std::move(link_refusal);
   wire::call_answer_t answer = refusal ? std::move(*refusal) : AdmitAndSend(call, deadline, cancel);
   const admission::upstream_load load = gate_->WithController(
@@ -191,8 +195,9 @@
                             std::chrono::ceil<milliseconds>(decision.retry_after));
   }
   admission::slot_lease lease(*gate_, decision.ticket);
-  // The upstream may have announced its departure while the call waited.
-  auto refusal = FindRefusal(call);
+  // The upstream may have announced its departure, and the caller may have left, while the call
+  // waited.
+  auto refusal = FindRefusal(call, cancel);
   const auto sent_at = steady_clock::now();
   wire::call_answer_t answer =
       refusal ? std::move(*refusal) : SendToUpstream(call, deadline, cancel);
--- a/lib/mesh/serving_service.h
+++ b/lib/mesh/serving_service.h
@@ -37,8 +37,10 @@
   [[nodiscard]] net::steady_time last_call() const { return last_call_; }
 
  private:
-  /// Returns the refusal of a call that can't be served here, or std::nullopt if it can.
-  [[nodiscard]] std::optional<wire::call_answer_t> FindRefusal(const wire::call_request_t& call);
+  /// Returns the refusal of a call that can't be served here or isn't wanted any more, or
+  /// std::nullopt if it can be served.
+  [[nodiscard]] std::optional<wire::call_answer_t> FindRefusal(const wire::call_request_t& call,
+                                                               const net::cancellation& cancel);
   wire::call_answer_t AdmitAndSend(const wire::call_request_t& call, net::steady_time deadline,
                                    net::cancellation& cancel);
   wire::call_answer_t SendToUpstream(const wire::call_request_t& call, net::steady_time deadline,
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -1,5 +1,7 @@
 #include "peer_link.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -36,6 +38,8 @@
 /// broken.
 constexpr std::chrono::milliseconds kMemoryWait{500};
 constexpr std::chrono::milliseconds kMemoryPollInterval{20};
+/// Limit of the bytes that are read from a link before other fibers run.
+constexpr std::size_t kMaxReadAtOnce = 64U << 10U;
 /// A buffer that has grown beyond this size for a large frame is released after it.
 constexpr std::size_t kMaxKeptBufferBytes = 16 * kReadChunkBytes;
 
@@ -91,15 +95,35 @@
   return read;
 }
 
+std::size_t peer_link::ReadAvailable(std::vector<std::uint8_t>& buffer, std::size_t buffered) {
+  const auto size = recv(socket_.native_handle(), buffer.data() + buffered,
+                         buffer.size() - buffered, MSG_DONTWAIT);
+  if (size <= 0) return 0;
+  bytes_received_at_ = std::chrono::steady_clock::now();
+  return static_cast<std::size_t>(size);
+}
+
 void peer_link::ReadLoop() {
   const auto self = shared_from_this();
   std::vector<std::uint8_t> buffer;
   std::size_t buffered = 0;
   std::size_t frame_bytes = 0;
+  std::size_t read_at_once = 0;
   while (!closed_) {
     if (!GrowBuffer(buffer, buffered, frame_bytes)) break;
-    const auto read = ReadSome(buffer, buffered);
+    // Requests start when this fiber suspends. A cancellation that has arrived behind them is read
+    // first, so that they don't start.
+    const bool may_have_more = read_at_once > 0 && read_at_once < kMaxReadAtOnce;
+    io_result<std::size_t> read;
+    if (may_have_more) read.value = ReadAvailable(buffer, buffered);
+    if (read.value == 0) {
+      read_at_once = 0;
+      read = ReadSome(buffer, buffered);
+    }
     if (read.error) break;
+    // A read that doesn't fill the buffer has left nothing.
+    const bool filled = buffered + read.value == buffer.size();
+    read_at_once = filled ? read_at_once + read.value : 0;
     last_received_ = std::chrono::steady_clock::now();
     ping_pending_ = false;
     gave_up_ = false;
--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -87,6 +87,9 @@
   /// Grows the buffer for the next read of a frame of `frame_bytes` bytes, of which `buffered` are
   /// received. Waits for memory; returns false if there is none.
   bool GrowBuffer(std::vector<std::uint8_t>& buffer, std::size_t buffered, std::size_t frame_bytes);
+  /// Reads into the free space of `buffer` without suspending the fiber. Returns 0 if there are no
+  /// bytes, and on an error, which the next ReadSome reports.
+  std::size_t ReadAvailable(std::vector<std::uint8_t>& buffer, std::size_t buffered);
   /// Reads once into the free space of `buffer`. Fails if a frame has been received in part and no
   /// further byte arrives for a while.
   io_result<std::size_t> ReadSome(std::vector<std::uint8_t>& buffer, std::size_t buffered);
--- a/lib/node/serving_service.cpp
+++ b/lib/node/serving_service.cpp
@@ -13,6 +13,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kProbeTimeout{500};
+constexpr std::string_view kWithdrawnReason = "request was withdrawn before it was started";
 
 /// Converts a call to the request for the upstream, which contains the remaining time and the
 /// number of earlier attempts.
@@ -106,6 +107,7 @@
   // Counted before the check: otherwise a shutdown could count no call in flight although one has
   // passed the check.
   const support::in_flight_guard count(in_flight_);
+  if (cancel.cancelled()) return MakeNotRunAnswer(kStatusUnavailable, kWithdrawnReason);
   if (context_.refusing) return MakeNotRunAnswer(kStatusUnavailable, "node is shutting down");
   if (context_.config.Current()->config.version == 0) {
     return MakeNotRunAnswer(kStatusUnavailable, "no configuration is in force yet");
@@ -140,6 +142,11 @@
       admission::arrival{0, call.rank, call.caller, deadline}, queue_deadline, cancel);
   if (!decision.admitted) return MakeRefusal(decision);
   admission::slot_lease lease(*gate_, decision.ticket);
+  // The caller may have left while the call waited.
+  if (cancel.cancelled()) {
+    lease.SetResult(admission::call_result::kAbandoned, milliseconds(0));
+    return MakeNotRunAnswer(kStatusUnavailable, kWithdrawnReason);
+  }
   wire::call_answer_t answer = SendToUpstream(call, deadline, cancel);
   lease.SetResult(ToCallResult(answer, cancel.cancelled()), milliseconds(answer.retry_after_ms));
   return answer;
--- a/test/mesh/left_callers_test.cpp
+++ b/test/mesh/left_callers_test.cpp
@@ -81,5 +81,11 @@
   EXPECT_EQ(CountRunsForLeftCallers({0}), 0U);
 }
 
+// Guards against calls that reach an upstream after their cancellations have arrived at its starved
+// node.
+TEST_F(left_callers_test, StarvedServingNodesSendNothingOn) {
+  EXPECT_EQ(CountRunsForLeftCallers({1, 2}), 0U);
+}
+
 }  // namespace
 }  // namespace siskinrack::test
--- a/unittests/net/left_clients_test.cpp
+++ b/unittests/net/left_clients_test.cpp
@@ -156,6 +156,26 @@
   peer_pool pool_;
 };
 
+// Guards against calls that start although their cancellations have arrived: a starved node read a
+// few frames of a link at a time and started them before it read on.
+TEST_F(late_calls_test, CancellationBehindManyCallsIsReadBeforeTheyStart) {
+  constexpr int kCalls = 60;
+  cancellation first;
+  Send(first);
+  ASSERT_TRUE(Eventually([&] { return ended_ == 1; }));
+  wanted_ = 0;
+  Starve(server_runtime_);
+  std::vector<cancellation> cancels(kCalls);
+  for (cancellation& cancel : cancels) Send(cancel);
+  std::this_thread::sleep_for(milliseconds(100));
+  client_runtime_.Run(0, [&] {
+    for (cancellation& cancel : cancels) cancel.Cancel();
+  });
+  ASSERT_TRUE(Eventually([&] { return ended_ == 1 + kCalls; }));
+  std::this_thread::sleep_for(kStarvation);
+  EXPECT_EQ(wanted_, 0);
+}
+
 // Guards against a deadline that starts anew at the serving node: a call that waits there for
 // processor time was given all of it again.
 TEST_F(late_calls_test, WaitAtTheServerIsDeductedFromTheDeadline) {
