--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -319,6 +319,11 @@
   return result.stage == net::exchange_stage::kAnswered && result.response.status == 200;
 }
 
+void mesh_fleet::SendHeartbeatBody(std::size_t machine, const std::string& id,
+                                   const std::string& body) {
+  Exchange({MakeIp(machine), kHeartbeatPort}, {"PUT", "/api/instances/" + id, {}, body});
+}
+
 bool mesh_fleet::SendDeparture(std::size_t machine) {
   departed_[machine] = true;
   const std::lock_guard lock(heartbeat_mutex_);
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -122,6 +122,8 @@
   /// is "ready" or "draining"; an empty one repeats the last state. Heartbeats with the last state
   /// are also sent periodically.
   bool SendHeartbeat(std::size_t machine, const std::string& state);
+  /// Sends a liveness report with any body to a machine's node, for the upstream `id`.
+  void SendHeartbeatBody(std::size_t machine, const std::string& id, const std::string& body);
   /// Announces the final departure of a machine's upstream, which sends no heartbeats any more, and
   /// returns true if it was acknowledged.
   bool SendDeparture(std::size_t machine);
--- a/test/mesh/object_store_stand_in.cpp
+++ b/test/mesh/object_store_stand_in.cpp
@@ -23,6 +23,19 @@
   return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
 }
 
+std::string DecodePercent(const std::string& text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      decoded += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
+  }
+  return decoded;
+}
+
 void WaitUntilCancelled(net::cancellation& cancel) {
   while (!cancel.cancelled()) net::SleepFor(kPollInterval);
 }
@@ -114,14 +127,14 @@
   std::string path = target.substr(kPath.size(), question - kPath.size());
   const std::size_t slash = path.find('/');
   result.kind = path.substr(0, slash);
-  if (slash != std::string::npos) result.name = path.substr(slash + 1);
+  if (slash != std::string::npos) result.name = DecodePercent(path.substr(slash + 1));
   std::size_t begin = question;
   while (begin != std::string::npos) {
     ++begin;
     const std::size_t end = target.find('&', begin);
     const std::string pair = target.substr(begin, end - begin);
     const std::size_t equals = pair.find('=');
-    result.query[pair.substr(0, equals)] = pair.substr(equals + 1);
+    result.query[pair.substr(0, equals)] = DecodePercent(pair.substr(equals + 1));
     begin = end;
   }
   return result;
