--- a/unittests/platform/objects_client_test.cpp
+++ b/unittests/platform/objects_client_test.cpp
@@ -127,6 +127,20 @@
   EXPECT_EQ(std::get<object_listing>(result).unnamed.size(), unnamed.size());
 }
 
+// Guards against an object whose metadata can't be decoded as a whole: if it is alone on its page,
+// the list can't go on behind it.
+TEST_F(objects_client_test, DeepMetadataDoesNotHideTheName) {
+  const std::string deep(100'000, '[');
+  const std::string odd = R"({"metadata":{"finalizers":)" + deep + std::string(deep.size(), ']') +
+                          R"(,"name":"odd name&x=1","revision":7,"deleting":false},"spec":1})";
+  store_.Serve("/api/objects/kind", MakePage({odd}, /*has_more=*/true));
+  store_.Serve("/api/objects/kind?after=odd%20name%26x%3D1", MakePage({MakeObject("z", "2")}));
+  const auto result = List();
+  ASSERT_TRUE(std::holds_alternative<object_listing>(result))
+      << std::get<store_error>(result).message;
+  EXPECT_EQ(std::get<object_listing>(result).objects.size(), 2U);
+}
+
 // Guards against listing the same page without end.
 TEST_F(objects_client_test, PageWithoutAnyNameIsAnError) {
   store_.Serve("/api/objects/kind", MakePage({"7"}, /*has_more=*/true));
