--- a/test/mesh/mesh_fleet.cpp
+++ b/test/mesh/mesh_fleet.cpp
@@ -311,7 +311,7 @@
        {{"service", services_[machine]},
         {"version", versions_.empty() ? "v1" : versions_[machine]},
         {"zone", "zone-a"},
-        {"slots", 4}}},
+        {"slots", slots_.load()}}},
       {"status", {{"state", states_[machine]}, {"seq", ++sequences_[machine]}, {"coldLeftS", 0}}}};
   const auto result =
       Exchange({MakeIp(machine), kHeartbeatPort},
--- a/test/mesh/mesh_fleet.h
+++ b/test/mesh/mesh_fleet.h
@@ -135,6 +135,8 @@
   /// Returns true once all nodes are ready and list all endpoints, or false after 15 s.
   [[nodiscard]] bool AwaitReady();
 
+  /// Sets the number of slots that the upstreams report; 4 at first.
+  void SetSlots(std::size_t slots) { slots_ = slots; }
   /// Sets the timeout that the next Configure writes to all routes. The initial one is 3 s.
   void SetRouteTimeout(std::chrono::seconds timeout) { route_timeout_ = timeout; }
 
@@ -202,6 +204,7 @@
   std::thread heartbeat_thread_;
   std::atomic<std::uint64_t> last_request_ = 0;
   std::chrono::seconds route_timeout_{3};
+  std::atomic<std::size_t> slots_ = 4;
   boost::json::array tenants_;
   boost::json::array bounds_{"configApplyS=2",  "drainS=1",       "graceS=6",
                              "budgetRatio=0.2", "budgetExtra=60", "budgetWindowS=10"};
