net: accepting waiting connections together is withdrawn

A connection that isn't accepted costs its caller nothing: it may send the request elsewhere, of any kind.

The age of a request in that queue stays unknown; a deadline that is handed on may be longer by that time, and ends with the caller's close.

--- a/lib/net/listener.cpp
+++ b/lib/net/listener.cpp
@@ -22,8 +22,6 @@
 /// Interval at which WaitForFibers checks the number of fibers.
 constexpr std::chrono::milliseconds kFiberPollInterval{2};
 constexpr int kListenBacklog = 1024;
-/// Limit of the connections that are accepted before other fibers run.
-constexpr int kMaxAcceptsAtOnce = 64;
 
 /// Opens a socket and binds it without SO_REUSEPORT.
 void BindExclusively(tcp::acceptor& acceptor, const tcp::endpoint& endpoint,
@@ -84,7 +82,6 @@
       if (!error) state->acceptor.set_option(reuse_port(true), error);
       if (!error) state->acceptor.bind({ip, port_}, error);
       if (!error) state->acceptor.listen(kListenBacklog, error);
-      if (!error) state->acceptor.non_blocking(true, error);
       if (error) return;
       acceptors_.push_back(state);
       Spawn([this, state] { AcceptLoop(state); });
@@ -105,11 +102,10 @@
       SleepFor(kAcceptRetryDelay);
       continue;
     }
-    Serve(std::move(socket));
-    if (accepts_per_second_ <= 0) {
-      AcceptWaiting(*state);
-      continue;
-    }
+    boost::system::error_code ignored;
+    socket->set_option(tcp::no_delay(true), ignored);
+    SpawnCounted([this, socket] { handler_(std::move(*socket)); });
+    if (accepts_per_second_ <= 0) continue;
     const auto now = std::chrono::steady_clock::now();
     const auto interval = std::chrono::duration_cast<std::chrono::steady_clock::duration>(
         std::chrono::duration<double>(1.0 / accepts_per_second_));
@@ -120,23 +116,6 @@
   --*fiber_count_;
 }
 
-void listener::AcceptWaiting(accept_state& state) {
-  for (int i = 0; i < kMaxAcceptsAtOnce; ++i) {
-    auto socket = std::make_shared<tcp::socket>(state.context);
-    boost::system::error_code error;
-    state.acceptor.accept(*socket, error);
-    // An error other than the lack of connections occurs again in the next asynchronous accept.
-    if (error) return;
-    Serve(std::move(socket));
-  }
-}
-
-void listener::Serve(std::shared_ptr<tcp::socket> socket) {
-  boost::system::error_code ignored;
-  socket->set_option(tcp::no_delay(true), ignored);
-  SpawnCounted([this, socket = std::move(socket)] { handler_(std::move(*socket)); });
-}
-
 void listener::SpawnCounted(std::function<void()> body) const {
   ++*fiber_count_;
   Spawn([body = std::move(body), fiber_count = fiber_count_]() mutable {
--- a/lib/net/listener.h
+++ b/lib/net/listener.h
@@ -47,11 +47,6 @@
   struct accept_state;
 
   void AcceptLoop(const std::shared_ptr<accept_state>& state);
-  /// Accepts the connections that wait. With one for each turn of the loop, connections would wait
-  /// for all fibers in between, where neither their age nor a close is known.
-  void AcceptWaiting(accept_state& state);
-  /// Runs the handler of a connection in a fiber.
-  void Serve(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
 
   fiber_runtime& runtime_;
   connection_handler handler_;
