--- a/test/mesh/endless_answers_test.cpp
+++ b/test/mesh/endless_answers_test.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr std::size_t kMemoryMb = 160;
 
--- a/test/mesh/left_callers_test.cpp
+++ b/test/mesh/left_callers_test.cpp
@@ -41,9 +41,8 @@
       const auto pid = static_cast<id_t>(fleet_.node(machine).pid());
       EXPECT_EQ(waitid(P_PID, pid, &state, WSTOPPED | WNOWAIT), 0);
     }
-    std::vector<int> callers;
-    constexpr int kCallers = 60;
-    for (int i = 0; i < kCallers; ++i) callers.push_back(SendRequest(i));
+    std::vector<int> callers(60);
+    for (std::size_t i = 0; i < callers.size(); ++i) callers[i] = SendRequest(i);
     std::this_thread::sleep_for(kPatience);
     for (const int caller : callers) close(caller);
     std::this_thread::sleep_for(kSuspension - kPatience);
@@ -56,7 +55,7 @@
     return runs;
   }
 
-  int SendRequest(int number) {
+  int SendRequest(std::size_t number) {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     const support::socket_address to = fleet_.caller(0);
     sockaddr_in address{};
--- a/unittests/net/left_clients_test.cpp
+++ b/unittests/net/left_clients_test.cpp
@@ -79,12 +79,12 @@
 // Guards against work for clients that left while their requests waited for processor time: the
 // handler began first and the close was noticed after that.
 TEST_F(left_clients_test, RequestOfAClientThatLeftIsNotHandled) {
-  std::vector<int> kept;
-  for (int i = 0; i < 10; ++i) kept.push_back(ConnectTo(server_.port()));
+  std::vector<int> kept(10);
+  for (int& fd : kept) fd = ConnectTo(server_.port());
   std::this_thread::sleep_for(milliseconds(50));
   Starve(runtime_);
-  for (int i = 0; i < 20; ++i) {
-    const int fd = i < 10 ? kept[static_cast<std::size_t>(i)] : ConnectTo(server_.port());
+  for (std::size_t i = 0; i < 2 * kept.size(); ++i) {
+    const int fd = i < kept.size() ? kept[i] : ConnectTo(server_.port());
     SendText(fd, "GET /left HTTP/1.1\r\nHost: x\r\n\r\n");
     close(fd);
   }
