mesh: a version that arrives by itself isn't read because of peers

Cause: version_follower waited for the version that it had seen first, but then compared the newest one, which in a series has always just been seen. On large sites each such read decodes the whole configuration. Besides, its patience was the pause of the feed without the call that follows, and feeds were checked every second whatever the bound.

--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -58,6 +58,13 @@
   return std::chrono::duration_cast<milliseconds>(limit * kWatchPauseFraction);
 }
 
+/// Returns the time for which a version that another node has may take to arrive: a pause of the
+/// feed, and a quarter of one for its call.
+milliseconds ComputePeerPatience(milliseconds limit) {
+  constexpr double kCallPart = 0.25;
+  return std::chrono::duration_cast<milliseconds>(ComputeWatchPause(limit) * (1 + kCallPart));
+}
+
 std::size_t CountCallerConnections(const platform_adapter::machine_settings& settings) {
   return (settings.max_descriptors - kFileDescriptors) * kCallerDescriptorPercent / kPercent;
 }
@@ -80,7 +87,7 @@
         reaper_(context_),
         caps_(context_),
         tenants_(context_, caps_),
-        versions_(context_, ComputeWatchPause(context_.settings.activation_limit),
+        versions_(context_, ComputePeerPatience(context_.settings.activation_limit),
                   [this] { return config_feed_.ReadPolled(); }),
         entry_(context_, serving_, reaper_, crashes_, tenants_, rollouts_, versions_),
         configs_(context_, [this] { OnConfiguration(); }),
@@ -105,7 +112,8 @@
         rollout_feed_(context_, platform_adapter::kRolloutKind,
                       platform_adapter::read_freshness::kCurrent, rollouts_.consumer(),
                       milliseconds(0)),
-        monitor_(config_feed_, endpoint_feed_, rollout_feed_),
+        monitor_(context_.settings.activation_limit / 2, config_feed_, endpoint_feed_,
+                 rollout_feed_),
         freshness_(
             context_, [this] { config_feed_.Verify(platform_adapter::read_freshness::kCurrent); },
             [this](bool proving) {
--- a/lib/mesh/store_monitor.h
+++ b/lib/mesh/store_monitor.h
@@ -18,7 +18,11 @@
 template <typename... Feeds>
 class store_monitor {
  public:
-  explicit store_monitor(Feeds&... feeds) : feeds_(watched_feed<Feeds>{feeds}...) {}
+  /// `interval` is the time without an answer after which a feed is verified, and the time between
+  /// two checks of it. Half of the time within which a change must be in force leaves the rest for
+  /// a check on a silent connection and its repetition on another one.
+  explicit store_monitor(std::chrono::milliseconds interval, Feeds&... feeds)
+      : interval_(interval), feeds_(watched_feed<Feeds>{feeds}...) {}
 
   /// Runs until the process ends, in a fiber of its own.
   void Run() {
@@ -43,17 +47,8 @@
     /// Revision up to which the feed was last verified.
     std::uint64_t verified = 0;
     net::steady_time checked_at{};
-
-    [[nodiscard]] net::steady_time due_at() const {
-      return std::max(feed.last_answer(), checked_at) + kInterval;
-    }
   };
 
-  /// Time without an answer after which a feed is verified, and time between two checks of it.
-  /// Leaves half of 2 s, within which a change must be in force, for a check on a silent connection
-  /// and its repetition on another one.
-  static constexpr std::chrono::milliseconds kInterval{1'000};
-
   /// Time until the next check if the store did not answer the last one, so that changes made while
   /// it was down are found soon.
   static constexpr std::chrono::milliseconds kRecoveryInterval{500};
@@ -62,14 +57,19 @@
   [[nodiscard]] net::steady_time::duration ComputePause() const {
     if (!answered_) return kRecoveryInterval;
     const auto now = std::chrono::steady_clock::now();
-    auto next = now + kInterval;
-    const auto add = [&next](const auto& watched) {
-      if (watched.feed.listed()) next = std::min(next, watched.due_at());
+    auto next = now + interval_;
+    const auto add = [&](const auto& watched) {
+      if (watched.feed.listed()) next = std::min(next, FindDueTime(watched));
     };
     std::apply([&](const auto&... watched) { (add(watched), ...); }, feeds_);
     return std::max(next - now, net::steady_time::duration(0));
   }
 
+  template <typename Feed>
+  [[nodiscard]] net::steady_time FindDueTime(const watched_feed<Feed>& watched) const {
+    return std::max(watched.feed.last_answer(), watched.checked_at) + interval_;
+  }
+
   /// Verifies a feed that is due. `current` is the newest revision that this check has read; if the
   /// feed was verified up to it, nothing has changed and no call is needed.
   template <typename Feed>
@@ -80,7 +80,7 @@
       watched.checked_at = now;
       return;
     }
-    if (now < watched.due_at()) return;
+    if (now < FindDueTime(watched)) return;
     watched.checked_at = now;
     const auto revision = watched.feed.Verify(platform_adapter::read_freshness::kMayBeStale);
     answered_ = revision.has_value();
@@ -89,6 +89,7 @@
     current = revision;
   }
 
+  std::chrono::milliseconds interval_;
   std::tuple<watched_feed<Feeds>...> feeds_;
   /// The store answered the last call.
   bool answered_ = true;
--- a/lib/mesh/version_follower.h
+++ b/lib/mesh/version_follower.h
@@ -13,7 +13,8 @@
 class version_follower {
  public:
   /// `read_store` reads the current configuration and returns false if the store doesn't answer. A
-  /// newer version has `patience` to arrive by itself.
+  /// newer version has `patience` to arrive by itself: longer than a feed takes to read it during
+  /// a series of changes.
   version_follower(mesh_context& context, std::chrono::milliseconds patience,
                    std::function<bool()> read_store)
       : context_(context), patience_(patience), read_store_(std::move(read_store)) {}
@@ -21,13 +22,12 @@
   /// Records the version of another node.
   void OnSeen(std::uint64_t version) {
     if (version <= context_.version() || version <= refuted_) return;
-    newest_seen_ = std::max(newest_seen_, version);
     if (std::exchange(waiting_, true)) return;
-    net::Spawn([this] {
+    // During a series, newer versions are seen before this one has arrived.
+    net::Spawn([this, version] {
       net::SleepFor(patience_);
-      const std::uint64_t seen = newest_seen_;
       // A version that the store doesn't have is not looked for again.
-      if (seen > context_.version() && read_store_()) refuted_ = seen;
+      if (version > context_.version() && read_store_()) refuted_ = version;
       waiting_ = false;
     });
   }
@@ -36,7 +36,6 @@
   mesh_context& context_;
   std::chrono::milliseconds patience_;
   std::function<bool()> read_store_;
-  std::uint64_t newest_seen_ = 0;
   /// Version up to which the store has been read.
   std::uint64_t refuted_ = 0;
   /// True while a fiber waits for the version to arrive, or reads it.
