mesh: a feed is checked only while it watches

Cause: during a series a feed reads the current version of the configuration once per pause. On a small VM a read and its decoding take longer than the checks' new interval, so that the check asked for all versions since the last one.

--- a/lib/mesh/object_feed.h
+++ b/lib/mesh/object_feed.h
@@ -62,6 +62,8 @@
   /// Returns the store revision up to which the consumer has received all changes.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
+  /// Returns true while a watch call waits. Any other call of the feed ends by its own time limit.
+  [[nodiscard]] bool watching() const { return watch_cancel_ != nullptr; }
   /// Returns when the store last answered a call of this feed; the epoch before the first answer.
   [[nodiscard]] net::steady_time last_answer() const { return last_answer_; }
   [[nodiscard]] std::string_view kind() const { return kind_; }
--- a/lib/mesh/store_monitor.h
+++ b/lib/mesh/store_monitor.h
@@ -59,12 +59,19 @@
     const auto now = std::chrono::steady_clock::now();
     auto next = now + interval_;
     const auto add = [&](const auto& watched) {
-      if (watched.feed.listed()) next = std::min(next, FindDueTime(watched));
+      if (IsChecked(watched.feed)) next = std::min(next, FindDueTime(watched));
     };
     std::apply([&](const auto&... watched) { (add(watched), ...); }, feeds_);
     return std::max(next - now, net::steady_time::duration(0));
   }
 
+  /// Returns true if the feed could be silent without an error. During a series of changes a feed
+  /// reads the current version only, where a check would return all of them.
+  template <typename Feed>
+  static bool IsChecked(const Feed& feed) {
+    return feed.listed() && feed.watching();
+  }
+
   template <typename Feed>
   [[nodiscard]] net::steady_time FindDueTime(const watched_feed<Feed>& watched) const {
     return std::max(watched.feed.last_answer(), watched.checked_at) + interval_;
@@ -75,7 +82,7 @@
   template <typename Feed>
   void Check(watched_feed<Feed>& watched, std::optional<std::uint64_t>& current) {
     const auto now = std::chrono::steady_clock::now();
-    if (!watched.feed.listed()) return;
+    if (!IsChecked(watched.feed)) return;
     if (current && *current <= std::max(watched.feed.revision(), watched.verified)) {
       watched.checked_at = now;
       return;
