--- a/include/siskinrack/net/http.h
+++ b/include/siskinrack/net/http.h
@@ -37,6 +37,14 @@
   std::chrono::steady_clock::time_point received_at = {};
 };
 
+/// Returns how long `request` has waited since http_server received its first bytes; zero if it did
+/// not come from an http_server.
+inline std::chrono::steady_clock::duration ComputeWait(const http_request& request,
+                                                       std::chrono::steady_clock::time_point now) {
+  const bool received = request.received_at != std::chrono::steady_clock::time_point{};
+  return received ? now - request.received_at : std::chrono::steady_clock::duration(0);
+}
+
 /// Returns the reason for which http_client can't send `request`, for example content that the
 /// method forbids, or std::nullopt if it can. A node that passes requests on checks this before it
 /// admits one.
--- a/lib/mesh/entry_service.cpp
+++ b/lib/mesh/entry_service.cpp
@@ -120,8 +120,8 @@
   }
   request_state state;
   // The caller's times run while the request waits.
-  state.started = request.received_at;
-  state.waited = now - request.received_at;
+  state.waited = net::ComputeWait(request, now);
+  state.started = now - state.waited;
   state.routes = context_.routes;
   if (state.routes == nullptr) {
     return Refuse(caller.id, kStatusUnavailable, "no configuration is active yet");
--- a/lib/node/entry_service.cpp
+++ b/lib/node/entry_service.cpp
@@ -166,9 +166,9 @@
   // The views of `headers` refer to the fields, which MakeCallRequest moves only after reading
   // them.
   const bool is_first_attempt = headers.is_first_attempt;
-  const auto received_at = request.received_at;
+  const auto waited = net::ComputeWait(request, steady_clock::now());
   auto call = MakeCallRequest(std::move(request), headers, *route, *rank, snapshot->config.version);
-  call.deadline_ms = wire::DeductWait(call.deadline_ms, steady_clock::now() - received_at);
+  call.deadline_ms = wire::DeductWait(call.deadline_ms, waited);
   return ToHttpResponse(
       CheckAndForward(std::move(call), route->non_repeatable, is_first_attempt, cancel));
 }
