admission, mesh: one look-up for both service time estimates; usual term for a delay

EstimateServiceRange returns both bounds. 'patience' in version_follower is the usual 'delay'. Behaviour is unchanged.

--- a/include/siskinrack/admission/deadline_controller.h
+++ b/include/siskinrack/admission/deadline_controller.h
@@ -127,15 +127,19 @@
     time_point measured_at;
   };
 
-  /// Returns the expected service time. An estimate above the initial one decays toward it with
-  /// age: calls of a class that is estimated to be late don't run, so the estimate would never be
-  /// corrected.
-  [[nodiscard]] nanoseconds EstimateServiceTime(std::uint64_t work_class, time_point now) const;
-  /// Returns the service time by which a call may be deferred. Unlike EstimateServiceTime, it
-  /// approaches the mean of all calls with age: a call whose service time isn't known is refused
-  /// only by an optimistic estimate, so that it is measured, but deferred only by a pessimistic
-  /// one.
-  [[nodiscard]] nanoseconds EstimateLongServiceTime(std::uint64_t work_class, time_point now) const;
+  /// Bounds of the expected service time. Both approach a value for unmeasured classes with age:
+  /// the initial one and the mean of all calls. A call whose service time isn't known is refused
+  /// only by the shortest, so that it is measured, but deferred only by the longest.
+  struct service_range {
+    /// Without it, a class that is estimated to be late would never run and be measured again.
+    nanoseconds shortest{0};
+    nanoseconds longest{0};
+  };
+
+  [[nodiscard]] service_range EstimateServiceRange(std::uint64_t work_class, time_point now) const;
+  [[nodiscard]] nanoseconds EstimateServiceTime(std::uint64_t work_class, time_point now) const {
+    return EstimateServiceRange(work_class, now).shortest;
+  }
   void UpdateServiceTime(std::uint64_t work_class, call_result result, nanoseconds took,
                          time_point now);
   [[nodiscard]] urgency ComputeUrgency(const timed_arrival& call, time_point now) const;
--- a/lib/admission/deadline_controller.cpp
+++ b/lib/admission/deadline_controller.cpp
@@ -60,31 +60,28 @@
   std::push_heap(free_at_.begin(), free_at_.end(), std::greater<>{});
 }
 
-nanoseconds deadline_controller::EstimateServiceTime(std::uint64_t work_class,
-                                                     time_point now) const {
-  const auto found = service_times_.find(work_class);
-  if (found == service_times_.end()) return kInitialServiceTime;
-  const auto& [time, measured_at] = found->second;
-  if (time <= kInitialServiceTime) return time;
-  return kInitialServiceTime + Scale(time - kInitialServiceTime, DecayFactor(now - measured_at));
-}
-
-nanoseconds deadline_controller::EstimateLongServiceTime(std::uint64_t work_class,
-                                                         time_point now) const {
+deadline_controller::service_range deadline_controller::EstimateServiceRange(
+    std::uint64_t work_class, time_point now) const {
   const nanoseconds unmeasured = std::max(kInitialServiceTime, mean_service_time_);
   const auto found = service_times_.find(work_class);
-  if (found == service_times_.end()) return unmeasured;
+  if (found == service_times_.end()) return {kInitialServiceTime, unmeasured};
   const auto& [time, measured_at] = found->second;
-  const nanoseconds blend = unmeasured + Scale(time - unmeasured, DecayFactor(now - measured_at));
-  return std::max(blend, EstimateServiceTime(work_class, now));
+  const double weight = DecayFactor(now - measured_at);
+  service_range range{time, unmeasured + Scale(time - unmeasured, weight)};
+  if (time > kInitialServiceTime) {
+    range.shortest = kInitialServiceTime + Scale(time - kInitialServiceTime, weight);
+  }
+  range.longest = std::max(range.longest, range.shortest);
+  return range;
 }
 
 deadline_controller::urgency deadline_controller::ComputeUrgency(const timed_arrival& call,
                                                                  time_point now) const {
   const auto left = std::min(call.target_time, call.deadline) - now;
   urgency::timeliness timing = urgency::timeliness::kInTime;
-  if (left < EstimateServiceTime(call.work_class, now)) timing = urgency::timeliness::kLate;
-  if (left > Scale(EstimateLongServiceTime(call.work_class, now), 1 + kDeferrableSlack)) {
+  const service_range service = EstimateServiceRange(call.work_class, now);
+  if (left < service.shortest) timing = urgency::timeliness::kLate;
+  if (left > Scale(service.longest, 1 + kDeferrableSlack)) {
     timing = urgency::timeliness::kDeferrable;
   }
   return {timing, call.priority, call.target_time};
--- a/lib/mesh/mesh_node.cpp
+++ b/lib/mesh/mesh_node.cpp
@@ -60,7 +60,7 @@
 
 /// Returns the time for which a version that another node has may take to arrive: a pause of the
 /// feed, and a quarter of one for its call.
-milliseconds ComputePeerPatience(milliseconds limit) {
+milliseconds ComputePeerDelay(milliseconds limit) {
   constexpr double kCallPart = 0.25;
   return std::chrono::duration_cast<milliseconds>(ComputeWatchPause(limit) * (1 + kCallPart));
 }
@@ -87,7 +87,7 @@
         reaper_(context_),
         caps_(context_),
         tenants_(context_, caps_),
-        versions_(context_, ComputePeerPatience(context_.settings.activation_limit),
+        versions_(context_, ComputePeerDelay(context_.settings.activation_limit),
                   [this] { return config_feed_.ReadPolled(); }),
         entry_(context_, serving_, reaper_, crashes_, tenants_, rollouts_, versions_),
         configs_(context_, [this] { OnConfiguration(); }),
--- a/lib/mesh/version_follower.h
+++ b/lib/mesh/version_follower.h
@@ -13,11 +13,11 @@
 class version_follower {
  public:
   /// `read_store` reads the current configuration and returns false if the store doesn't answer. A
-  /// newer version has `patience` to arrive by itself: longer than a feed takes to read it during
+  /// newer version has `delay` to arrive by itself: longer than a feed takes to read it during
   /// a series of changes.
-  version_follower(mesh_context& context, std::chrono::milliseconds patience,
+  version_follower(mesh_context& context, std::chrono::milliseconds delay,
                    std::function<bool()> read_store)
-      : context_(context), patience_(patience), read_store_(std::move(read_store)) {}
+      : context_(context), delay_(delay), read_store_(std::move(read_store)) {}
 
   /// Records the version of another node.
   void OnSeen(std::uint64_t version) {
@@ -25,7 +25,7 @@
     if (std::exchange(waiting_, true)) return;
     // During a series, newer versions are seen before this one has arrived.
     net::Spawn([this, version] {
-      net::SleepFor(patience_);
+      net::SleepFor(delay_);
       // A version that the store doesn't have is not looked for again.
       if (version > context_.version() && read_store_()) refuted_ = version;
       waiting_ = false;
@@ -34,7 +34,7 @@
 
  private:
   mesh_context& context_;
-  std::chrono::milliseconds patience_;
+  std::chrono::milliseconds delay_;
   std::function<bool()> read_store_;
   /// Version up to which the store has been read.
   std::uint64_t refuted_ = 0;
--- a/unittests/mesh/version_follower_test.cpp
+++ b/unittests/mesh/version_follower_test.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kPatience{400};
+constexpr milliseconds kDelay{400};
 
 class version_follower_test : public testing::Test {
  protected:
@@ -30,7 +30,7 @@
   std::atomic<int> reads_ = 0;
   std::atomic<bool> store_answers_ = true;
   mesh_context context_{platform_adapter::machine_settings{}};
-  version_follower follower_{context_, kPatience, [this] {
+  version_follower follower_{context_, kDelay, [this] {
                                ++reads_;
                                return store_answers_.load();
                              }};
@@ -42,7 +42,7 @@
   Activate(1);
   for (std::uint64_t version = 2; version < 8; ++version) {
     See(version);
-    Wait(kPatience / 4);
+    Wait(kDelay / 4);
     See(version + 1);
     Activate(version);
   }
@@ -56,13 +56,13 @@
   store_answers_ = false;
   for (int i = 0; i < 2; ++i) {
     See(2);
-    Wait(2 * kPatience);
+    Wait(2 * kDelay);
   }
   EXPECT_EQ(reads_, 2);
   store_answers_ = true;
   for (int i = 0; i < 3; ++i) {
     See(2);
-    Wait(2 * kPatience);
+    Wait(2 * kDelay);
   }
   EXPECT_EQ(reads_, 3);
 }
