test: an upstream that sends any bytes, and broken answers that are handled

A stand-in for an upstream that sends what a test states, byte by byte, and then keeps the connection, ends it in order, closes or resets it.

Handled before, and kept as tests: truncated answers with a length or chunks, statuses that aren't three digits, names of fields with a blank, a tab, a control byte, a separator or a byte over 0x7f in them, empty ones, a blank before the colon or at the first line, control bytes in values, bare line ends, the same in interim answers and trailers, contradictory or unreadable lengths and chunks.

--- /dev/null
+++ b/unittests/net/broken_answers_test.cpp
@@ -0,0 +1,119 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "answer_samples.h"
+#include "scripted_upstream.h"
+#include "siskinrack/net/http_client.h"
+
+namespace siskinrack::net {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using test::exchange_sample;
+using test::scripted_upstream;
+
+constexpr milliseconds kTimeout{10'000};
+
+class broken_answers_test : public testing::Test {
+ protected:
+  ~broken_answers_test() override {
+    runtime_.Run(0, [&] { client_.CloseIdle(); });
+  }
+
+  http_result Send(const std::string& target, std::size_t body_bytes = 0) {
+    http_result result;
+    runtime_.Run(0, [&] {
+      result = client_.Send(upstream_.address(),
+                            {body_bytes > 0 ? "POST" : "GET",
+                             target,
+                             {{"Request-Id", "r-" + std::to_string(++last_id_)}},
+                             std::string(body_bytes, 'x'),
+                             "host"},
+                            steady_clock::now() + kTimeout);
+    });
+    return result;
+  }
+
+  http_result SendScripted(const exchange_sample& exchange) {
+    upstream_.SetAnswer(exchange.answer);
+    runtime_.Run(0, [&] { client_.CloseIdle(); });
+    if (exchange.reuse) {
+      EXPECT_EQ(Send("/ordinary").stage, exchange_stage::kAnswered);
+    }
+    const int reused_before = upstream_.scripted_on_reused();
+    http_result result = Send("/scripted", exchange.upload_bytes);
+    EXPECT_EQ(upstream_.scripted_on_reused() - reused_before, exchange.reuse ? 1 : 0);
+    return result;
+  }
+
+  /// Expects that no answer is received, that this is known long before the deadline, and that the
+  /// connection isn't used again.
+  void ExpectNoAnswers(const std::vector<exchange_sample>& exchanges) {
+    for (const exchange_sample& exchange : exchanges) {
+      const http_result result = SendScripted(exchange);
+      EXPECT_EQ(result.stage, exchange_stage::kSent)
+          << exchange.description << ": " << result.response.status << ' ' << result.response.body;
+      EXPECT_FALSE(result.timed_out) << exchange.description;
+      EXPECT_EQ(Send("/ordinary").response.body, scripted_upstream::kOrdinaryBody);
+    }
+  }
+
+  fiber_runtime runtime_{1};
+  http_client client_{runtime_};
+  scripted_upstream upstream_{{"127.0.0.1", 0}};
+
+ private:
+  int last_id_ = 0;
+};
+
+// Guards against a truncated message that counts as a whole one.
+TEST_F(broken_answers_test, TruncatedMessagesAreNoAnswers) {
+  ExpectNoAnswers(test::MakeExchanges(test::MakeTruncatedAnswers()));
+}
+
+// Guards against a status that HTTP doesn't have: it was taken for an interim answer, and the
+// request waited for the next one until its deadline.
+TEST_F(broken_answers_test, ForbiddenStatusesAreNoAnswers) {
+  ExpectNoAnswers(test::MakeExchanges(test::MakeForbiddenStatuses()));
+}
+
+// Guards against a line of a head that another implementation may read differently.
+TEST_F(broken_answers_test, MalformedFieldsAreNoAnswers) {
+  ExpectNoAnswers(test::MakeExchanges(test::MakeMalformedFields()));
+}
+
+// Guards against a body that is not the one of the upstream because its length is unclear.
+TEST_F(broken_answers_test, MalformedFramingsAreNoAnswers) {
+  ExpectNoAnswers(test::MakeExchanges(test::MakeMalformedFramings()));
+}
+
+// Guards against checks of answers that reject valid ones.
+TEST_F(broken_answers_test, ValidAnswersAreReceivedWhole) {
+  for (const exchange_sample& exchange : test::MakeExchanges(test::MakeValidAnswers())) {
+    const http_result result = SendScripted(exchange);
+    EXPECT_EQ(result.stage, exchange_stage::kAnswered)
+        << exchange.description << ": " << result.error;
+    if (result.response.status == 200) {
+      EXPECT_EQ(result.response.body, test::kSampleBody) << exchange.description;
+    }
+  }
+}
+
+// Guards against a whole answer without a length that counts as broken because its server closes
+// the connection in order while the request is still being written.
+TEST_F(broken_answers_test, EndInOrderDuringALongUploadCompletesTheAnswer) {
+  constexpr int kRepetitions = 6;
+  for (int i = 0; i < kRepetitions; ++i) {
+    for (const exchange_sample& exchange : test::MakeEndsDuringUploads()) {
+      const http_result result = SendScripted(exchange);
+      EXPECT_EQ(result.stage, exchange_stage::kAnswered)
+          << exchange.description << ": " << result.error;
+      EXPECT_EQ(result.response.body, test::kSampleBody) << exchange.description;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace siskinrack::net
--- a/unittests/node/request_path_fixture.h
+++ b/unittests/node/request_path_fixture.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,13 +39,15 @@
 /// store in memory, all in this process.
 class test_node {
  public:
-  test_node(const std::string& id, net::http_handler handler)
+  /// If `upstream` is set, the upstream is the server at this address, and `handler` isn't called.
+  test_node(const std::string& id, net::http_handler handler,
+            std::optional<support::socket_address> upstream = std::nullopt)
       : upstream_(upstream_runtime_, {.address = {"127.0.0.1", 0}}, std::move(handler)),
         platform_(upstream_runtime_, {.address = {"127.0.0.1", 0}},
                   [this](const net::http_request& request, net::cancellation&) {
                     return HandleObjectRequest(request);
                   }),
-        context_(StartServers(id, upstream_, platform_)),
+        context_(StartServers(id, upstream, upstream_, platform_)),
         quarantine_(context_),
         claims_(context_),
         serving_(context_, quarantine_),
@@ -107,14 +110,16 @@
 
  private:
   /// Starts the servers and returns settings with their addresses.
-  static node_settings StartServers(const std::string& id, net::http_server& upstream,
-                                    net::http_server& platform) {
+  static node_settings StartServers(const std::string& id,
+                                    const std::optional<support::socket_address>& other_upstream,
+                                    net::http_server& upstream, net::http_server& platform) {
     EXPECT_EQ(upstream.Start(), "");
     EXPECT_EQ(platform.Start(), "");
     node_settings settings;
     settings.node_id = id;
     settings.failure_domain = "domain";
-    settings.upstream_address = support::socket_address{"127.0.0.1", upstream.port()};
+    settings.upstream_address =
+        other_upstream.value_or(support::socket_address{"127.0.0.1", upstream.port()});
     settings.platform_address = {"127.0.0.1", platform.port()};
     settings.service = "counter";
     settings.slots = 2;
