--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -13,6 +13,7 @@
 #include "await.h"
 #include "http_fields.h"
 #include "listener.h"
+#include "response_reader.h"
 
 namespace siskinrack::net {
 namespace {
@@ -22,9 +23,8 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 using detail::Await;
-using response_parser = http::response_parser<http::string_body>;
+using detail::response_reader;
 
-constexpr unsigned kStatusOk = 200;
 /// Time before the announced close of an idle connection at which the client stops reusing it. A
 /// request sent later could arrive after the server has closed the connection.
 constexpr std::chrono::milliseconds kCloseMargin{500};
@@ -32,6 +32,8 @@
 /// Largest number of received bytes that wait to be parsed. The parser needs a whole header
 /// section, chunk header or trailer section at once and sets no limit to the latter two.
 constexpr std::size_t kMaxBufferedBytes = 4 * kMaxHeaderBytes;
+/// Most bytes of a response that are read at once.
+constexpr std::size_t kMaxReadBytes = 64U << 10U;
 /// Bytes of a response body that a read may add; an ordinary response has no more.
 constexpr std::size_t kReadAheadBytes = 4U << 10U;
 /// Wait for memory for a response body. Callers that don't read their responses hold theirs for
@@ -243,19 +245,18 @@
     const auto pending = StartWrite(conn, std::move(message));
     bool response_skipped = false;
     for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
-      response_parser parser;
-      parser.header_limit(kMaxHeaderBytes);
-      parser.body_limit(kMaxResponseBytes);
-      if (is_head) parser.skip(true);
-      if (const auto error = ReadResponse(*conn, parser, deadline, options)) {
+      response_reader reader(is_head);
+      if (const auto error = ReadResponse(*conn, reader, deadline, options)) {
         const bool nothing_sent = pending->done && pending->error && !pending->any_byte_sent;
         return MakeFailure(nothing_sent ? exchange_stage::kNotSent : exchange_stage::kSent, error);
       }
-      const bool is_interim = parser.get().result_int() < kStatusOk;
-      const bool reusable = parser.get().keep_alive() && !parser.get().need_eof();
-      ApplyKeepAlive(*conn, parser.get()[http::field::keep_alive]);
-      http_response response = detail::FromBeastResponse(parser.release());
-      if (is_interim) continue;
+      if (!reader.error().empty()) {
+        return {exchange_stage::kSent, {}, std::string(reader.error()), false};
+      }
+      ApplyKeepAlive(*conn, reader.keep_alive_field());
+      if (reader.is_interim()) continue;
+      const bool reusable = reader.keep_alive();
+      http_response response = reader.Release();
       const response_match match = MatchResponse(response, options);
       if (match == response_match::kOther) {
         if (!reusable) return MakeFailure(exchange_stage::kSent, http::error::end_of_stream);
@@ -272,26 +273,35 @@
         exchange_stage::kSent, {}, "too many responses that don't belong to the request", false};
   }
 
-  /// Reads one response into `parser`.
-  boost::system::error_code ReadResponse(connection& conn, response_parser& parser,
+  /// Reads from the connection until `reader` has a whole response or has failed. Returns an error
+  /// if the response can't be received.
+  boost::system::error_code ReadResponse(connection& conn, response_reader& reader,
                                          steady_time deadline, const exchange_options& options) {
     const steady_time latest_end = deadline + options.progress_extension;
     body_share share(body_bytes_[fiber_runtime::GetCurrentThreadIndex()], body_budget_);
     memory_charge charge(memory_, memory_use::kResponseBody);
-    while (!parser.is_done()) {
-      if (!AwaitMemory(charge, parser.get().body().size() + kReadAheadBytes, deadline)) {
+    while (true) {
+      reader.Read(conn.buffer);
+      if (!share.Set(reader.body_bytes())) return http::error::body_limit;
+      if (reader.done() || !reader.error().empty()) return {};
+      if (!AwaitMemory(charge, reader.body_bytes() + kReadAheadBytes, deadline)) {
         return http::error::body_limit;
       }
+      const std::size_t size = beast::read_size(conn.buffer, kMaxReadBytes);
+      if (size == 0) return http::error::buffer_overflow;
       const auto read = Await<std::size_t>(
-          [&](auto handler) { http::async_read_some(conn.stream, conn.buffer, parser, handler); });
+          [&](auto handler) { conn.stream.async_read_some(conn.buffer.prepare(size), handler); });
+      conn.buffer.commit(read.value);
+      if (read.error == asio::error::eof) {
+        reader.ReadEnd();
+        return {};
+      }
       if (read.error) return read.error;
-      if (!share.Set(parser.get().body().size())) return http::error::body_limit;
       if (latest_end > deadline) {
         const auto next = std::chrono::steady_clock::now() + exchange_options::kProgressInterval;
         conn.stream.expires_at(std::min(std::max(deadline, next), latest_end));
       }
     }
-    return {};
   }
 
   /// Resizes a charge. Waits for memory, because the request of the response may have run. Returns
@@ -306,9 +316,8 @@
   }
 
   /// Sets `closes_at` from the value of a Keep-Alive field (timeout=N, in whole seconds).
-  static void ApplyKeepAlive(connection& conn, beast::string_view value) {
+  static void ApplyKeepAlive(connection& conn, std::string_view text) {
     constexpr std::string_view kParameter = "timeout=";
-    const std::string_view text(value.data(), value.size());
     const std::size_t begin = text.find(kParameter);
     if (begin == std::string_view::npos) return;
     unsigned seconds = 0;
--- /dev/null
+++ b/lib/net/response_reader.cpp
@@ -0,0 +1,66 @@
+#include "response_reader.h"
+
+#include "http_fields.h"
+
+namespace siskinrack::net::detail {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr unsigned kStatusOk = 200;
+
+}  // namespace
+
+response_reader::response_reader(bool answers_head) {
+  parser_.header_limit(kMaxHeaderBytes);
+  parser_.body_limit(kMaxResponseBytes);
+  parser_.skip(answers_head);
+}
+
+void response_reader::Read(beast::flat_buffer& buffer) {
+  if (error_.empty() && !parser_.is_header_done()) ReadHead(buffer);
+  if (error_.empty() && parser_.is_header_done() && !parser_.is_done()) ReadBody(buffer);
+}
+
+void response_reader::ReadEnd() {
+  boost::system::error_code error = http::error::end_of_stream;
+  if (parser_.got_some()) parser_.put_eof(error);
+  if (error) Fail(error.message());
+}
+
+bool response_reader::is_interim() const { return parser_.get().result_int() < kStatusOk; }
+
+bool response_reader::keep_alive() const {
+  return parser_.get().keep_alive() && !parser_.get().need_eof();
+}
+
+std::string_view response_reader::keep_alive_field() const {
+  const beast::string_view value = parser_.get()[http::field::keep_alive];
+  return {value.data(), value.size()};
+}
+
+http_response response_reader::Release() { return FromBeastResponse(parser_.release()); }
+
+void response_reader::ReadHead(beast::flat_buffer& buffer) {
+  if (buffer.size() == 0) return;
+  boost::system::error_code error;
+  buffer.consume(parser_.put(buffer.cdata(), error));
+  if (error && error != http::error::need_more) return Fail(error.message());
+  if (parser_.is_header_done()) parser_.eager(true);
+}
+
+void response_reader::ReadBody(beast::flat_buffer& buffer) {
+  if (buffer.size() == 0) return;
+  boost::system::error_code error;
+  buffer.consume(parser_.put(buffer.cdata(), error));
+  if (error && error != http::error::need_more) Fail(error.message());
+}
+
+void response_reader::Fail(std::string_view error) {
+  error_ = error;
+  // An assignment would keep the capacity.
+  std::string().swap(parser_.get().body());
+}
+
+}  // namespace siskinrack::net::detail
