net: a reset during an upload doesn't complete a response

Cause: a socket reports its failure once. If the write of the request takes it, the read that follows finds the end of the stream, and such an end completes a response without a length. Everything that http_client reads is concerned: answers of upstreams in lib/mesh and lib/node, and the store's answers to writes, which then counted as acknowledged.

Change: at the end of the stream, http_client asks whether the connection has failed, and response_reader completes a response only if it hasn't. The write has the answer if it is done. If it isn't, poll() tells whether the connection is closed in both directions; the write fails at once then, and its result is awaited. If only the server's side is closed, the write may go on, and the end is in order. A reset that follows an orderly end makes the write fail with a broken pipe, not with a reset, and leaves the response whole, however late the thread reads it.

--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "siskinrack/net/http_client.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -223,6 +224,8 @@
     bool done = false;
     bool any_byte_sent = false;
     boost::system::error_code error;
+    /// Called at the end of the write unless it is empty.
+    std::function<void()> on_done;
   };
 
   static std::shared_ptr<pending_write> StartWrite(const connection_ptr& conn,
@@ -233,10 +236,30 @@
                         pending->done = true;
                         pending->any_byte_sent = bytes > 0;
                         pending->error = error;
+                        if (pending->on_done) pending->on_done();
                       });
     return pending;
   }
 
+  static void AwaitEnd(pending_write& write) {
+    if (write.done) return;
+    detail::AwaitDone([&write](auto handler) {
+      write.on_done = [handler]() mutable { handler(boost::system::error_code()); };
+    });
+  }
+
+  /// Returns true if the server has ended the stream, and false if the connection has failed.
+  /// Called when a read has reached the end of the stream. That alone doesn't tell: a socket
+  /// reports its failure once, and a read that follows a failed write finds the end of the stream.
+  static bool EndedInOrder(connection& conn, pending_write& write) {
+    // Reports a connection that is closed in both directions, on which a write fails at once. If
+    // only the server's side is closed, the write may go on.
+    pollfd state{conn.stream.socket().native_handle(), /*events=*/0, 0};
+    if (poll(&state, 1, /*timeout=*/0) > 0) AwaitEnd(write);
+    // A reset that follows the end of the stream is reported as a broken pipe.
+    return !write.error || write.error == asio::error::broken_pipe;
+  }
+
   /// Sends a request and reads its response. Sets `keep_alive` to true if the connection can be
   /// reused; otherwise leaves it unchanged.
   http_result Exchange(const connection_ptr& conn, detail::beast_request message,
@@ -246,7 +269,7 @@
     bool response_skipped = false;
     for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
       response_reader reader(is_head);
-      if (const auto error = ReadResponse(*conn, reader, deadline, options)) {
+      if (const auto error = ReadResponse(*conn, *pending, reader, deadline, options)) {
         const bool nothing_sent = pending->done && pending->error && !pending->any_byte_sent;
         return MakeFailure(nothing_sent ? exchange_stage::kNotSent : exchange_stage::kSent, error);
       }
@@ -275,8 +298,9 @@
 
   /// Reads from the connection until `reader` has a whole response or has failed. Returns an error
   /// if the response can't be received.
-  boost::system::error_code ReadResponse(connection& conn, response_reader& reader,
-                                         steady_time deadline, const exchange_options& options) {
+  boost::system::error_code ReadResponse(connection& conn, pending_write& write,
+                                         response_reader& reader, steady_time deadline,
+                                         const exchange_options& options) {
     const steady_time latest_end = deadline + options.progress_extension;
     body_share share(body_bytes_[fiber_runtime::GetCurrentThreadIndex()], body_budget_);
     memory_charge charge(memory_, memory_use::kResponseBody);
@@ -293,7 +317,7 @@
           [&](auto handler) { conn.stream.async_read_some(conn.buffer.prepare(size), handler); });
       conn.buffer.commit(read.value);
       if (read.error == asio::error::eof) {
-        reader.ReadEnd();
+        reader.ReadEnd(EndedInOrder(conn, write));
         return {};
       }
       if (read.error) return read.error;
--- a/lib/net/response_reader.cpp
+++ b/lib/net/response_reader.cpp
@@ -23,7 +23,8 @@
   if (error_.empty() && parser_.is_header_done() && !parser_.is_done()) ReadBody(buffer);
 }
 
-void response_reader::ReadEnd() {
+void response_reader::ReadEnd(bool in_order) {
+  if (!in_order) return Fail("connection failed before the end of the response");
   boost::system::error_code error = http::error::end_of_stream;
   if (parser_.got_some()) parser_.put_eof(error);
   if (error) Fail(error.message());
--- a/lib/net/response_reader.h
+++ b/lib/net/response_reader.h
@@ -21,9 +21,9 @@
   /// Reads from `buffer` what belongs to the response. Bytes that are left form the begin of a
   /// line, a chunk header or a trailer section, or follow the response.
   void Read(boost::beast::flat_buffer& buffer);
-  /// Reads the end of the connection. It completes a response without a length. Any other one is
-  /// truncated.
-  void ReadEnd();
+  /// Reads the end of the connection. If the server ended it in order, it completes a response
+  /// without a length. Any other response is truncated.
+  void ReadEnd(bool in_order);
 
   /// Returns true if the response is whole.
   [[nodiscard]] bool done() const { return error_.empty() && parser_.is_done(); }
--- a/test/mesh/broken_answers_test.cpp
+++ b/test/mesh/broken_answers_test.cpp
@@ -91,6 +91,11 @@
   int last_target_ = 0;
 };
 
+// Guards against a part of a body that callers get as a whole answer.
+TEST_F(broken_answers_test, ResetDuringALongUploadIsNotPassedOn) {
+  for (int i = 0; i < 3; ++i) ExpectUnknown(MakeResetsDuringUploads());
+}
+
 // Guards against a truncated answer that callers get as a whole one.
 TEST_F(broken_answers_test, TruncatedAnswersAreNotPassedOn) {
   ExpectUnknown(MakeExchanges(MakeTruncatedAnswers()));
--- a/test/support/answer_samples.cpp
+++ b/test/support/answer_samples.cpp
@@ -60,6 +60,10 @@
   return exchanges;
 }
 
+std::vector<exchange_sample> MakeResetsDuringUploads() {
+  return MakeUploads({stream_ending::kClose, stream_ending::kReset});
+}
+
 std::vector<exchange_sample> MakeEndsDuringUploads() {
   return MakeUploads({stream_ending::kInOrder, stream_ending::kInOrderThenReset});
 }
@@ -84,6 +88,10 @@
     add("last_line", MakeAnswer(kChunked, kChunkedBody));
     add("trailer", MakeAnswer(kChunked, kChunkedBody + "A: b\r\n"));
   }
+  samples.push_back({"no_length_reset", {head + "012", stream_ending::kReset}});
+  samples.push_back({"no_length_no_body_reset", {head, stream_ending::kReset}});
+  samples.push_back({"no_length_http_1_0_reset",
+                     {MakeAnswerHead("HTTP/1.0 200 OK") + kEnd + "012", stream_ending::kReset}});
   return samples;
 }
 
--- a/test/support/answer_samples.h
+++ b/test/support/answer_samples.h
@@ -49,6 +49,9 @@
 /// to one with a short body and, before the body is read, to one with a body of kLongUpload bytes.
 std::vector<exchange_sample> MakeExchanges(const std::vector<answer_sample>& samples);
 
+/// Exchanges in which the upstream sends a part of an answer without a length and then, after
+/// different times, resets the connection while it receives a long body.
+std::vector<exchange_sample> MakeResetsDuringUploads();
 /// Exchanges in which the upstream sends an answer without a length and ends it in order while it
 /// receives a long body. The body of the answer is kSampleBody.
 std::vector<exchange_sample> MakeEndsDuringUploads();
--- a/unittests/net/broken_answers_test.cpp
+++ b/unittests/net/broken_answers_test.cpp
@@ -68,6 +68,13 @@
   int last_id_ = 0;
 };
 
+// Guards against a part of a body that counts as a whole one because the connection is reset while
+// the request is being written: the write takes the error, and the read sees an end of stream.
+TEST_F(broken_answers_test, ResetDuringALongUploadIsNoAnswer) {
+  constexpr int kRepetitions = 6;
+  for (int i = 0; i < kRepetitions; ++i) ExpectNoAnswers(test::MakeResetsDuringUploads());
+}
+
 // Guards against a truncated message that counts as a whole one.
 TEST_F(broken_answers_test, TruncatedMessagesAreNoAnswers) {
   ExpectNoAnswers(test::MakeExchanges(test::MakeTruncatedAnswers()));
--- a/unittests/net/response_reader_test.cpp
+++ b/unittests/net/response_reader_test.cpp
@@ -29,14 +29,14 @@
 /// Passes `bytes` and their end to a reader, in parts whose sizes `draw_size` returns, and returns
 /// the first response that is not an interim one.
 template <typename DrawSize>
-read_result ReadAll(std::string_view bytes, bool /*in_order*/, DrawSize draw_size) {
+read_result ReadAll(std::string_view bytes, bool in_order, DrawSize draw_size) {
   beast::flat_buffer buffer;
   while (true) {
     response_reader reader(/*answers_head=*/false);
     reader.Read(buffer);
     while (!reader.done() && reader.error().empty()) {
       if (bytes.empty()) {
-        reader.ReadEnd();
+        reader.ReadEnd(in_order);
         break;
       }
       const std::size_t size = std::clamp<std::size_t>(draw_size(), 1, bytes.size());
@@ -93,6 +93,14 @@
   }
 }
 
+// Guards against a part of a body that counts as whole after a failure, with or without a length.
+TEST(ResponseReaderTest, FailedConnectionCompletesNoResponse) {
+  for (const std::string fields : {"", "Connection: close\r\n", "Content-Length: 4\r\n"}) {
+    const std::string bytes = "HTTP/1.1 200 OK\r\n" + fields + "\r\nabc";
+    EXPECT_NE(ReadAll(bytes, /*in_order=*/false, [] { return 8; }).error, "") << fields;
+  }
+}
+
 // Guards against crashes, undefined behaviour and reads without end for any bytes.
 TEST(ResponseReaderTest, MutatedAnswersAreRead) {
   test::mutator input_mutator(3, {"\r\n", "\r\n\r\n", "0\r\n", "HTTP/1.1 ", "000", " ", ":",
--- a/unittests/node/broken_answers_test.cpp
+++ b/unittests/node/broken_answers_test.cpp
@@ -86,6 +86,11 @@
   int last_id_ = 0;
 };
 
+// Guards against a part of a body that callers get as a whole answer.
+TEST_F(broken_answers_test, ResetDuringALongUploadIsNotPassedOn) {
+  ExpectUnknown(test::MakeResetsDuringUploads());
+}
+
 // Guards against a truncated answer that callers get as a whole one.
 TEST_F(broken_answers_test, TruncatedAnswersAreNotPassedOn) {
   ExpectUnknown(test::MakeExchanges(test::MakeTruncatedAnswers()));
--- a/unittests/platform/http_object_store_test.cpp
+++ b/unittests/platform/http_object_store_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "scripted_upstream.h"
 #include "siskinrack/net/http_server.h"
 
 namespace siskinrack::platform {
@@ -49,5 +50,25 @@
   EXPECT_EQ(store.unreadable(), 10U);
 }
 
+// Guards against a write that counts as acknowledged although the connection was reset while the
+// object was being sent: the store may not have applied it.
+TEST(HttpObjectStore, WriteWhoseConnectionIsResetHasAnUnknownOutcome) {
+  constexpr std::size_t kLongValue = 4U << 20U;
+  net::fiber_runtime runtime(1);
+  test::scripted_upstream platform({"127.0.0.1", 0});
+  for (const int pause_ms : {0, 5, 60}) {
+    for (int i = 0; i < 6; ++i) {
+      platform.SetAnswer({"HTTP/1.1 200 OK\r\nETag: \"5\"\r\n\r\n", test::stream_ending::kReset,
+                          std::chrono::milliseconds(pause_ms), /*early=*/true});
+      // The call budget of a store would delay the calls that follow a failure.
+      http_object_store store(runtime, {.address = platform.address()});
+      store_result<std::uint64_t> written;
+      runtime.Run(0, [&] { written = store.Put("scripted", std::string(kLongValue, 'x'), 4); });
+      ASSERT_TRUE(std::holds_alternative<store_error>(written)) << pause_ms << " ms";
+      EXPECT_EQ(std::get<store_error>(written).code, store_errc::kOutcomeUnknown);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace siskinrack::platform
--- a/unittests/platform/objects_client_test.cpp
+++ b/unittests/platform/objects_client_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 #include <map>
 
+#include "scripted_upstream.h"
 #include "siskinrack/net/http_server.h"
 
 namespace siskinrack::platform_adapter {
@@ -187,5 +188,23 @@
   EXPECT_FALSE(std::get<versioned_object>(result).problem.empty());
 }
 
+// Guards against a write that counts as acknowledged although the connection was reset while the
+// object was being sent: the store may not have applied it.
+TEST_F(objects_client_test, WriteWhoseConnectionIsResetHasAnUnknownOutcome) {
+  constexpr std::size_t kLongValue = 4U << 20U;
+  test::scripted_upstream store({"127.0.0.1", 0});
+  objects_client client(runtime_, store.address());
+  for (const int pause_ms : {0, 5, 60}) {
+    store.SetAnswer({"HTTP/1.1 200 OK\r\n\r\n" + MakeObject("a", "1"), test::stream_ending::kReset,
+                     std::chrono::milliseconds(pause_ms),
+                     /*early=*/true});
+    const auto result =
+        Run([&] { return client.Create("scripted", "a", std::string(kLongValue, 'x').c_str()); });
+    ASSERT_TRUE(std::holds_alternative<store_error>(result));
+    EXPECT_EQ(std::get<store_error>(result).code, store_errc::kOutcomeUnknown)
+        << std::get<store_error>(result).message;
+  }
+}
+
 }  // namespace
 }  // namespace siskinrack::platform_adapter
