net: a status that HTTP doesn't have fails the response at once

Callers waited until their time limit and got 504 (3 s in the tests): an upstream in trouble had sent an answer with status 000. It wasn't passed on. Behind a status 101, callers got the next answer on the connection. 600 to 999 were passed on.

Cause: http_client took every status below 200 for an interim answer, and the parser accepts any three digits. So 000 to 099 were skipped like 103, and so was 101, after which a connection no longer carries HTTP. The request went on waiting for the answer although its connection was known to be broken.

Change: CheckResponseHead, beside CheckFraming of requests, accepts 100 to 599 except 101, because a node never asks for another protocol. response_reader asks it for each head, of final and of interim answers. The failure counts as an answer that is broken: callers of at-most-once routes get 502, the others the answer of another upstream.

--- a/lib/net/http_framing.cpp
+++ b/lib/net/http_framing.cpp
@@ -10,6 +10,10 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned kHttp11 = 11;
+/// Range of the status codes of HTTP (RFC 9110, 15).
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
+constexpr unsigned kStatusSwitchingProtocols = 101;
 
 /// Returns true if a CR or LF is not part of a CR LF pair.
 bool HasBareLineEnd(std::string_view header) {
@@ -53,4 +57,12 @@
   return {};
 }
 
+std::string_view CheckResponseHead(const http::response_header<>& message) {
+  const unsigned status = message.result_int();
+  if (status < kFirstStatus || status > kLastStatus) return "status is not between 100 and 599";
+  // A node requests no other protocol.
+  if (status == kStatusSwitchingProtocols) return "status 101 to a request without Upgrade";
+  return {};
+}
+
 }  // namespace siskinrack::net::detail
--- a/lib/net/http_framing.h
+++ b/lib/net/http_framing.h
@@ -13,6 +13,10 @@
 std::string_view CheckFraming(std::string_view header,
                               const boost::beast::http::request_header<>& message);
 
+/// Checks the status of a response. Returns an error message, or an empty view if HTTP allows the
+/// response.
+std::string_view CheckResponseHead(const boost::beast::http::response_header<>& message);
+
 }  // namespace siskinrack::net::detail
 
 #endif  // SISKINRACK_LIB_NET_HTTP_FRAMING_H_
--- a/lib/net/response_reader.cpp
+++ b/lib/net/response_reader.cpp
@@ -1,6 +1,7 @@
 #include "response_reader.h"
 
 #include "http_fields.h"
+#include "http_framing.h"
 
 namespace siskinrack::net::detail {
 namespace {
@@ -48,7 +49,10 @@
   boost::system::error_code error;
   buffer.consume(parser_.put(buffer.cdata(), error));
   if (error && error != http::error::need_more) return Fail(error.message());
-  if (parser_.is_header_done()) parser_.eager(true);
+  if (!parser_.is_header_done()) return;
+  const http::response_header<>& header = parser_.get().base();
+  if (const auto problem = CheckResponseHead(header); !problem.empty()) return Fail(problem);
+  parser_.eager(true);
 }
 
 void response_reader::ReadBody(beast::flat_buffer& buffer) {
--- a/test/mesh/broken_answers_test.cpp
+++ b/test/mesh/broken_answers_test.cpp
@@ -122,5 +122,23 @@
   ExpectAnswered(MakeExchanges(MakeValidAnswers()));
 }
 
+class repeatable_request_test : public broken_answers_test {
+ protected:
+  repeatable_request_test() : broken_answers_test({"shop", "dock", "dock"}) {}
+};
+
+// Guards against a broken answer that ends a request although another upstream could run it.
+TEST_F(repeatable_request_test, IsAnsweredByAnotherUpstream) {
+  upstream_->SetAnswer({"HTTP/1.1 000 Status\r\n\r\n"});
+  constexpr int kRequests = 60;
+  int answered = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const net::http_result result = Send(i % nodes_, "/dock/scripted", 0);
+    answered += result.response.status == kStatusOk && result.response.body == "by i-2";
+  }
+  EXPECT_GT(upstream_->scripted(), 0);
+  EXPECT_EQ(answered, kRequests);
+}
+
 }  // namespace
 }  // namespace siskinrack::test
--- a/test/support/answer_samples.cpp
+++ b/test/support/answer_samples.cpp
@@ -98,10 +98,20 @@
 std::vector<answer_sample> MakeForbiddenStatuses() {
   std::vector<answer_sample> samples;
   const std::string rest = kLength + kEnd + kBody;
-  for (const char* status : {"0200", "20", "2000", "2x0", "-20", ""}) {
+  for (const char* status :
+       {"000", "001", "099", "101", "600", "999", "0200", "20", "2000", "2x0", "-20", ""}) {
     const std::string line = std::string("HTTP/1.1 ") + status + " Status";
     samples.push_back({std::string("status_") + status, {MakeAnswerHead(line) + rest}});
   }
+  samples.push_back(
+      {"status_000_before_an_answer", {"HTTP/1.1 000 Status\r\n\r\n" + MakeAnswer(kLength)}});
+  samples.push_back(
+      {"status_000_without_length",
+       {MakeAnswerHead("HTTP/1.1 000 Status") + kEnd + kBody, stream_ending::kInOrder}});
+  samples.push_back(
+      {"status_101_before_an_answer",
+       {"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n" +
+        MakeAnswer(kLength)}});
   return samples;
 }
 
--- a/unittests/net/response_reader_test.cpp
+++ b/unittests/net/response_reader_test.cpp
@@ -101,8 +101,8 @@
   }
 }
 
-// Guards against crashes, undefined behaviour and reads without end for any bytes.
-TEST(ResponseReaderTest, MutatedAnswersAreRead) {
+// Guards against crashes, undefined behaviour and statuses outside the range of HTTP for any bytes.
+TEST(ResponseReaderTest, MutatedAnswersHaveAStatusOrAnError) {
   test::mutator input_mutator(3, {"\r\n", "\r\n\r\n", "0\r\n", "HTTP/1.1 ", "000", " ", ":",
                                   "Content-Length: 1\r\n", "Transfer-Encoding: chunked\r\n"});
   std::vector<answer_sample> samples = test::MakeValidAnswers();
@@ -118,6 +118,8 @@
                                        [&] { return 1 + input_mutator.RandomBelow(200); });
     if (!result.error.empty()) continue;
     ++whole;
+    EXPECT_GE(result.status, 200U);
+    EXPECT_LE(result.status, 599U);
   }
   // Otherwise the test would show little about responses that are accepted.
   EXPECT_GT(whole, kMutations / 100);
