net: a folded line in the head of a response fails it

Callers got an answer in whose head the name of a field held a blank: with ' Transfer-Encoding: chunked' behind another field, a 200 whose body was the chunks with their framing, which is not the body that the upstream sent; with ' A: c', a 200 with that line joined to the value of the field before it.

Cause: a blank or tab before the name of a field is the obsolete folding of lines, which the parser undoes. Requests with it are rejected (CheckFraming), but nothing asked this of responses.

Change: the check of the lines, CheckLines, is one function. response_reader asks it for the bytes of each head, final or interim. RFC 9112, 5.2, lets a proxy discard such a response with 502.

Names with a blank, a tab or a control byte inside, or a blank before the colon, were rejected before; their samples are unchanged.

--- a/lib/net/http_framing.cpp
+++ b/lib/net/http_framing.cpp
@@ -37,9 +37,14 @@
 
 }  // namespace
 
+std::string_view CheckLines(std::string_view lines) {
+  if (HasBareLineEnd(lines)) return "header line does not end with CR LF";
+  if (HasFoldedLine(lines)) return "obsolete line folding in the header section";
+  return {};
+}
+
 std::string_view CheckFraming(std::string_view header, const http::request_header<>& message) {
-  if (HasBareLineEnd(header)) return "header line does not end with CR LF";
-  if (HasFoldedLine(header)) return "obsolete line folding in the header section";
+  if (const auto problem = CheckLines(header); !problem.empty()) return problem;
   const auto hosts = message.count(http::field::host);
   if (hosts > 1 || (hosts == 0 && message.version() >= kHttp11)) return "expected one Host field";
   const auto lengths = message.count(http::field::content_length);
--- a/lib/net/http_framing.h
+++ b/lib/net/http_framing.h
@@ -6,6 +6,11 @@
 
 namespace siskinrack::net::detail {
 
+/// Checks the line ends of lines of a header section. Returns an error message, or an empty view if
+/// they are valid. Rejects obsolete line folding, which turns a field with a blank before its name
+/// into a part of the field before it.
+std::string_view CheckLines(std::string_view lines);
+
 /// Checks the framing of a request. Returns an error message, or an empty view if the framing is
 /// valid. Rejects framing that another HTTP implementation may interpret differently, which would
 /// allow request smuggling. `header` holds the bytes of the header section, including its final
--- a/lib/net/response_reader.cpp
+++ b/lib/net/response_reader.cpp
@@ -47,8 +47,11 @@
 void response_reader::ReadHead(beast::flat_buffer& buffer) {
   if (buffer.size() == 0) return;
   boost::system::error_code error;
-  buffer.consume(parser_.put(buffer.cdata(), error));
+  const std::size_t size = parser_.put(buffer.cdata(), error);
+  const std::string_view lines(static_cast<const char*>(buffer.cdata().data()), size);
   if (error && error != http::error::need_more) return Fail(error.message());
+  if (const auto problem = CheckLines(lines); !problem.empty()) return Fail(problem);
+  buffer.consume(size);
   if (!parser_.is_header_done()) return;
   const http::response_header<>& header = parser_.get().base();
   if (const auto problem = CheckResponseHead(header); !problem.empty()) return Fail(problem);
--- a/test/support/answer_samples.cpp
+++ b/test/support/answer_samples.cpp
@@ -125,6 +125,9 @@
       {"tab_in_name", "A\tb: c"},
       {"blank_before_colon", "A : c"},
       {"blank_before_length", "Content-Length : 3"},
+      {"blank_before_name", " A: c"},
+      {"tab_before_name", "\tA: c"},
+      {"blank_before_coding", " Transfer-Encoding: chunked"},
       {"control_01", "A\x01: c"},
       {"control_00", std::string("A\0b: c", 6)},
       {"control_1f", "A\x1f: c"},
@@ -149,9 +152,13 @@
         {base + "_first",
          {"HTTP/1.1 200 OK\r\n" + text + std::string(kIdentityFields) + kLength + kEnd + kBody}});
     samples.push_back({base + "_interim", {kInterim + text + kEnd + MakeAnswer(kLength)}});
+    // Trailers are dropped, so a folded line may be joined to the one before it.
+    if (line[0] == ' ' || line[0] == '\t') continue;
     samples.push_back(
         {base + "_trailer", {MakeAnswer(kChunked, kChunkedBody + "A: b\r\n" + text + kEnd)}});
   }
+  samples.push_back(InOrder("blank_before_coding_only",
+                            MakeAnswer(" Transfer-Encoding: chunked\r\n", kChunkedBody + kEnd)));
   return samples;
 }
 
