net: the framing of a response is checked like that of a request

Callers got a body that is not the one of the upstream, with status 200: in a transfer coding that nodes don't remove ('gzip', 'gzip, chunked', whose field they do remove), or with the framing of the chunks in it ('chunked, chunked', 'chunked, gzip'). Chunks in HTTP/1.0, a coding beside a length, and a body after status 204 passed as well.

Cause: CheckFraming asks of requests what nothing asked of responses. The parser takes a coding that it doesn't know for a body that ends with the connection, and 'Content-Length' behind an unknown coding for the length.

Change: CheckCoding is one function for both. CheckResponseHead asks it, and rejects a body after an interim status or 204, whose bytes would be taken for the next response. Equal repeated lengths, a length with 304 and a length of 0 with 204 leave no doubt and still pass.

--- a/lib/net/http_framing.cpp
+++ b/lib/net/http_framing.cpp
@@ -14,6 +14,8 @@
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kLastStatus = 599;
 constexpr unsigned kStatusSwitchingProtocols = 101;
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusNoContent = 204;
 
 /// Returns true if a CR or LF is not part of a CR LF pair.
 bool HasBareLineEnd(std::string_view header) {
@@ -35,6 +37,21 @@
          std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
+/// Checks the transfer coding, which every recipient must remove.
+template <typename Header>
+std::string_view CheckCoding(const Header& message) {
+  const auto codings = message.count(http::field::transfer_encoding);
+  if (codings > 0 && message.count(http::field::content_length) > 0) {
+    return "both Content-Length and Transfer-Encoding are present";
+  }
+  if (codings > 1) return "multiple Transfer-Encoding fields";
+  if (codings == 1 && (message.version() < kHttp11 ||
+                       !beast::iequals(message[http::field::transfer_encoding], "chunked"))) {
+    return "unsupported Transfer-Encoding, expected chunked with HTTP/1.1";
+  }
+  return {};
+}
+
 }  // namespace
 
 std::string_view CheckLines(std::string_view lines) {
@@ -48,18 +65,11 @@
   const auto hosts = message.count(http::field::host);
   if (hosts > 1 || (hosts == 0 && message.version() >= kHttp11)) return "expected one Host field";
   const auto lengths = message.count(http::field::content_length);
-  const auto codings = message.count(http::field::transfer_encoding);
   if (lengths > 1) return "multiple Content-Length fields";
   if (lengths == 1 && !IsDecimal(message[http::field::content_length])) {
     return "Content-Length is not a decimal number";
   }
-  if (codings > 0 && lengths > 0) return "both Content-Length and Transfer-Encoding are present";
-  if (codings > 1) return "multiple Transfer-Encoding fields";
-  if (codings == 1 && (message.version() < kHttp11 ||
-                       !beast::iequals(message[http::field::transfer_encoding], "chunked"))) {
-    return "unsupported Transfer-Encoding, expected chunked with HTTP/1.1";
-  }
-  return {};
+  return CheckCoding(message);
 }
 
 std::string_view CheckResponseHead(const http::response_header<>& message) {
@@ -67,7 +77,14 @@
   if (status < kFirstStatus || status > kLastStatus) return "status is not between 100 and 599";
   // A node requests no other protocol.
   if (status == kStatusSwitchingProtocols) return "status 101 to a request without Upgrade";
-  return {};
+  if (status < kStatusOk || status == kStatusNoContent) {
+    const beast::string_view length = message[http::field::content_length];
+    if (message.count(http::field::transfer_encoding) > 0 ||
+        length.find_first_not_of('0') != beast::string_view::npos) {
+      return "body after a status that allows none";
+    }
+  }
+  return CheckCoding(message);
 }
 
 }  // namespace siskinrack::net::detail
--- a/lib/net/http_framing.h
+++ b/lib/net/http_framing.h
@@ -18,8 +18,9 @@
 std::string_view CheckFraming(std::string_view header,
                               const boost::beast::http::request_header<>& message);
 
-/// Checks the status of a response. Returns an error message, or an empty view if HTTP allows the
-/// response.
+/// Checks the status and the framing of a response. Returns an error message, or an empty view if
+/// HTTP allows the response and its body can be read. The lines have been parsed and checked
+/// before.
 std::string_view CheckResponseHead(const boost::beast::http::response_header<>& message);
 
 }  // namespace siskinrack::net::detail
--- a/test/support/answer_samples.cpp
+++ b/test/support/answer_samples.cpp
@@ -165,7 +165,18 @@
 std::vector<answer_sample> MakeMalformedFramings() {
   const std::string chunks = kChunkedBody + kEnd;
   const std::string different = "Content-Length: 10\r\nContent-Length: 4\r\n";
+  const std::string chunked_1_0 = MakeAnswerHead("HTTP/1.0 200 OK") + kChunked + kEnd + chunks;
+  const std::string no_content = MakeAnswerHead("HTTP/1.1 204 No Content");
   return {
+      InOrder("coding", MakeAnswer("Transfer-Encoding: gzip\r\n")),
+      InOrder("coding_and_chunked", MakeAnswer("Transfer-Encoding: gzip, chunked\r\n", chunks)),
+      InOrder("coding_and_chunked_fields",
+              MakeAnswer("Transfer-Encoding: gzip\r\n" + kChunked, chunks)),
+      InOrder("chunked_twice", MakeAnswer("Transfer-Encoding: chunked, chunked\r\n", chunks)),
+      InOrder("chunked_not_last", MakeAnswer("Transfer-Encoding: chunked, gzip\r\n", chunks)),
+      InOrder("empty_coding", MakeAnswer("Transfer-Encoding: \r\n")),
+      InOrder("chunked_http_1_0", chunked_1_0),
+      InOrder("coding_and_length", MakeAnswer("Transfer-Encoding: gzip\r\n" + kLength)),
       InOrder("chunked_and_length", MakeAnswer(kChunked + kLength, chunks)),
       InOrder("length_and_chunked", MakeAnswer(kLength + kChunked, chunks)),
       InOrder("different_lengths", MakeAnswer(different)),
@@ -176,7 +187,10 @@
       InOrder("overflowing_length", MakeAnswer("Content-Length: 18446744073709551626\r\n")),
       InOrder("chunk_size", MakeAnswer(kChunked, "x\r\n0123456789\r\n0\r\n\r\n")),
       InOrder("chunk_end", MakeAnswer(kChunked, "4\r\n0123456789\r\n0\r\n\r\n")),
+      InOrder("no_content_with_length", no_content + kLength + kEnd + kBody),
+      InOrder("no_content_with_chunks", no_content + kChunked + kEnd + chunks),
       InOrder("interim_with_length", kInterim + kLength + kEnd + kBody + MakeAnswer(kLength)),
+      InOrder("interim_with_chunks", kInterim + kChunked + kEnd + MakeAnswer(kLength)),
       InOrder("version", MakeAnswerHead("HTTP/2.0 200 OK") + kLength + kEnd + kBody),
       InOrder("no_http", "0123456789\r\n\r\n"),
   };
