net: trailers of a response are no fields of its head

Callers got 503 'upstream refused with status 200' for an at-most-once request that had run (REFUSED): the upstream had sent its answer in chunks, with 'Not-Run' among the trailers. In lib/node, an answer with status 500 and the outcome field among its trailers became 'not-run'.

Cause: the parser adds trailers to the fields of the head, and http_client took all of them after the body. So a line behind the body could state an outcome, an id, a stamp or a limit, on which nodes act, and reached callers as a field of the head (RFC 9110, 6.5.1, forbids that). Requests were safe: request_reader takes the fields at the end of the head.

Change: response_reader does the same. Trailers are parsed, so that a malformed one still fails the response, and dropped.

--- a/lib/net/http_fields.cpp
+++ b/lib/net/http_fields.cpp
@@ -94,12 +94,8 @@
   return request;
 }
 
-http_response FromBeastResponse(beast_response message) {
-  http_response response;
-  response.status = message.result_int();
-  response.fields = CopyFields(message);
-  response.body = std::move(message.body());
-  return response;
+http_response FromBeastHeader(const http::response_header<>& header) {
+  return {header.result_int(), CopyFields(header), {}};
 }
 
 beast_request ToBeastRequest(const http_request& request, const std::string& host) {
--- a/lib/net/http_fields.h
+++ b/lib/net/http_fields.h
@@ -14,9 +14,9 @@
 
 /// Convert between the message types of this library and of Beast. FromBeast functions omit the
 /// fields that http_request::fields excludes. ToBeast functions set the framing fields.
-/// FromBeastHeader returns a request without its body.
+/// FromBeastHeader returns a message without its body.
 http_request FromBeastHeader(const boost::beast::http::request_header<>& header);
-http_response FromBeastResponse(beast_response message);
+http_response FromBeastHeader(const boost::beast::http::response_header<>& header);
 /// `host` is the value of the Host field if `request.host` is empty. The result refers to the body
 /// of `request`.
 beast_request ToBeastRequest(const http_request& request, const std::string& host);
--- a/lib/net/response_reader.cpp
+++ b/lib/net/response_reader.cpp
@@ -1,5 +1,7 @@
 #include "response_reader.h"
 
+#include <utility>
+
 #include "http_fields.h"
 #include "http_framing.h"
 
@@ -9,8 +11,6 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr unsigned kStatusOk = 200;
-
 }  // namespace
 
 response_reader::response_reader(bool answers_head) {
@@ -31,19 +31,11 @@
   if (error) Fail(error.message());
 }
 
-bool response_reader::is_interim() const { return parser_.get().result_int() < kStatusOk; }
-
-bool response_reader::keep_alive() const {
-  return parser_.get().keep_alive() && !parser_.get().need_eof();
-}
-
-std::string_view response_reader::keep_alive_field() const {
-  const beast::string_view value = parser_.get()[http::field::keep_alive];
-  return {value.data(), value.size()};
+http_response response_reader::Release() {
+  response_.body = std::move(parser_.get().body());
+  return std::move(response_);
 }
 
-http_response response_reader::Release() { return FromBeastResponse(parser_.release()); }
-
 void response_reader::ReadHead(beast::flat_buffer& buffer) {
   if (buffer.size() == 0) return;
   boost::system::error_code error;
@@ -55,6 +47,9 @@
   if (!parser_.is_header_done()) return;
   const http::response_header<>& header = parser_.get().base();
   if (const auto problem = CheckResponseHead(header); !problem.empty()) return Fail(problem);
+  response_ = FromBeastHeader(header);
+  keep_alive_ = parser_.get().keep_alive() && !parser_.get().need_eof();
+  keep_alive_field_ = header[http::field::keep_alive];
   parser_.eager(true);
 }
 
--- a/lib/net/response_reader.h
+++ b/lib/net/response_reader.h
@@ -31,14 +31,15 @@
   [[nodiscard]] std::string_view error() const { return error_; }
   [[nodiscard]] std::size_t body_bytes() { return parser_.get().body().size(); }
   /// Returns true if another response is to follow this one. The response must be done.
-  [[nodiscard]] bool is_interim() const;
+  [[nodiscard]] bool is_interim() const { return response_.status < kFirstFinalStatus; }
   /// Returns true if the connection can be used for another request after this response, as far as
   /// its head states. The response must be done.
-  [[nodiscard]] bool keep_alive() const;
+  [[nodiscard]] bool keep_alive() const { return keep_alive_; }
   /// Returns the value of the Keep-Alive field.
-  [[nodiscard]] std::string_view keep_alive_field() const;
+  [[nodiscard]] std::string_view keep_alive_field() const { return keep_alive_field_; }
 
-  /// Returns the response, which must be done.
+  /// Returns the response, which must be done. The fields of a trailer section are dropped: they
+  /// are no fields of the head, which a receiver acts on.
   http_response Release();
 
  private:
@@ -46,7 +47,12 @@
   void ReadBody(boost::beast::flat_buffer& buffer);
   void Fail(std::string_view error);
 
+  static constexpr unsigned kFirstFinalStatus = 200;
+
   boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
+  http_response response_;
+  bool keep_alive_ = false;
+  std::string keep_alive_field_;
   std::string error_;
 };
 
--- a/test/mesh/broken_answers_test.cpp
+++ b/test/mesh/broken_answers_test.cpp
@@ -122,6 +122,19 @@
   ExpectAnswered(MakeExchanges(MakeValidAnswers()));
 }
 
+// Guards against trailers on which a node acts: one made an answer to a request that had run a
+// refusal, which promises that it will never run.
+TEST_F(broken_answers_test, TrailersAreNoRefusal) {
+  upstream_->SetAnswer({MakeAnswerHead() +
+                        "Transfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n0\r\n"
+                        "Not-Run: 1\r\n\r\n"});
+  for (const std::size_t machine : {std::size_t{0}, kScripted}) {
+    const net::http_result result = Send(machine, "/once/dock/scripted", 0);
+    EXPECT_EQ(result.response.status, kStatusOk) << result.response.body;
+    EXPECT_EQ(result.response.body, kSampleBody);
+  }
+}
+
 class repeatable_request_test : public broken_answers_test {
  protected:
   repeatable_request_test() : broken_answers_test({"shop", "dock", "dock"}) {}
--- a/unittests/net/broken_answers_test.cpp
+++ b/unittests/net/broken_answers_test.cpp
@@ -122,5 +122,23 @@
   }
 }
 
+// Guards against trailers that count as fields of the head, on which nodes act: one could turn an
+// answer of an upstream that has run the request into a refusal, or state another id.
+TEST_F(broken_answers_test, TrailersAreNoFieldsOfTheHead) {
+  upstream_.SetAnswer({test::MakeAnswerHead() +
+                       "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+                       "Not-Run: 1\r\nRequest-Id: other\r\nConnection: close\r\n\r\n"});
+  for (int i = 0; i < 2; ++i) {
+    const http_result result = Send("/scripted");
+    ASSERT_EQ(result.stage, exchange_stage::kAnswered) << result.error;
+    EXPECT_EQ(result.response.body, "a");
+    EXPECT_EQ(FindField(result.response.fields, "Not-Run"), "");
+    EXPECT_EQ(std::count_if(result.response.fields.begin(), result.response.fields.end(),
+                            [](const http_field& field) { return field.name == "Request-Id"; }),
+              1);
+  }
+  EXPECT_EQ(upstream_.scripted_on_reused(), 1);
+}
+
 }  // namespace
 }  // namespace siskinrack::net
--- a/unittests/node/broken_answers_test.cpp
+++ b/unittests/node/broken_answers_test.cpp
@@ -9,6 +9,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 using test::exchange_sample;
+using test::scripted_answer;
 
 /// Far below the deadline of a request that sets none.
 constexpr milliseconds kMaxTime{2'000};
@@ -117,5 +118,19 @@
   ExpectAnswered(test::MakeEndsDuringUploads());
 }
 
+// Guards against trailers on which a node acts: one made an answer to a request that had run a
+// refusal, which promises that it will never run.
+TEST_F(broken_answers_test, TrailersAreNoRefusal) {
+  const scripted_answer answer{test::MakeAnswerHead("HTTP/1.1 500 Internal Server Error") +
+                               "Transfer-Encoding: chunked\r\n\r\n0\r\n" +
+                               std::string(kOutcomeField) + ": " + std::string(kNotRunOutcome) +
+                               "\r\n\r\n"};
+  for (const bool remote : {false, true}) {
+    const net::http_response response = SendScripted(remote, {"trailer", answer});
+    EXPECT_EQ(GetOutcome(response), kAnsweredOutcome);
+    EXPECT_EQ(response.status, 500U);
+  }
+}
+
 }  // namespace
 }  // namespace siskinrack::node
