test: a part of a reply on a link between nodes is no reply

Handled before: frames carry their length, and a link that ends within one is broken; the request may have run. The test cuts a reply at three places and closes or resets the link.

--- a/unittests/net/peer_pool_test.cpp
+++ b/unittests/net/peer_pool_test.cpp
@@ -220,26 +220,35 @@
     }
     ASSERT_GE(ended_, count);
   }
-  /// Reads frames and replies to each request until the other side closes the connection. Returns
-  /// the error of the last read.
-  boost::system::error_code ServePeer(boost::asio::ip::tcp::socket& peer) {
-    boost::system::error_code error;
+  /// Reads frames up to the next request and returns the encoded reply to it. Returns an empty text
+  /// and sets `error` if the other side closes the connection before.
+  static std::string AwaitRequest(boost::asio::ip::tcp::socket& peer,
+                                  boost::system::error_code& error) {
     while (true) {
       std::array<std::uint8_t, wire::kLengthPrefixBytes> prefix{};
       boost::asio::read(peer, boost::asio::buffer(prefix), error);
-      if (error) return error;
+      if (error) return {};
       std::vector<std::uint8_t> bytes(wire::DecodeLength(prefix).value());
       boost::asio::read(peer, boost::asio::buffer(bytes), error);
-      if (error) return error;
+      if (error) return {};
       const auto message = wire::DecodeEnvelope(bytes);
       if (message->message.Ascall_request() == nullptr) continue;
       wire::envelope_t reply = wire::MakeEnvelope(wire::call_answer_t{});
       reply.correlation_id = message->correlation_id;
       reply.is_reply = true;
-      boost::asio::write(peer, boost::asio::buffer(wire::EncodeFrame(reply)), error);
-      if (error) return error;
+      return wire::EncodeFrame(reply);
     }
   }
+  /// Replies to each request until the other side closes the connection. Returns the error of the
+  /// last read or write.
+  static boost::system::error_code ServePeer(boost::asio::ip::tcp::socket& peer) {
+    boost::system::error_code error;
+    while (!error) {
+      const std::string reply = AwaitRequest(peer, error);
+      if (!error) boost::asio::write(peer, boost::asio::buffer(reply), error);
+    }
+    return error;
+  }
 
   boost::asio::io_context io_;
   boost::asio::ip::tcp::acceptor acceptor_{io_, {boost::asio::ip::make_address("127.0.0.1"), 0}};
@@ -319,5 +328,30 @@
   EXPECT_EQ(error, boost::asio::error::eof) << error.message();
 }
 
+// Guards against a part of a reply that counts as one.
+TEST_F(silent_peer_test, TruncatedReplyIsNoReply) {
+  int ended = 0;
+  for (const bool reset : {false, true}) {
+    for (const std::size_t missing : {1, 8, 1'000}) {
+      std::optional<peer_result> result;
+      StartRequest(silence_policy::kAwaitReply, result);
+      boost::asio::ip::tcp::socket peer(io_);
+      acceptor_.accept(peer);
+      boost::system::error_code error;
+      std::string reply = AwaitRequest(peer, error);
+      ASSERT_FALSE(error) << error.message();
+      reply.resize(reply.size() - std::min(missing, reply.size()));
+      boost::asio::write(peer, boost::asio::buffer(reply));
+      if (reset) peer.set_option(boost::asio::socket_base::linger(true, 0));
+      peer.close();
+      AwaitEnded(++ended);
+      EXPECT_EQ(result->stage, exchange_stage::kSent) << result->error;
+      EXPECT_EQ(result->reply, nullptr);
+      EXPECT_FALSE(result->timed_out);
+    }
+  }
+  pool_.Stop();
+}
+
 }  // namespace
 }  // namespace siskinrack::net
