test: many exchanges at once on one thread end as each one does

A busy thread learns the results of the read and of the write together. 40 exchanges at once with a reset during the upload, 40 with an end in order.

--- a/unittests/net/broken_answers_test.cpp
+++ b/unittests/net/broken_answers_test.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
+#include <thread>
 
 #include "answer_samples.h"
 #include "scripted_upstream.h"
@@ -75,6 +77,34 @@
   for (int i = 0; i < kRepetitions; ++i) ExpectNoAnswers(test::MakeResetsDuringUploads());
 }
 
+// Guards against results of the read and the write that a busy thread learns together, in any
+// order.
+TEST_F(broken_answers_test, ManyExchangesAtOnceEndAsEachOne) {
+  constexpr int kExchanges = 40;
+  for (const bool in_order : {false, true}) {
+    for (const exchange_sample& exchange :
+         in_order ? test::MakeEndsDuringUploads() : test::MakeResetsDuringUploads()) {
+      if (exchange.reuse) continue;
+      upstream_.SetAnswer(exchange.answer);
+      const std::string body(exchange.upload_bytes, 'x');
+      std::atomic<int> answered = 0;
+      std::atomic<int> ended = 0;
+      for (int i = 0; i < kExchanges; ++i) {
+        runtime_.Post(0, [&] {
+          http_request request{"POST", "/scripted", {}, {}, "host"};
+          request.body_view = body;
+          const http_result result =
+              client_.Send(upstream_.address(), std::move(request), steady_clock::now() + kTimeout);
+          answered += result.stage == exchange_stage::kAnswered;
+          ++ended;
+        });
+      }
+      while (ended < kExchanges) std::this_thread::sleep_for(milliseconds(1));
+      EXPECT_EQ(answered, in_order ? kExchanges : 0) << exchange.description;
+    }
+  }
+}
+
 // Guards against a truncated message that counts as a whole one.
 TEST_F(broken_answers_test, TruncatedMessagesAreNoAnswers) {
   ExpectNoAnswers(test::MakeExchanges(test::MakeTruncatedAnswers()));
