net: a request whose connection failed before its first byte is not sent

Callers of at-most-once routes would get 502 instead of the answer of another upstream: an upstream closes or resets a kept connection at the moment when the next request is written.

The stand-in joins the threads of ended connections, since the loop opens many.

--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -269,12 +269,13 @@
     bool response_skipped = false;
     for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
       response_reader reader(is_head);
-      if (const auto error = ReadResponse(*conn, *pending, reader, deadline, options)) {
+      const auto error = ReadResponse(*conn, *pending, reader, deadline, options);
+      if (error || !reader.error().empty()) {
         const bool nothing_sent = pending->done && pending->error && !pending->any_byte_sent;
-        return MakeFailure(nothing_sent ? exchange_stage::kNotSent : exchange_stage::kSent, error);
-      }
-      if (!reader.error().empty()) {
-        return {exchange_stage::kSent, {}, std::string(reader.error()), false};
+        http_result failure =
+            MakeFailure(nothing_sent ? exchange_stage::kNotSent : exchange_stage::kSent, error);
+        if (!error) failure.error = reader.error();
+        return failure;
       }
       ApplyKeepAlive(*conn, reader.keep_alive_field());
       if (reader.is_interim()) continue;
--- a/test/support/scripted_upstream.cpp
+++ b/test/support/scripted_upstream.cpp
@@ -82,7 +82,7 @@
   stopped_ = true;
   acceptor_.join();
   close(listener_);
-  for (std::thread& connection : connections_) connection.join();
+  for (connection& conn : connections_) conn.thread.join();
 }
 
 void scripted_upstream::SetAnswer(scripted_answer answer) {
@@ -95,7 +95,17 @@
     pollfd waiting{listener_, POLLIN, 0};
     if (poll(&waiting, 1, kIdleMs) <= 0) continue;
     const int fd = accept(listener_, nullptr, nullptr);
-    if (fd >= 0) connections_.emplace_back([this, fd] { Serve(fd); });
+    if (fd < 0) continue;
+    connections_.remove_if([](connection& conn) {
+      if (!conn.ended) return false;
+      conn.thread.join();
+      return true;
+    });
+    connection& conn = connections_.emplace_back();
+    conn.thread = std::thread([this, fd, &conn] {
+      Serve(fd);
+      conn.ended = true;
+    });
   }
 }
 
--- a/test/support/scripted_upstream.h
+++ b/test/support/scripted_upstream.h
@@ -3,11 +3,11 @@
 
 #include <atomic>
 #include <chrono>
+#include <list>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <thread>
-#include <vector>
 
 #include "siskinrack/support/socket_address.h"
 
@@ -72,6 +72,12 @@
   [[nodiscard]] int scripted_on_reused() const { return scripted_on_reused_; }
 
  private:
+  /// Thread that serves one connection.
+  struct connection {
+    std::thread thread;
+    std::atomic<bool> ended = false;
+  };
+
   void Accept();
   /// Answers the requests on one connection until it ends.
   void Serve(int fd);
@@ -90,7 +96,7 @@
   std::atomic<int> scripted_on_reused_ = 0;
   std::mutex mutex_;
   scripted_answer answer_;
-  std::vector<std::thread> connections_;
+  std::list<connection> connections_;
   std::thread acceptor_;
 };
 
--- a/unittests/net/broken_answers_test.cpp
+++ b/unittests/net/broken_answers_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iostream>
 #include <thread>
 
 #include "answer_samples.h"
@@ -105,6 +106,32 @@
   }
 }
 
+// Guards against a request that counts as sent although its connection failed before its first
+// byte: an at-most-once request may be sent elsewhere then.
+TEST_F(broken_answers_test, RequestWithoutASentByteIsNotSent) {
+  constexpr int kMaxRounds = 20'000;
+  constexpr int kFailures = 60;
+  // The next request is sent at the time of the reset. It fails before its first byte or after it.
+  upstream_.SetAnswer(
+      {test::MakeAnswerHead() + "Content-Length: 0\r\n\r\n", test::stream_ending::kReset});
+  int failures = 0;
+  int not_sent = 0;
+  runtime_.Run(0, [&] {
+    for (int i = 0; i < kMaxRounds && failures < kFailures; ++i) {
+      const http_result result =
+          client_.Send(upstream_.address(), {"GET", "/scripted", {}, {}, "host"},
+                       steady_clock::now() + kTimeout);
+      failures += result.stage != exchange_stage::kAnswered;
+      not_sent += result.stage == exchange_stage::kNotSent;
+    }
+  });
+  // A machine on which the reset always comes at another time shows nothing.
+  if (failures == kFailures) {
+    EXPECT_GT(not_sent, 0);
+  }
+  std::cout << not_sent << " of " << failures << " failed requests were not sent\n";
+}
+
 // Guards against a truncated message that counts as a whole one.
 TEST_F(broken_answers_test, TruncatedMessagesAreNoAnswers) {
   ExpectNoAnswers(test::MakeExchanges(test::MakeTruncatedAnswers()));
