--- a/include/siskinrack/net/http_client.h
+++ b/include/siskinrack/net/http_client.h
@@ -112,8 +112,10 @@
   /// Sends a request and waits for the response, `deadline` or a cancellation. A cancelled or
   /// timed-out exchange closes its connection, so that a late response isn't matched to a later
   /// request. A response is bounded in the size of its header section, its body (kMaxResponseBytes)
-  /// and its framing, and in the number of interim and other responses before it. A request with a
-  /// problem (FindRequestProblem) fails with kNotSent.
+  /// and its framing, and in the number of interim and other responses before it. One with a head
+  /// that HTTP doesn't allow fails the exchange, and so does one without a length whose connection
+  /// fails before the server ends it. A request with a problem (FindRequestProblem) fails with
+  /// kNotSent.
   http_result Send(const support::socket_address& address, http_request request,
                    steady_time deadline, cancellation* cancel = nullptr,
                    const exchange_options& options = {});
