--- a/lib/net/response_reader.h
+++ b/lib/net/response_reader.h
@@ -18,8 +18,8 @@
   /// `answers_head` tells that the response has no body because the method of its request is HEAD.
   explicit response_reader(bool answers_head);
 
-  /// Reads from `buffer` what belongs to the response. Bytes that are left form the begin of a
-  /// line, a chunk header or a trailer section, or follow the response.
+  /// Reads from `buffer` what belongs to the response. Bytes that are left form the beginning
+  /// of a line, a chunk header or a trailer section, or follow the response.
   void Read(boost::beast::flat_buffer& buffer);
   /// Reads the end of the connection. If the server ended it in order, it completes a response
   /// without a length. Any other response is truncated.
--- a/test/support/scripted_upstream.h
+++ b/test/support/scripted_upstream.h
@@ -48,7 +48,7 @@
   return std::string(status_line) + "\r\n" + std::string(kIdentityFields);
 }
 
-/// Stand-in for an upstream that sends any bytes, in the stead of an HTTP library. Requests whose
+/// Stand-in for an upstream that sends any bytes, valid HTTP or not. Requests whose
 /// target contains "scripted" get the answer that was set; all others get kOrdinaryBody with status
 /// 200. Thread-safe.
 class scripted_upstream {
