--- a/include/siskinrack/tenancy/cap_node.h
+++ b/include/siskinrack/tenancy/cap_node.h
@@ -60,6 +60,8 @@
   { env.FindCap(text) } -> std::same_as<std::optional<usage_cap>>;
   { env.Tolerance() } -> std::convertible_to<cap_tolerance>;
   { env.Ask(text, demand, deadline) } -> std::same_as<cap_exchange>;
+  /// Records that this node, with a rank among the candidates, granted tokens of a shard.
+  { env.OnGranted(text, demand.wanted, std::size_t{}) } -> std::same_as<void>;
 };
 
 /// Part of one node in keeping the usage caps of all nodes: requests tokens for its own callers,
@@ -223,7 +225,11 @@
     const usage_cap part = DivideCap(*cap, shards);
     const cap_plan plan = PlanCap(part, DivideTolerance(env_.Tolerance(), shards));
     if (!cap->limited()) return {demand.wanted, plan.validity, {}, true};
-    const auto taken = owner_.Grant(MakeKey(demand), part, plan, demand.wanted, env_.SteadyNow());
+    const std::string key = MakeKey(demand);
+    const auto taken = owner_.Grant(key, part, plan, demand.wanted, env_.SteadyNow());
+    const std::vector<std::string> candidates = env_.FindCandidates(key);
+    const auto own = std::find(candidates.begin(), candidates.end(), std::string(env_.Self()));
+    env_.OnGranted(key, taken.tokens, static_cast<std::size_t>(own - candidates.begin()));
     return {taken.tokens, plan.validity, taken.refill, true};
   }
 
--- a/lib/mesh/cap_service.cpp
+++ b/lib/mesh/cap_service.cpp
@@ -17,6 +17,8 @@
 /// second and may have to ask another candidate first. A busier one is avoided for a while.
 constexpr milliseconds kReplyTimeout{400};
 constexpr milliseconds kTick{200};
+/// Time between two log lines about the grants of one shard.
+constexpr milliseconds kGrantLogInterval{1'000};
 
 }  // namespace
 
@@ -77,6 +79,23 @@
           false};
 }
 
+void cap_peers::OnGranted(const std::string& shard, std::uint32_t tokens, std::size_t rank) {
+  unlogged_grants& granted = granted_[shard];
+  granted.tokens += tokens;
+  const auto now = steady_clock::now();
+  if (granted.tokens == 0 || now - granted.logged_at < kGrantLogInterval) return;
+  const auto proved_at = ProvedAt();
+  const auto age = proved_at ? BootNow() - *proved_at : support::boot_clock::duration(-1);
+  context_.log.Info("cap_granted",
+                    {{"shard", shard},
+                     {"tokens", granted.tokens},
+                     {"rank", rank},
+                     {"nodes", addresses_.size()},
+                     {"list_generation", generation_},
+                     {"proof_age_ms", std::chrono::duration_cast<milliseconds>(age).count()}});
+  granted = {0, now};
+}
+
 void cap_service::Run() {
   while (true) {
     net::SleepFor(kTick);
@@ -85,9 +104,12 @@
 }
 
 void cap_service::OnConfiguration() {
-  node_.Discard([this](const std::string& tenant) {
+  const auto is_removed = [this](const std::string& tenant) {
     return context_.routes->FindTenantByName(tenant) == nullptr;
-  });
+  };
+  node_.Discard(is_removed);
+  peers_.Discard(
+      [&](const std::string& shard) { return is_removed(shard.substr(0, shard.rfind('/'))); });
 }
 
 wire::token_reply_t cap_service::OnRequest(const wire::token_request_t& request) {
--- a/lib/mesh/cap_service.h
+++ b/lib/mesh/cap_service.h
@@ -25,13 +25,28 @@
   [[nodiscard]] tenancy::cap_tolerance Tolerance() const { return context_.settings.caps; }
   tenancy::cap_exchange Ask(const std::string& node, const tenancy::cap_demand& demand,
                             net::steady_time deadline);
+  /// Logs, at most once a second for each shard, what this node granted and on what knowledge: two
+  /// nodes that grant tokens of one shard at the same time differ in their rank or its age.
+  void OnGranted(const std::string& shard, std::uint32_t tokens, std::size_t rank);
+  /// Forgets the grants of shards for which `is_removed` returns true.
+  template <typename IsRemoved>
+  void Discard(IsRemoved is_removed) {
+    std::erase_if(granted_, [&](const auto& entry) { return is_removed(entry.first); });
+  }
 
  private:
+  /// Tokens granted of one shard that aren't logged yet.
+  struct unlogged_grants {
+    std::uint64_t tokens = 0;
+    net::steady_time logged_at{};
+  };
+
   mesh_context& context_;
   /// Generation of the endpoints that `candidates_` belongs to.
   std::uint64_t generation_ = 0;
   std::map<std::string, std::vector<std::string>> candidates_;
   std::map<std::string, support::socket_address> addresses_;
+  std::map<std::string, unlogged_grants> granted_;
 };
 
 /// Keeps the usage caps of tenants over all nodes. The entry nodes request tokens from the owner of
--- a/unittests/tenancy/cap_fleet.h
+++ b/unittests/tenancy/cap_fleet.h
@@ -47,6 +47,8 @@
                                  cap_bucket::time_point /*deadline*/) const {
     return fleet.exchange(index, std::stoul(node), demand);
   }
+  void OnGranted(const std::string& /*shard*/, std::uint32_t /*tokens*/,
+                 std::size_t /*rank*/) const {}
 
   const fleet_state& fleet;
   std::size_t index;
