tenancy: a holder that yields its right ends the claimant's search

At most one node has the right, so a node that says that it had it until now answers for all others (held). The first candidates of the lists before are asked first. A settled node leaves out those that ranked behind it: they act only in its place.

--- a/include/siskinrack/tenancy/cap_node.h
+++ b/include/siskinrack/tenancy/cap_node.h
@@ -32,6 +32,9 @@
   /// The sender doesn't have the right to grant, and knows of no node that may have it. Only in the
   /// reply to a claim, or of a sender that is out of touch.
   bool clear = false;
+  /// The sender had the right until now, so that no other node has it. Only in the reply to a
+  /// claim.
+  bool held = false;
   /// Node that may have the right, because the sender passed it on to it or it has left the list.
   std::string holder;
   // Only in the reply to a claim:
@@ -343,11 +346,30 @@
     return former;
   }
 
-  /// Returns those of them that aren't listed any more.
+  /// Returns the first candidates by the lists that were replaced recently, without this node, the
+  /// latest first. One of them probably has the right.
+  std::vector<std::string> FindFormerFirsts(const std::string& shard) {
+    std::vector<std::string> firsts;
+    const auto& entries = env_.Nodes().entries();
+    for (auto entry = entries.rbegin() + 1; entry != entries.rend(); ++entry) {
+      const std::string first = FindFirst(shard, *entry);
+      if (!first.empty() && first != std::string(env_.Self()) &&
+          std::find(firsts.begin(), firsts.end(), first) == firsts.end()) {
+        firsts.push_back(first);
+      }
+    }
+    return firsts;
+  }
+
+  /// Returns the former candidates that aren't listed any more. While this node is settled, only
+  /// nodes that ranked before it can have a right.
   std::set<std::string> FindRemovedCandidates(const std::string& shard) {
     std::set<std::string> removed = FindFormerCandidates(shard);
-    std::erase_if(
-        removed, [this](const std::string& node) { return env_.Nodes().newest()->Contains(node); });
+    const bool settled = IsSettled();
+    std::erase_if(removed, [&](const std::string& node) {
+      return env_.Nodes().newest()->Contains(node) ||
+             (settled && !RanksBefore(shard, node, env_.Self()));
+    });
     return removed;
   }
 
@@ -374,15 +396,16 @@
     reply.fresh = !reply.listed && !owner_.has_lost_touch();
     reply.idle = !owner_.HasGranted(shard, env_.SteadyNow());
     const std::string yielded_to = owner_.FindYieldedTo(shard, env_.Nodes().proved_at(), now);
-    if (yielded_to != claimant) reply.holder = yielded_to;
+    reply.held = Holds(shard);
+    if (!reply.held && yielded_to != claimant) reply.holder = yielded_to;
     for (const std::string& removed : FindRemovedCandidates(shard)) {
-      if (removed != claimant && reply.holder.empty()) reply.holder = removed;
+      if (!reply.held && removed != claimant && reply.holder.empty()) reply.holder = removed;
     }
     reply.clear = reply.holder.empty();
     // What showed that the claimant is out is older than its claim.
     silent_until_.erase(claimant);
     owner_.OnReached(claimant);
-    if (Holds(shard)) env_.OnYielded(shard, claimant);
+    if (reply.held) env_.OnYielded(shard, claimant);
     owner_.Yield(shard, claimant, now);
     return reply;
   }
@@ -492,18 +515,26 @@
     std::set<std::string> asked;
     /// Nodes that have no right now.
     std::set<std::string> cleared;
+    /// One of them had the right.
+    bool held = false;
     /// What the nodes may have granted before.
     cap_owner::past past = cap_owner::past::kIdle;
   };
 
   /// Claims the right from the nodes that may have it. Returns false if one of them doesn't yield.
   bool ClaimFromOthers(const cap_demand& demand, claim_round& round) {
-    for (const std::string& node : FindRemovedCandidates(MakeKey(demand))) {
+    for (const std::string& node : FindFormerFirsts(MakeKey(demand))) {
       if (!Claim(node, demand, round)) return false;
+      if (round.held) return true;
+    }
+    for (const std::string& node : FindRemovedCandidates(MakeKey(demand))) {
+      if (!round.cleared.contains(node) && !Claim(node, demand, round)) return false;
+      if (round.held) return true;
     }
     if (IsSettled()) return true;
     for (const std::string& node : FindFormerCandidates(MakeKey(demand))) {
       if (!round.cleared.contains(node) && !Claim(node, demand, round)) return false;
+      if (round.held) return true;
     }
     const std::string self = env_.Self();
     bool listed = IsListed();
@@ -518,7 +549,7 @@
       if (after - ranked.begin() >= kCandidates && (listed || !fresh)) break;
       const auto reply = Claim(*after, demand, round);
       if (!reply) return false;
-      if (reply->settled) return true;
+      if (reply->settled || round.held) return true;
       listed = listed || reply->listed;
       fresh = fresh && reply->fresh;
     }
@@ -538,6 +569,8 @@
     if (!reply) {
       if (!IsReplaced(node)) ReadNodesFor({node});
       if (!IsReplaced(node)) return std::nullopt;
+    } else if (reply->held) {
+      round.held = true;
     } else if (!reply->clear) {
       if (reply->holder.empty()) return std::nullopt;
       const bool asked = round.asked.contains(reply->holder);
--- a/include/siskinrack/wire/siskinrack_generated.h
+++ b/include/siskinrack/wire/siskinrack_generated.h
@@ -4131,6 +4131,7 @@
   bool owned = false;
   bool released = false;
   bool clear = false;
+  bool held = false;
   std::string holder{};
   bool listed = false;
   bool settled = false;
@@ -4148,11 +4149,12 @@
     VT_OWNED = 10,
     VT_RELEASED = 12,
     VT_CLEAR = 14,
-    VT_HOLDER = 16,
-    VT_LISTED = 18,
-    VT_SETTLED = 20,
-    VT_FRESH = 22,
-    VT_IDLE = 24
+    VT_HELD = 16,
+    VT_HOLDER = 18,
+    VT_LISTED = 20,
+    VT_SETTLED = 22,
+    VT_FRESH = 24,
+    VT_IDLE = 26
   };
   uint32_t granted() const {
     return GetField<uint32_t>(VT_GRANTED, 0);
@@ -4172,6 +4174,9 @@
   bool clear() const {
     return GetField<uint8_t>(VT_CLEAR, 0) != 0;
   }
+  bool held() const {
+    return GetField<uint8_t>(VT_HELD, 0) != 0;
+  }
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
   }
@@ -4195,6 +4200,7 @@
            VerifyField<uint8_t>(verifier, VT_OWNED, 1) &&
            VerifyField<uint8_t>(verifier, VT_RELEASED, 1) &&
            VerifyField<uint8_t>(verifier, VT_CLEAR, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HELD, 1) &&
            VerifyOffset(verifier, VT_HOLDER) &&
            verifier.VerifyString(holder()) &&
            VerifyField<uint8_t>(verifier, VT_LISTED, 1) &&
@@ -4230,6 +4236,9 @@
   void add_clear(bool clear) {
     fbb_.AddElement<uint8_t>(token_grant::VT_CLEAR, static_cast<uint8_t>(clear), 0);
   }
+  void add_held(bool held) {
+    fbb_.AddElement<uint8_t>(token_grant::VT_HELD, static_cast<uint8_t>(held), 0);
+  }
   void add_holder(flatbuffers::Offset<flatbuffers::String> holder) {
     fbb_.AddOffset(token_grant::VT_HOLDER, holder);
   }
@@ -4264,6 +4273,7 @@
     bool owned = false,
     bool released = false,
     bool clear = false,
+    bool held = false,
     flatbuffers::Offset<flatbuffers::String> holder = 0,
     bool listed = false,
     bool settled = false,
@@ -4278,6 +4288,7 @@
   builder_.add_fresh(fresh);
   builder_.add_settled(settled);
   builder_.add_listed(listed);
+  builder_.add_held(held);
   builder_.add_clear(clear);
   builder_.add_released(released);
   builder_.add_owned(owned);
@@ -4292,6 +4303,7 @@
     bool owned = false,
     bool released = false,
     bool clear = false,
+    bool held = false,
     const char *holder = nullptr,
     bool listed = false,
     bool settled = false,
@@ -4306,6 +4318,7 @@
       owned,
       released,
       clear,
+      held,
       holder__,
       listed,
       settled,
@@ -6480,6 +6493,7 @@
   { auto _e = owned(); _o->owned = _e; }
   { auto _e = released(); _o->released = _e; }
   { auto _e = clear(); _o->clear = _e; }
+  { auto _e = held(); _o->held = _e; }
   { auto _e = holder(); if (_e) _o->holder = _e->str(); }
   { auto _e = listed(); _o->listed = _e; }
   { auto _e = settled(); _o->settled = _e; }
@@ -6501,6 +6515,7 @@
   auto _owned = _o->owned;
   auto _released = _o->released;
   auto _clear = _o->clear;
+  auto _held = _o->held;
   auto _holder = _o->holder.empty() ? 0 : _fbb.CreateString(_o->holder);
   auto _listed = _o->listed;
   auto _settled = _o->settled;
@@ -6514,6 +6529,7 @@
       _owned,
       _released,
       _clear,
+      _held,
       _holder,
       _listed,
       _settled,
--- a/lib/mesh/cap_service.cpp
+++ b/lib/mesh/cap_service.cpp
@@ -68,6 +68,7 @@
                              .owned = grant.owned,
                              .released = grant.released,
                              .clear = grant.clear,
+                             .held = grant.held,
                              .holder = grant.holder,
                              .listed = grant.listed,
                              .settled = grant.settled,
@@ -158,6 +159,7 @@
     wire_grant->owned = grant.owned;
     wire_grant->released = grant.released;
     wire_grant->clear = grant.clear;
+    wire_grant->held = grant.held;
     wire_grant->holder = grant.holder;
     wire_grant->listed = grant.listed;
     wire_grant->settled = grant.settled;
