--- a/lib/mesh/freshness_keeper.cpp
+++ b/lib/mesh/freshness_keeper.cpp
@@ -137,7 +137,7 @@
   wire::freshness_request_t request;
   const auto* newest = context_.cap_nodes.newest();
   if (newest != nullptr) request.nodes_version = newest->version;
-  const auto result = context_.peers.Request(prover, wire::MakeEnvelope(std::move(request)),
+  const auto result = context_.peers.Request(prover, wire::MakeEnvelope(request),
                                              steady_clock::now() + kReplyTimeout);
   const auto* reply = result.reply == nullptr ? nullptr : result.reply->message.Asfreshness_reply();
   if (reply == nullptr) {
