mesh: a prover that the store turns away asks the other one

Callers beside a node got 503 for seconds, 'usage of the tenant is not known' and then 'current API keys are not known': it was the first prover of its failure domain, the store turned it away, and the second prover had no young proof of the list yet. The node marked that one for 20 s and didn't ask it again, since it counted itself among the provers that were left.

Provers without a young proof are asked after the others, never left out.

A candidate that reads the list before it acts as a substitute also computes the candidates before it after that read: one that the read has shown may have the right.

--- a/include/siskinrack/tenancy/cap_node.h
+++ b/include/siskinrack/tenancy/cap_node.h
@@ -414,6 +414,8 @@
   /// all before it are out. Returns false if another node may have it.
   bool Acquire(const cap_demand& demand) {
     const std::string shard = MakeKey(demand);
+    const std::vector<std::string> known = FindBefore(shard, FindCandidates(shard));
+    if (!FindSubstitutionEnd(known)) ReadNodesFor(known);
     // Copies, because the list may change while other nodes are asked.
     const std::vector<std::string> candidates = FindCandidates(shard);
     const std::vector<std::string> before = FindBefore(shard, candidates);
@@ -429,7 +431,6 @@
 
   bool AcquireByClaims(const cap_demand& demand, const std::vector<std::string>& before) {
     const std::string shard = MakeKey(demand);
-    if (!FindSubstitutionEnd(before)) ReadNodesFor(before);
     const auto begun = owner_.BeginAcquisition(shard, env_.SteadyNow());
     if (!begun || !FindSubstitutionEnd(before)) return false;
     const std::uint64_t generation = env_.Nodes().newest()->generation;
--- a/lib/mesh/freshness_keeper.cpp
+++ b/lib/mesh/freshness_keeper.cpp
@@ -21,8 +21,8 @@
 /// Shortest time between two reads of a node that is not a prover. A store that refuses calls is
 /// paid for each of them.
 constexpr milliseconds kOwnReadInterval{1'000};
-/// Time in which a prover that did not reply, or had no young proof, is not asked again, unless no
-/// other one is left. Longer than endpoint_reaper takes to remove a node that is gone.
+/// Time in which a prover that did not reply, or had no young proof, is asked after the others.
+/// Longer than endpoint_reaper takes to remove a node that is gone.
 constexpr milliseconds kUselessTime{20'000};
 /// Bounds memory, because machines are replaced.
 constexpr std::size_t kMaxProvers = 64;
@@ -88,10 +88,11 @@
 }
 
 void freshness_keeper::Refresh(const std::vector<support::socket_address>& provers) {
-  const bool all_useless = std::all_of(provers.begin(), provers.end(),
-                                       [this](const auto& prover) { return IsUseless(prover); });
-  for (const support::socket_address& prover : provers) {
-    if (prover == context_.settings.peer_address || (IsUseless(prover) && !all_useless)) continue;
+  std::vector<support::socket_address> others = provers;
+  std::erase(others, context_.settings.peer_address);
+  std::stable_partition(others.begin(), others.end(),
+                        [this](const auto& prover) { return !IsUseless(prover); });
+  for (const support::socket_address& prover : others) {
     if (Ask(prover)) return;
   }
   if (AreYounger(kGoodAge) || steady_clock::now() - last_own_read_ < kOwnReadInterval) return;
