--- a/utils/bench_table.py
+++ b/utils/bench_table.py
@@ -66,7 +66,7 @@
     print("# Figures of the users' bench\n")
     print("Made by `utils/bench_table.py` from `journal/`. A `+` behind a commit: changes on top of it were not yet")
     print("committed. A change under 0.03 is noise. Only runs on one machine can be compared: those of f96283c and of the")
-    print("incident sitting are from an arm64 machine, earlier ones and those of the broken answers sitting from x86-64.\n")
+    print("incident sitting are from an arm64 machine, earlier ones and those of the broken answers and review 2 sittings from x86-64.\n")
     for site in SITES:
         if site in scores:
             print_scores(site, scores[site])
