--- a/review/stand_ins_3/lab.cc
+++ b/review/stand_ins_3/lab.cc
@@ -28,7 +28,11 @@
 
 constexpr std::size_t kMaxHead = 1U << 20U;
 constexpr std::size_t kPageItems = 500;
-constexpr const char* kProgram = "target/bin/siskinrack-node";
+/// The command of the deploy file; NODE names another build of it.
+const char* FindProgram() {
+  const char* other = getenv("NODE");
+  return other != nullptr ? other : "target/bin/siskinrack-node";
+}
 
 sockaddr_in ToAddress(const endpoint& from) {
   sockaddr_in address{};
@@ -249,8 +253,9 @@
       const int one = 1;
       setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
       const std::lock_guard lock(mutex_);
-      open_.push_back(fd);
-      threads_.emplace(fd, std::thread([this, fd] { Serve(fd); }));
+      const int number = ++accepted_;
+      open_[number] = fd;
+      threads_.emplace(number, std::thread([this, fd, number] { Serve(fd, number); }));
     }
     std::vector<std::thread> ended;
     {
@@ -261,17 +266,17 @@
   }
 }
 
-void server::Serve(int fd) {
+void server::Serve(int fd, int number) {
   connection conn(fd);
   message request;
   while (!stopped_ && conn.Read(request, clock::now() + std::chrono::seconds(60))) {
     message response;
-    if (!handle_(request, response, conn) || !conn.Send(Encode(response))) break;
+    if (!handle_(request, response, conn) || !conn.open() || !conn.Send(Encode(response))) break;
     if (response.Field("Connection") == "close") break;
   }
   const std::lock_guard lock(mutex_);
-  std::erase(open_, fd);
-  const auto own = threads_.find(fd);
+  open_.erase(number);
+  const auto own = threads_.find(number);
   if (own != threads_.end()) {
     ended_.push_back(std::move(own->second));
     threads_.erase(own);
@@ -287,11 +292,11 @@
   std::vector<std::thread> ended;
   {
     const std::lock_guard lock(mutex_);
-    for (const int fd : open_) shutdown(fd, SHUT_RDWR);
+    for (const auto& [number, fd] : open_) shutdown(fd, SHUT_RDWR);
     threads.swap(threads_);
     ended.swap(ended_);
   }
-  for (auto& [fd, thread] : threads) thread.join();
+  for (auto& [number, thread] : threads) thread.join();
   for (std::thread& thread : ended) thread.join();
 }
 
@@ -533,8 +538,8 @@
                  std::chrono::system_clock::now().time_since_epoch())
                  .count();
   server_ = std::make_unique<server>(
-      where_.app, [this](const message& request, message& response, connection&) {
-        return Handle(request, response);
+      where_.app, [this](const message& request, message& response, connection& conn) {
+        return Handle(request, response, conn);
       });
   beating_ = std::thread([this] {
     while (!stopped_) {
@@ -575,7 +580,7 @@
   return runs_;
 }
 
-bool instance::Handle(const message& request, message& response) {
+bool instance::Handle(const message& request, message& response, connection& conn) {
   const std::string id = request.Field("Request-Id");
   const std::string expected = request.Field("Expect-Instance");
   if (!expected.empty() && expected != options_.id) {
@@ -609,7 +614,8 @@
   freed_.notify_one();
   response = MakeResponse(200, {{"Request-Id", id}, {"Server-Stamp", "3e1b." + options_.id}},
                           std::string(options_.answer_bytes, 'x'));
-  return true;
+  lock.unlock();
+  return !options_.spoil || options_.spoil(request, response, conn);
 }
 
 node::node(machine where, std::string zone, std::string service, endpoint store, deployment limits,
@@ -681,9 +687,10 @@
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
-    const char* arguments[] = {kProgram, nullptr};
+    const char* program = FindProgram();
+    const char* arguments[] = {program, nullptr};
     const char* environment[] = {settings.c_str(), path.c_str(), nullptr};
-    execve(kProgram, const_cast<char* const*>(arguments), const_cast<char* const*>(environment));
+    execve(program, const_cast<char* const*>(arguments), const_cast<char* const*>(environment));
     _exit(127);
   }
   signalled_ = false;
--- a/review/stand_ins_3/lab.hh
+++ b/review/stand_ins_3/lab.hh
@@ -99,16 +99,18 @@
 
  private:
   void Accept();
-  void Serve(int fd);
+  void Serve(int fd, int number);
 
   endpoint address_;
   handler handle_;
   int listener_ = -1;
   std::atomic<bool> stopped_ = false;
   std::mutex mutex_;
+  /// Connections by the order in which they were accepted.
   std::map<int, std::thread> threads_;
   std::vector<std::thread> ended_;
-  std::vector<int> open_;
+  std::map<int, int> open_;
+  int accepted_ = 0;
   std::thread accepting_;
 };
 
@@ -198,6 +200,9 @@
     milliseconds work{20};
     milliseconds heartbeat{1'500};
     std::size_t answer_bytes = 200;
+    /// Called with the whole answer of a request that has run; may change it, or send it in part by
+    /// itself and return false, which closes the connection. Empty for a sound instance.
+    std::function<bool(const message& request, message& response, connection& conn)> spoil = {};
   };
   instance(machine where, options chosen);
   ~instance();
@@ -207,7 +212,7 @@
   void SetWork(milliseconds work) { work_ = work.count(); }
 
  private:
-  bool Handle(const message& request, message& response);
+  bool Handle(const message& request, message& response, connection& conn);
 
   machine where_;
   options options_;
