--- a/review/stand_ins_3/lab.cc
+++ b/review/stand_ins_3/lab.cc
@@ -311,8 +311,8 @@
 object_store::object_store(endpoint address) {
   server_ = std::make_unique<server>(
       std::move(address),
-      [this](const message& request, message& response, connection&) {
-        return Handle(request, response);
+      [this](const message& request, message& response, connection& conn) {
+        return Handle(request, response, conn);
       });
 }
 
@@ -338,7 +338,7 @@
 
 void object_store::Note(const std::string& kind, const std::string& name, const object& stored,
                         bool deleted) {
-  history_.push_back({revision_, kind, deleted, ToJson(name, stored)});
+  history_.push_back({revision_, kind, deleted, name, ToJson(name, stored)});
   changed_.notify_all();
 }
 
@@ -376,7 +376,38 @@
   changed_.notify_all();
 }
 
-bool object_store::Handle(const message& request, message& response) {
+void object_store::MuteOpenConnections() {
+  const std::lock_guard lock(mutex_);
+  muted_at_ = clock::now();
+  changed_.notify_all();
+}
+
+void object_store::SetStaleLag(milliseconds lag) {
+  const std::lock_guard lock(mutex_);
+  stale_lag_ = lag;
+}
+
+message object_store::ListAsOf(const std::string& kind, clock::time_point at) const {
+  std::map<std::string, json::object> objects;
+  std::int64_t revision = 0;
+  for (const change& each : history_) {
+    if (each.at > at) break;
+    revision = each.revision;
+    if (each.kind != kind) continue;
+    if (each.deleted) {
+      objects.erase(each.name);
+    } else {
+      objects.insert_or_assign(each.name, each.content);
+    }
+  }
+  json::array items;
+  for (const auto& [name, content] : objects) items.push_back(content);
+  return MakeResponse(200, {{"Content-Type", "application/json"}},
+                      json::serialize(json::object{
+                          {"items", items}, {"hasMore", false}, {"currentRev", revision}}));
+}
+
+bool object_store::Handle(const message& request, message& response, connection& conn) {
   constexpr std::string_view kPrefix = "/api/objects/";
   const std::string target = request.Target();
   if (!target.starts_with(kPrefix)) {
@@ -406,7 +437,8 @@
   };
   std::unique_lock lock(mutex_);
   const std::uint64_t silences = silences_;
-  if (silent_) {
+  const bool stale = find("staleOk") == "1" && stale_lag_.count() > 0;
+  if (silent_ || IsMute(conn)) {
     changed_.wait(lock, [&] { return stopped_; });
     return false;
   }
@@ -418,9 +450,13 @@
     lock.unlock();
     const bool answered = Watch(path, std::stoll(find("watch")),
                                 milliseconds(find("waitMs").empty() ? 0 : std::stoll(find("waitMs"))),
-                                response);
+                                stale, response, conn);
     return answered && silences == silences_;
   }
+  if (request.Method() == "GET" && name.empty() && stale) {
+    response = ListAsOf(path, clock::now() - stale_lag_);
+    return true;
+  }
   if (request.Method() == "GET" && name.empty()) {
     const std::string after = find("after");
     json::array items;
@@ -452,24 +488,30 @@
   return true;
 }
 
-bool object_store::Watch(const std::string& kind, std::int64_t since, milliseconds wait,
-                         message& response) {
+bool object_store::Watch(const std::string& kind, std::int64_t since, milliseconds wait, bool stale,
+                         message& response, const connection& conn) {
   std::unique_lock lock(mutex_);
   const std::uint64_t silences = silences_;
   const auto end = clock::now() + wait;
   json::array events;
+  std::int64_t seen = since;
   const auto collect = [&] {
     events.clear();
+    seen = stale ? since : revision_;
     for (const change& each : history_) {
+      if (stale && each.at > clock::now() - stale_lag_) break;
+      seen = std::max(seen, each.revision);
       if (each.kind == kind && each.revision > since) {
         events.push_back({{"object", each.content}, {"deleted", each.deleted}});
       }
     }
-    return stopped_ || down_ || silences != silences_ || !events.empty();
+    return stopped_ || down_ || silences != silences_ || IsMute(conn) || !events.empty();
   };
-  changed_.wait_until(lock, end, collect);
-  collect();
-  if (silences != silences_) {
+  // Changes become visible to stale watches without a notification.
+  while (!collect() && clock::now() < end) {
+    changed_.wait_until(lock, std::min<clock::time_point>(end, clock::now() + milliseconds(50)));
+  }
+  if (silences != silences_ || IsMute(conn)) {
     changed_.wait(lock, [&] { return stopped_; });
     return false;
   }
@@ -480,7 +522,7 @@
   }
   response =
       MakeResponse(200, {{"Content-Type", "application/json"}},
-                   json::serialize(json::object{{"events", events}, {"currentRev", revision_}}));
+                   json::serialize(json::object{{"events", events}, {"currentRev", seen}}));
   return true;
 }
 
--- a/review/stand_ins_3/lab.hh
+++ b/review/stand_ins_3/lab.hh
@@ -56,13 +56,16 @@
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
   connection(connection&& other) noexcept
-      : fd_(std::exchange(other.fd_, -1)), buffer_(std::move(other.buffer_)) {}
+      : fd_(std::exchange(other.fd_, -1)),
+        buffer_(std::move(other.buffer_)),
+        opened_at_(other.opened_at_) {}
 
   /// Connects to `to`; the result is not open if that fails.
   static connection Connect(const endpoint& to, milliseconds timeout = milliseconds(1'000));
 
   [[nodiscard]] bool open() const { return fd_ >= 0; }
   [[nodiscard]] int fd() const { return fd_; }
+  [[nodiscard]] clock::time_point opened_at() const { return opened_at_; }
   bool Send(std::string_view bytes) const;
   /// Reads a whole message. Returns false at the end of the connection, at `deadline`, and if the
   /// message breaks off. `head_only` reads a response without a body.
@@ -78,6 +81,7 @@
 
   int fd_;
   std::string buffer_;
+  clock::time_point opened_at_ = clock::now();
 };
 
 std::string Encode(const message& out);
@@ -139,6 +143,10 @@
   void SetDown(bool down);
   /// While `silent` is true, calls get no answer. Calls from before get none either.
   void SetSilent(bool silent);
+  /// Lets all connections that are open now go silent for good; new ones work.
+  void MuteOpenConnections();
+  /// Lets calls that may get stale data see the state of `lag` ago.
+  void SetStaleLag(milliseconds lag);
 
  private:
   struct object {
@@ -151,12 +159,17 @@
     std::int64_t revision = 0;
     std::string kind;
     bool deleted = false;
+    std::string name;
     boost::json::object content;
+    clock::time_point at = clock::now();
   };
 
   static boost::json::object ToJson(const std::string& name, const object& stored);
-  bool Handle(const message& request, message& response);
-  bool Watch(const std::string& kind, std::int64_t since, milliseconds wait, message& response);
+  bool Handle(const message& request, message& response, connection& conn);
+  bool Watch(const std::string& kind, std::int64_t since, milliseconds wait, bool stale,
+             message& response, const connection& conn);
+  message ListAsOf(const std::string& kind, clock::time_point at) const;
+  [[nodiscard]] bool IsMute(const connection& conn) const { return conn.opened_at() < muted_at_; }
   message Mutate(const std::string& method, const std::string& kind, std::string name, bool status,
                  std::int64_t condition, const std::string& body);
   void Note(const std::string& kind, const std::string& name, const object& stored, bool deleted);
@@ -169,6 +182,8 @@
   bool down_ = false;
   std::uint64_t silences_ = 0;
   bool silent_ = false;
+  clock::time_point muted_at_{};
+  milliseconds stale_lag_{0};
   bool stopped_ = false;
   std::unique_ptr<server> server_;
 };
