--- a/review/stand_ins_3/lab.cc
+++ b/review/stand_ins_3/lab.cc
@@ -584,7 +584,7 @@
         return Handle(request, response, conn);
       });
   beating_ = std::thread([this] {
-    while (!stopped_) {
+    while (!stopped_ && !options_.manual) {
       const bool acknowledged = Beat();
       const auto next = clock::now() + (acknowledged ? options_.heartbeat : milliseconds(200));
       while (!stopped_ && clock::now() < next) std::this_thread::sleep_for(milliseconds(20));
@@ -599,7 +599,7 @@
   server_->Stop();
 }
 
-bool instance::Beat() {
+bool instance::Report(const std::string& state, std::int64_t sequence) {
   const json::object report{
       {"address", where_.app.ToText()},
       {"born", born_ms_},
@@ -608,7 +608,7 @@
         {"version", "v1"},
         {"zone", options_.zone},
         {"slots", options_.slots}}},
-      {"status", {{"state", "ready"}, {"seq", ++sequence_}, {"coldLeftS", 0}}}};
+      {"status", {{"state", state}, {"seq", sequence}, {"coldLeftS", 0}}}};
   return Exchange(where_.control,
                   {"PUT /api/instances/" + options_.id + " HTTP/1.1",
                    {{"Host", where_.control.ToText()}, {"Content-Type", "application/json"}},
@@ -779,6 +779,7 @@
 
 void node::CheckReady() {
   int misses = 0;
+  auto next = clock::now();
   while (!stopped_) {
     const message answer = Exchange(
         where_.ready, {"GET /api/readyz HTTP/1.1", {{"Host", where_.ready.ToText()}}, {}},
@@ -786,7 +787,9 @@
     misses = answer.Status() == 200 ? 0 : misses + 1;
     if (misses == 0) ready_ = true;
     if (misses >= 2) ready_ = false;
-    for (int i = 0; i < 50 && !stopped_; ++i) std::this_thread::sleep_for(milliseconds(20));
+    ++checks_;
+    next += std::chrono::seconds(1);
+    while (clock::now() < next && !stopped_) std::this_thread::sleep_for(milliseconds(10));
   }
 }
 
--- a/review/stand_ins_3/lab.hh
+++ b/review/stand_ins_3/lab.hh
@@ -215,6 +215,8 @@
     milliseconds work{20};
     milliseconds heartbeat{1'500};
     std::size_t answer_bytes = 200;
+    /// The test sends all liveness reports itself.
+    bool manual = false;
     /// Called with the whole answer of a request that has run; may change it, or send it in part by
     /// itself and return false, which closes the connection. Empty for a sound instance.
     std::function<bool(const message& request, message& response, connection& conn)> spoil = {};
@@ -223,7 +225,9 @@
   ~instance();
   [[nodiscard]] std::vector<run> Runs();
   /// Sends one liveness report; returns true if it was acknowledged.
-  bool Beat();
+  bool Beat() { return Report("ready", ++sequence_); }
+  /// Sends the liveness report with a state and a number.
+  bool Report(const std::string& state, std::int64_t sequence);
   void SetWork(milliseconds work) { work_ = work.count(); }
 
  private:
@@ -269,6 +273,8 @@
   /// Sends a signal to the process.
   void Signal(int number) const;
   [[nodiscard]] bool ready() const { return ready_; }
+  /// Number of times that the platform has asked whether the node is ready.
+  [[nodiscard]] int checks() const { return checks_; }
   /// Number of times that the process ended without a signal of the test.
   [[nodiscard]] int own_ends() const { return own_ends_; }
   /// Largest resident memory that was seen, in bytes.
@@ -290,6 +296,7 @@
   record& log_;
   std::atomic<pid_t> pid_ = 0;
   std::atomic<bool> ready_ = false;
+  std::atomic<int> checks_ = 0;
   std::atomic<bool> stopped_ = false;
   std::atomic<int> own_ends_ = 0;
   std::atomic<std::int64_t> peak_ = 0;
