--- a/review/stand_ins_3/lab.cc
+++ b/review/stand_ins_3/lab.cc
@@ -382,6 +382,18 @@
   changed_.notify_all();
 }
 
+void object_store::MuteNextList(const std::string& kind) {
+  const std::lock_guard lock(mutex_);
+  muted_list_ = kind;
+}
+
+json::value object_store::GetStatus(const std::string& kind, const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  const auto& objects = kinds_[kind];
+  const auto found = objects.find(name);
+  return found == objects.end() ? json::value() : found->second.status;
+}
+
 void object_store::SetStaleLag(milliseconds lag) {
   const std::lock_guard lock(mutex_);
   stale_lag_ = lag;
@@ -438,7 +450,10 @@
   std::unique_lock lock(mutex_);
   const std::uint64_t silences = silences_;
   const bool stale = find("staleOk") == "1" && stale_lag_.count() > 0;
-  if (silent_ || IsMute(conn)) {
+  const bool is_list = request.Method() == "GET" && name.empty() && find("watch").empty();
+  const bool goes_silent = is_list && !muted_list_.empty() && path == muted_list_;
+  if (goes_silent) muted_list_.clear();
+  if (silent_ || goes_silent || IsMute(conn)) {
     changed_.wait(lock, [&] { return stopped_; });
     return false;
   }
@@ -592,8 +607,10 @@
   });
 }
 
-instance::~instance() {
-  stopped_ = true;
+instance::~instance() { Stop(); }
+
+void instance::Stop() {
+  if (stopped_.exchange(true)) return;
   freed_.notify_all();
   beating_.join();
   server_->Stop();
@@ -605,7 +622,7 @@
       {"born", born_ms_},
       {"info",
        {{"service", options_.service},
-        {"version", "v1"},
+        {"version", options_.version},
         {"zone", options_.zone},
         {"slots", options_.slots}}},
       {"status", {{"state", state}, {"seq", sequence}, {"coldLeftS", 0}}}};
@@ -656,6 +673,9 @@
   freed_.notify_one();
   response = MakeResponse(200, {{"Request-Id", id}, {"Server-Stamp", "3e1b." + options_.id}},
                           std::string(options_.answer_bytes, 'x'));
+  if (static_cast<int>(runs_.size() % 100) < options_.failures) {
+    response = MakeResponse(500, {{"Request-Id", id}, {"Server-Stamp", "3e1b." + options_.id}});
+  }
   lock.unlock();
   return !options_.spoil || options_.spoil(request, response, conn);
 }
--- a/review/stand_ins_3/lab.hh
+++ b/review/stand_ins_3/lab.hh
@@ -145,6 +145,10 @@
   void SetSilent(bool silent);
   /// Lets all connections that are open now go silent for good; new ones work.
   void MuteOpenConnections();
+  /// Lets the connection go silent that brings the next list call for `kind`.
+  void MuteNextList(const std::string& kind);
+  /// Returns the status of an object; null if there is none.
+  [[nodiscard]] boost::json::value GetStatus(const std::string& kind, const std::string& name);
   /// Lets calls that may get stale data see the state of `lag` ago.
   void SetStaleLag(milliseconds lag);
 
@@ -184,6 +188,7 @@
   bool silent_ = false;
   clock::time_point muted_at_{};
   milliseconds stale_lag_{0};
+  std::string muted_list_;
   bool stopped_ = false;
   std::unique_ptr<server> server_;
 };
@@ -211,6 +216,9 @@
     std::string id;
     std::string service;
     std::string zone;
+    std::string version = "v1";
+    /// Share of the requests that run and fail, in percent.
+    int failures = 0;
     int slots = 6;
     milliseconds work{20};
     milliseconds heartbeat{1'500};
@@ -228,6 +236,8 @@
   bool Beat() { return Report("ready", ++sequence_); }
   /// Sends the liveness report with a state and a number.
   bool Report(const std::string& state, std::int64_t sequence);
+  /// Ends the instance: it stops at once, without draining.
+  void Stop();
   void SetWork(milliseconds work) { work_ = work.count(); }
 
  private:
