--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,8 +4,8 @@
 cd "$(dirname "$0")" || exit 2
 ROOT=$(cd ../.. && pwd)
 export ROOT
-[ -x "$ROOT/build-review-3/many_fields" ] && [ -x "$ROOT/target/bin/siskinrack-node" ] || exit 2
-"$ROOT/build-review-3/many_fields"
+[ -x "$ROOT/build-review-3/early_done" ] && [ -x "$ROOT/target/bin/siskinrack-node" ] || exit 2
+"$ROOT/build-review-3/early_done"
 rc=$?
 [ $rc -le 1 ] || rc=2
 exit $rc
