--- a/review/stand_ins_3/early_done.cc
+++ b/review/stand_ins_3/early_done.cc
@@ -99,8 +99,10 @@
     return status.is_object() ? std::string(status.at("state").as_string()) : std::string();
   };
   // The new instances start alongside the old ones, each with its machine.
+  auto last_silence = ordered;
   for (int i = 0; i < kNew; ++i) {
     if (trouble && find_state().empty()) {
+      last_silence = clock::now();
       store.MuteNextList("siskinrack-endpoints");
       log.Line("the connection of the next list of endpoints goes silent");
     }
@@ -126,7 +128,7 @@
   stop = true;
   for (std::thread& each : consumers) each.join();
   // From machines in touch: the silent connection counts as a reset of the connections of all.
-  const auto in_touch = ordered + kStability;
+  const auto in_touch = last_silence + kStability;
   int all = 0;
   int bad = 0;
   int bad_answers = 0;
