--- a/review/stand_ins_3/long_connection_field.cc
+++ b/review/stand_ins_3/costly_heads.cc
@@ -1,12 +1,15 @@
-// A few consumers send requests whose Connection field lists very many names, beside very many short
-// fields, inside the configured limit. Ordinary consumers use the same node meanwhile.
+// A crowd of consumers sends requests with costly header sections, inside the configured limit; ordinary
+// consumers use the same node meanwhile. The argument says what is costly: "connection", a Connection
+// field that lists very many names beside very many short fields, or "path", a path of very many slashes.
 #include <unistd.h>
 
 #include "lab.hh"
 
 using namespace review;  // NOLINT
 
-int main() {
+int main(int argc, char** argv) {
+  if (argc != 2) return 2;
+  const bool costly_path = std::string(argv[1]) == "path";
   constexpr int kMachines = 4;
   // Connections of the crowd, all at machine 0, and requests on each, sent one after the other.
   constexpr int kCrowd = 64;
@@ -81,8 +84,14 @@
   sent = in_time = late = never = 0;
   std::atomic<int> crowd_sent = 0, crowd_answered = 0;
   const auto make_request = [&] {
-    std::string head = "GET /nowhere/1 HTTP/1.1\r\nHost: portal.example\r\nRequest-Id: c-" +
-                       std::to_string(++last_id) + "\r\nDeadline-Ms: 2000\r\n";
+    const std::string rest = " HTTP/1.1\r\nHost: portal.example\r\nRequest-Id: c-" +
+                             std::to_string(++last_id) + "\r\nDeadline-Ms: 2000\r\n";
+    if (costly_path) {
+      const std::size_t size = kHeadBytes - rest.size();
+      return "GET " + (trouble ? std::string(size, '/') : '/' + std::string(size - 1, 'a')) + rest +
+             "\r\n";
+    }
+    std::string head = "GET /nowhere/1" + rest;
     if (trouble) {
       std::string names = "Connection: a";
       while (names.size() < kHeadBytes / 2) names += ",a";
